Lay the ground: base, schema, consensus core, stand-in member

Cause: an empty repository. Change: layers and checks, generated messages and settings, the pure core of the control log with its disk, the failover decision, and the stand-in database member.

--- /dev/null
+++ b/src/platform/consensus/common/consensus.ts
@@ -0,0 +1,652 @@
+import type {SeededRandom} from '../../../base/common/random';
+import type {
+  AppendReply,
+  AppendRequest,
+  Configuration,
+  ConsensusMessage,
+  LogEntry,
+  Peer,
+  Snapshot,
+  SnapshotRequest,
+  VoteReply,
+  VoteRequest,
+} from '../../../schema/generated/consensus';
+import type {
+  ConsensusEvent,
+  ConsensusOptions,
+  ConsensusRole,
+  Effect,
+  PersistedState,
+  Refusal,
+  Ticket,
+} from './consensus_types';
+import {EntryLog} from './entry_log';
+import {
+  hasMajority,
+  isSingleChange,
+  majorityValue,
+  type PeerProgress,
+} from './progress';
+
+const MOST_ENTRIES_A_MESSAGE = 64;
+/** A leader that hears no majority for this many election times steps down. */
+const LEADER_PATIENCE = 2;
+
+type Body = NonNullable<ConsensusMessage['body']>;
+
+interface PendingProposal {
+  readonly ticket: Ticket;
+  readonly index: number;
+  readonly term: number;
+}
+
+interface PendingConfirmation {
+  readonly ticket: Ticket;
+  readonly round: number;
+  readonly index: number;
+}
+
+/**
+ * The replicated log: leader election with pre-vote, replication, single
+ * changes of configuration, snapshots and confirmation by a majority.
+ *
+ * Pure: events in, effects out. The caller makes saved effects durable before
+ * it sends a message, and reports that with `synced`.
+ */
+export class Consensus {
+  private readonly log: EntryLog;
+  private term: number;
+  private votedFor: string;
+  private currentRole: ConsensusRole = 'follower';
+  private currentLeader = '';
+  private commit: number;
+  private applied: number;
+  private synced: number;
+  private effects: Effect[] = [];
+  private now = 0;
+
+  private electionDeadline = 0;
+  private leaderHeardAt = -Infinity;
+  private preVoting = false;
+  private votes = new Set<string>();
+
+  private progress = new Map<string, PeerProgress>();
+  private round = 0;
+  private nextHeartbeat = 0;
+  private proposals: PendingProposal[] = [];
+  private confirmations: PendingConfirmation[] = [];
+
+  constructor(
+    readonly id: string,
+    persisted: PersistedState,
+    private readonly options: ConsensusOptions,
+    private readonly random: SeededRandom,
+  ) {
+    this.log = new EntryLog(persisted.snapshot, persisted.entries);
+    this.term = persisted.hardState.term;
+    this.votedFor = persisted.hardState.votedFor;
+    this.commit = persisted.snapshot.index;
+    this.applied = persisted.snapshot.index;
+    this.synced = this.log.lastIndex;
+  }
+
+  get role(): ConsensusRole {
+    return this.currentRole;
+  }
+
+  get currentTerm(): number {
+    return this.term;
+  }
+
+  /** The id of the leader that this instance follows, or ''. */
+  get leader(): string {
+    return this.currentLeader;
+  }
+
+  get commitIndex(): number {
+    return this.commit;
+  }
+
+  get lastIndex(): number {
+    return this.log.lastIndex;
+  }
+
+  /** The configuration in use: the newest in the log, committed or not. */
+  get configuration(): Configuration {
+    return this.log.configurationAt(this.log.lastIndex).value;
+  }
+
+  get configurationCommitted(): boolean {
+    return this.log.configurationAt(this.log.lastIndex).index <= this.commit;
+  }
+
+  get snapshotIndex(): number {
+    return this.log.snapshot.index;
+  }
+
+  /** Whether a leader knows the state to be complete for its term. */
+  get leaderReady(): boolean {
+    return (
+      this.currentRole === 'leader' &&
+      this.log.termAt(this.commit) === this.term
+    );
+  }
+
+  /** A snapshot of all that was applied, around the state machine's bytes. */
+  snapshotOf(state: Buffer): Snapshot {
+    const index = this.applied;
+    return {
+      index,
+      term: this.log.termAt(index) ?? 0,
+      configuration: this.log.configurationAt(index).value,
+      state,
+    };
+  }
+
+  /** How far a peer's log is known to match, 0 when unknown. */
+  matchIndexOf(id: string): number {
+    if (id === this.id) return this.synced;
+    return this.progress.get(id)?.matchIndex ?? 0;
+  }
+
+  /** Takes one event at a time of the monotonic clock, in milliseconds. */
+  step(event: ConsensusEvent, now: number): Effect[] {
+    if (this.electionDeadline === 0) this.resetElection(now);
+    this.now = now;
+    this.effects = [];
+    this.handle(event);
+    return this.effects;
+  }
+
+  private handle(event: ConsensusEvent): void {
+    switch (event.kind) {
+      case 'tick':
+        return this.onTick();
+      case 'message':
+        return this.onMessage(event.message);
+      case 'propose':
+        return this.onPropose(event.ticket, {
+          $case: 'command',
+          value: event.command,
+        });
+      case 'changeConfiguration':
+        return this.onChangeConfiguration(event.ticket, event.configuration);
+      case 'confirm':
+        return this.onConfirm(event.ticket);
+      case 'synced':
+        return this.onSynced(event.index, event.term);
+      case 'compacted':
+        return this.onCompacted(event.snapshot);
+    }
+  }
+
+  // ---- Time ----
+
+  private onTick(): void {
+    if (this.currentRole === 'leader') return this.leaderTick();
+    if (this.now < this.electionDeadline) return;
+    this.resetElection(this.now);
+    if (this.isVoter()) this.startElection(true);
+  }
+
+  private leaderTick(): void {
+    // An isolated leader must not go on believing in itself: operators and
+    // proxies would wait on it. Confirmations guard safety; this frees them.
+    if (!this.hearsMajority()) {
+      this.becomeFollower(this.term, '');
+      return;
+    }
+    if (this.now >= this.nextHeartbeat) this.startRound();
+  }
+
+  private hearsMajority(): boolean {
+    const limit = this.now - this.options.electionMs * LEADER_PATIENCE;
+    const heard = new Set([this.id]);
+    for (const [id, peer] of this.progress) {
+      if (peer.heardAt >= limit) heard.add(id);
+    }
+    return hasMajority(this.configuration.peers, heard);
+  }
+
+  private resetElection(now: number): void {
+    const wait = this.options.electionMs * (1 + this.random.fraction());
+    this.electionDeadline = now + wait;
+  }
+
+  // ---- Elections ----
+
+  private startElection(pre: boolean): void {
+    this.preVoting = pre;
+    this.votes = new Set([this.id]);
+    this.setRole('candidate');
+    this.currentLeader = '';
+    if (!pre) {
+      this.term++;
+      this.votedFor = this.id;
+      this.saveHardState();
+    }
+    if (hasMajority(this.configuration.peers, this.votes)) {
+      return this.winElection();
+    }
+    for (const peer of this.otherPeers()) {
+      if (!peer.voter) continue;
+      this.send(
+        peer.id,
+        {
+          $case: 'voteRequest',
+          value: {
+            lastIndex: this.log.lastIndex,
+            lastTerm: this.log.lastTerm,
+            pre,
+          },
+        },
+        pre ? this.term + 1 : this.term,
+      );
+    }
+  }
+
+  private winElection(): void {
+    if (this.preVoting) return this.startElection(false);
+    this.becomeLeader();
+  }
+
+  private onVoteRequest(message: ConsensusMessage, ask: VoteRequest): void {
+    // Sticky leader: an instance that was cut off and returns with a higher
+    // term cannot unseat a leader that the majority hears.
+    const sticky =
+      this.currentRole === 'leader' ||
+      this.now - this.leaderHeardAt < this.options.electionMs;
+    if (sticky || message.term < this.term) {
+      return this.sendVote(message.from, false, ask.pre);
+    }
+    if (ask.pre) {
+      const granted = message.term > this.term && this.isUpToDate(ask);
+      return this.sendVote(message.from, granted, true, message.term);
+    }
+    if (message.term > this.term) this.becomeFollower(message.term, '');
+    const free = this.votedFor === '' || this.votedFor === message.from;
+    const granted = free && this.isUpToDate(ask);
+    if (granted) {
+      this.votedFor = message.from;
+      this.saveHardState();
+      this.resetElection(this.now);
+    }
+    this.sendVote(message.from, granted, false);
+  }
+
+  private isUpToDate(ask: VoteRequest): boolean {
+    if (ask.lastTerm !== this.log.lastTerm) {
+      return ask.lastTerm > this.log.lastTerm;
+    }
+    return ask.lastIndex >= this.log.lastIndex;
+  }
+
+  private sendVote(
+    to: string,
+    granted: boolean,
+    pre: boolean,
+    term = this.term,
+  ): void {
+    this.send(to, {$case: 'voteReply', value: {granted, pre}}, term);
+  }
+
+  private onVoteReply(message: ConsensusMessage, reply: VoteReply): void {
+    if (this.currentRole !== 'candidate') return;
+    if (reply.pre !== this.preVoting) return;
+    if (!reply.granted) {
+      if (message.term > this.term) this.becomeFollower(message.term, '');
+      return;
+    }
+    const expected = reply.pre ? this.term + 1 : this.term;
+    if (message.term !== expected) return;
+    this.votes.add(message.from);
+    if (hasMajority(this.configuration.peers, this.votes)) this.winElection();
+  }
+
+  private becomeLeader(): void {
+    this.setRole('leader');
+    this.currentLeader = this.id;
+    this.progress.clear();
+    this.confirmations = [];
+    for (const peer of this.otherPeers()) this.trackPeer(peer.id);
+    // Entries of earlier terms count as committed only below an entry of
+    // this leader's own term.
+    this.appendOwn({$case: 'noop', value: true});
+    this.startRound();
+  }
+
+  private becomeFollower(term: number, leader: string): void {
+    if (term > this.term) {
+      this.term = term;
+      this.votedFor = '';
+      this.saveHardState();
+    }
+    this.currentLeader = leader;
+    if (this.currentRole === 'leader') this.refuseAll('leadership lost');
+    if (this.currentRole !== 'follower') this.resetElection(this.now);
+    this.setRole('follower');
+  }
+
+  private setRole(role: ConsensusRole): void {
+    if (role === this.currentRole) return;
+    this.currentRole = role;
+    this.effects.push({kind: 'roleChanged', role});
+  }
+
+  private refuseAll(reason: Refusal): void {
+    for (const {ticket} of [...this.proposals, ...this.confirmations]) {
+      this.effects.push({kind: 'refused', ticket, reason});
+    }
+    this.proposals = [];
+    this.confirmations = [];
+  }
+
+  // ---- Messages ----
+
+  private onMessage(message: ConsensusMessage): void {
+    const body = message.body;
+    if (!body) return;
+    if (body.$case === 'voteRequest') {
+      return this.onVoteRequest(message, body.value);
+    }
+    if (body.$case === 'voteReply') {
+      return this.onVoteReply(message, body.value);
+    }
+    if (message.term > this.term) this.becomeFollower(message.term, '');
+    if (body.$case === 'appendReply') {
+      return this.onAppendReply(message, body.value);
+    }
+    if (message.term < this.term) {
+      return this.sendAppendReply(message.from, false, 0, 0);
+    }
+    this.becomeFollower(message.term, message.from);
+    this.leaderHeardAt = this.now;
+    this.resetElection(this.now);
+    if (body.$case === 'appendRequest') {
+      return this.onAppendRequest(message.from, body.value);
+    }
+    this.onSnapshotRequest(message.from, body.value);
+  }
+
+  private onAppendRequest(from: string, ask: AppendRequest): void {
+    if (ask.previousIndex < this.log.snapshot.index) {
+      return this.sendAppendReply(from, true, this.commit, ask.round);
+    }
+    if (this.log.termAt(ask.previousIndex) !== ask.previousTerm) {
+      const hint = Math.min(this.log.lastIndex, ask.previousIndex - 1);
+      const retry = Math.max(hint, this.commit);
+      return this.sendAppendReply(from, false, retry, ask.round);
+    }
+    this.takeEntries(ask.entries);
+    const match = ask.previousIndex + ask.entries.length;
+    this.advanceCommit(Math.min(ask.commitIndex, match));
+    this.sendAppendReply(from, true, match, ask.round);
+  }
+
+  private takeEntries(entries: readonly LogEntry[]): void {
+    const fresh = entries.findIndex(entry => {
+      return this.log.termAt(entry.index) !== entry.term;
+    });
+    if (fresh < 0) return;
+    const added = entries.slice(fresh);
+    const first = added[0]!.index;
+    if (first <= this.log.lastIndex) {
+      if (first <= this.commit) {
+        throw new Error(`entry ${first} conflicts with a committed one`);
+      }
+      this.log.truncateFrom(first);
+      this.synced = Math.min(this.synced, first - 1);
+      this.effects.push({kind: 'truncate', from: first});
+    }
+    this.log.append(added);
+    this.effects.push({kind: 'append', entries: added});
+  }
+
+  private sendAppendReply(
+    to: string,
+    success: boolean,
+    matchIndex: number,
+    round: number,
+  ): void {
+    const value: AppendReply = {success, matchIndex, round};
+    this.send(to, {$case: 'appendReply', value});
+  }
+
+  private onSnapshotRequest(from: string, ask: SnapshotRequest): void {
+    const snapshot = ask.snapshot;
+    if (!snapshot) return;
+    if (snapshot.index <= this.commit) {
+      return this.sendAppendReply(from, true, this.commit, ask.round);
+    }
+    this.log.compact(snapshot);
+    this.commit = snapshot.index;
+    this.applied = snapshot.index;
+    this.synced = this.log.lastIndex;
+    const kept = this.log.from(snapshot.index + 1, Infinity);
+    this.effects.push({kind: 'installSnapshot', snapshot, kept});
+    this.sendAppendReply(from, true, snapshot.index, ask.round);
+  }
+
+  private onAppendReply(message: ConsensusMessage, reply: AppendReply): void {
+    if (this.currentRole !== 'leader' || message.term !== this.term) return;
+    const peer = this.progress.get(message.from);
+    if (!peer) return;
+    peer.heardAt = this.now;
+    peer.round = Math.max(peer.round, reply.round);
+    if (reply.success) {
+      peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex);
+      peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1);
+    } else {
+      peer.nextIndex = Math.max(reply.matchIndex, peer.matchIndex) + 1;
+    }
+    this.commitByMajority();
+    this.settleConfirmations();
+    if (peer.nextIndex <= this.log.lastIndex) this.replicateTo(message.from);
+  }
+
+  // ---- Leader ----
+
+  private onPropose(
+    ticket: Ticket,
+    payload: NonNullable<LogEntry['payload']>,
+  ): void {
+    if (this.currentRole !== 'leader') {
+      return this.refuse(ticket, 'not leader');
+    }
+    const index = this.appendOwn(payload);
+    this.proposals.push({ticket, index, term: this.term});
+    for (const peer of this.otherPeers()) this.replicateTo(peer.id);
+  }
+
+  private onChangeConfiguration(ticket: Ticket, next: Configuration): void {
+    if (!this.leaderReady) return this.refuse(ticket, 'not leader');
+    // A second change before the first is committed, or one that moves two
+    // voters, could give two majorities that do not meet.
+    const single = isSingleChange(this.configuration.peers, next.peers);
+    if (!this.configurationCommitted || !single) {
+      return this.refuse(ticket, 'change in progress');
+    }
+    this.onPropose(ticket, {$case: 'configuration', value: next});
+    for (const peer of this.otherPeers()) this.trackPeer(peer.id);
+  }
+
+  private onConfirm(ticket: Ticket): void {
+    if (!this.leaderReady) return this.refuse(ticket, 'not leader');
+    const quiet = this.confirmations.length === 0;
+    const round = this.round + 1;
+    this.confirmations.push({ticket, round, index: this.commit});
+    if (quiet) this.startRound();
+  }
+
+  private refuse(ticket: Ticket, reason: Refusal): void {
+    this.effects.push({kind: 'refused', ticket, reason});
+  }
+
+  private startRound(): void {
+    this.round++;
+    this.nextHeartbeat = this.now + this.options.heartbeatMs;
+    for (const peer of this.otherPeers()) this.replicateTo(peer.id);
+    this.settleConfirmations();
+  }
+
+  private settleConfirmations(): void {
+    if (this.confirmations.length === 0) return;
+    const reached = majorityValue(this.configuration.peers, id => {
+      return id === this.id ? this.round : (this.progress.get(id)?.round ?? 0);
+    });
+    const due = this.confirmations.filter(({round}) => round <= reached);
+    if (due.length === 0) return;
+    this.confirmations = this.confirmations.filter(({round}) => {
+      return round > reached;
+    });
+    for (const {ticket, index} of due) {
+      this.effects.push({kind: 'confirmed', ticket, index});
+    }
+    if (this.confirmations.length > 0) this.startRound();
+  }
+
+  private appendOwn(payload: NonNullable<LogEntry['payload']>): number {
+    const index = this.log.lastIndex + 1;
+    const entry: LogEntry = {index, term: this.term, payload};
+    this.log.append([entry]);
+    this.effects.push({kind: 'append', entries: [entry]});
+    return index;
+  }
+
+  private replicateTo(id: string): void {
+    const peer = this.progress.get(id);
+    if (!peer) return;
+    const previousTerm = this.log.termAt(peer.nextIndex - 1);
+    if (previousTerm === undefined) return this.sendSnapshot(id, peer);
+    const entries = this.log.from(peer.nextIndex, MOST_ENTRIES_A_MESSAGE);
+    this.send(id, {
+      $case: 'appendRequest',
+      value: {
+        previousIndex: peer.nextIndex - 1,
+        previousTerm,
+        entries,
+        commitIndex: this.commit,
+        round: this.round,
+      },
+    });
+    peer.nextIndex += entries.length;
+  }
+
+  private sendSnapshot(id: string, peer: PeerProgress): void {
+    if (this.now - peer.snapshotSentAt < this.options.heartbeatMs) return;
+    peer.snapshotSentAt = this.now;
+    const value = {snapshot: this.log.snapshot, round: this.round};
+    this.send(id, {$case: 'snapshotRequest', value});
+  }
+
+  private trackPeer(id: string): void {
+    if (this.progress.has(id)) return;
+    this.progress.set(id, {
+      nextIndex: this.log.lastIndex + 1,
+      matchIndex: 0,
+      round: 0,
+      heardAt: this.now,
+      snapshotSentAt: -Infinity,
+    });
+  }
+
+  private onSynced(index: number, term: number): void {
+    // Entries that were replaced while the disk was busy are not the ones
+    // that it reports.
+    if (this.log.termAt(index) !== term) return;
+    this.synced = Math.max(this.synced, index);
+    if (this.currentRole === 'leader') this.commitByMajority();
+  }
+
+  private commitByMajority(): void {
+    const index = majorityValue(this.configuration.peers, id => {
+      return this.matchIndexOf(id);
+    });
+    if (this.log.termAt(index) === this.term) this.advanceCommit(index);
+  }
+
+  private advanceCommit(index: number): void {
+    if (index <= this.commit) return;
+    this.commit = index;
+    while (this.applied < this.commit) {
+      this.applied++;
+      const entry = this.log.entryAt(this.applied)!;
+      this.effects.push({kind: 'apply', entry});
+      this.answerProposal(entry);
+    }
+    if (this.currentRole === 'leader') this.afterCommit();
+  }
+
+  private answerProposal(entry: LogEntry): void {
+    const found = this.proposals.findIndex(({index}) => index === entry.index);
+    if (found < 0) return;
+    const [{ticket, term}] = this.proposals.splice(found, 1) as [
+      PendingProposal,
+    ];
+    if (term === entry.term) {
+      this.effects.push({kind: 'committed', ticket, index: entry.index});
+    } else {
+      this.refuse(ticket, 'leadership lost');
+    }
+  }
+
+  private afterCommit(): void {
+    const removed = this.configurationCommitted && !this.isVoter();
+    if (removed) this.becomeFollower(this.term, '');
+  }
+
+  private onCompacted(snapshot: Snapshot): void {
+    this.log.compact(snapshot);
+    const kept = this.log.from(snapshot.index + 1, Infinity);
+    this.effects.push({kind: 'installSnapshot', snapshot, kept});
+  }
+
+  // ---- Helpers ----
+
+  private isVoter(): boolean {
+    return this.configuration.peers.some(peer => {
+      return peer.id === this.id && peer.voter;
+    });
+  }
+
+  private otherPeers(): readonly Peer[] {
+    return this.configuration.peers.filter(peer => peer.id !== this.id);
+  }
+
+  private saveHardState(): void {
+    this.effects.push({
+      kind: 'saveHardState',
+      state: {term: this.term, votedFor: this.votedFor},
+    });
+  }
+
+  private send(to: string, body: Body, term = this.term): void {
+    this.effects.push({
+      kind: 'send',
+      message: {from: this.id, to, term, body},
+    });
+  }
+}
+
+/** The state of an instance that starts a system of its own. */
+export function bootstrapState(peer: Peer): PersistedState {
+  const configuration = {peers: [{...peer, voter: true}]};
+  const snapshot: Snapshot = {
+    index: 1,
+    term: 1,
+    configuration,
+    state: Buffer.alloc(0),
+  };
+  return {hardState: {term: 1, votedFor: ''}, snapshot, entries: []};
+}
+
+/** The state of an instance that waits to be taken in by a leader. */
+export function emptyState(): PersistedState {
+  const snapshot: Snapshot = {
+    index: 0,
+    term: 0,
+    configuration: {peers: []},
+    state: Buffer.alloc(0),
+  };
+  return {hardState: {term: 0, votedFor: ''}, snapshot, entries: []};
+}
--- /dev/null
+++ b/src/platform/consensus/common/progress.ts
@@ -0,0 +1,51 @@
+import type {Peer} from '../../../schema/generated/consensus';
+
+/** What a leader knows of one peer. */
+export interface PeerProgress {
+  nextIndex: number;
+  matchIndex: number;
+  /** The newest heartbeat round that the peer answered. */
+  round: number;
+  /** When the peer last answered, on the leader's clock. */
+  heardAt: number;
+  /** When a snapshot was last sent, to send it once per heartbeat. */
+  snapshotSentAt: number;
+}
+
+/** The highest value that a majority of the voters has reached. */
+export function majorityValue(
+  peers: readonly Peer[],
+  valueOf: (id: string) => number,
+): number {
+  const values = peers
+    .filter(peer => peer.voter)
+    .map(peer => valueOf(peer.id))
+    .sort((a, b) => b - a);
+  return values[Math.floor(values.length / 2)] ?? 0;
+}
+
+/** Whether more than half of the voters are in the set. */
+export function hasMajority(
+  peers: readonly Peer[],
+  ids: ReadonlySet<string>,
+): boolean {
+  const voters = peers.filter(peer => peer.voter);
+  const count = voters.filter(peer => ids.has(peer.id)).length;
+  return count * 2 > voters.length;
+}
+
+/** Whether two configurations differ by at most one voter. */
+export function isSingleChange(
+  before: readonly Peer[],
+  after: readonly Peer[],
+): boolean {
+  const old = voterIds(before);
+  const next = voterIds(after);
+  const added = [...next].filter(id => !old.has(id)).length;
+  const removed = [...old].filter(id => !next.has(id)).length;
+  return next.size > 0 && added + removed <= 1;
+}
+
+function voterIds(peers: readonly Peer[]): Set<string> {
+  return new Set(peers.filter(peer => peer.voter).map(peer => peer.id));
+}
--- /dev/null
+++ b/src/platform/failover/common/failover.ts
@@ -0,0 +1,305 @@
+import {Role, type TargetStatus} from '../../../schema/generated/announcement';
+import {Phase} from '../../../schema/generated/control';
+import {
+  comparePositions,
+  formatPosition,
+  ORIGIN,
+} from '../../position/common/position';
+import type {
+  FailoverAction,
+  FailoverView,
+  ProxyView,
+  TargetView,
+} from './failover_view';
+
+/** Replicas must miss their primary for this many silences to convict it. */
+const UPSTREAM_PATIENCE = 2;
+
+/**
+ * Decides what the control leader does next for one service.
+ *
+ * Pure and without memory: the same view gives the same actions, so a new
+ * leader goes on where the last one stopped.
+ */
+export function decideFailover(view: FailoverView): FailoverAction[] {
+  switch (view.record.phase) {
+    case Phase.PHASE_FORMING:
+      return decideForming(view);
+    case Phase.PHASE_CHANGING:
+      return decideChanging(view);
+    default:
+      return decideSteady(view);
+  }
+}
+
+function decideForming(view: FailoverView): FailoverAction[] {
+  const present = view.targets.filter(target => target.connected);
+  if (present.length < view.members) return [];
+  return [begin(view, 'the group is complete', false)];
+}
+
+// ---- A service with a primary ----
+
+function decideSteady(view: FailoverView): FailoverAction[] {
+  const cause = causeOfLoss(view);
+  if (cause) return [begin(view, cause, false)];
+  const planned = causeOfPlannedChange(view);
+  if (planned) return [begin(view, planned, true)];
+  return view.targets.flatMap(target => tend(view, target));
+}
+
+/** Why the primary must be replaced at once, or undefined. */
+export function causeOfLoss(view: FailoverView): string | undefined {
+  const primary = primaryOf(view);
+  const {primaryIncarnation} = view.record;
+  // A process that was started again has lost what it held in memory, and
+  // its promises with it: under its old name it would lead an empty log.
+  const status = primary?.status;
+  if (primary?.connected && status?.incarnation !== primaryIncarnation) {
+    return 'the primary was started again';
+  }
+  if (isLostToMajority(view, primary)) {
+    return 'the primary is unreachable for a majority of observers';
+  }
+  if (isCutFromReplicas(view)) {
+    return 'the primary is cut off from its replicas';
+  }
+  return undefined;
+}
+
+/**
+ * A single observer with a bad link must not cause a change: the control
+ * leader and the attached proxies vote.
+ */
+function isLostToMajority(
+  view: FailoverView,
+  primary: TargetView | undefined,
+): boolean {
+  const observers = view.proxies.filter(proxy => proxy.attached);
+  const against = observers.filter(proxy => {
+    return proxy.reportsLostTerm === view.record.term;
+  });
+  const own = isLostToControl(view, primary) ? 1 : 0;
+  return (against.length + own) * 2 > observers.length + 1;
+}
+
+function isLostToControl(
+  view: FailoverView,
+  primary: TargetView | undefined,
+): boolean {
+  const silentMs = primary?.silentMs ?? view.now - view.leaderSince;
+  if (primary?.status && !primary.connected) return true;
+  return silentMs >= view.silenceMs;
+}
+
+function isCutFromReplicas(view: FailoverView): boolean {
+  if (view.confirmations === 0) return false;
+  const replicas = view.targets.filter(target => {
+    return target.connected && target.instance !== view.record.primary;
+  });
+  if (replicas.length < view.confirmations) return false;
+  const limit = view.silenceMs * UPSTREAM_PATIENCE;
+  const cut = replicas.filter(({upstreamLostMs}) => upstreamLostMs >= limit);
+  if (cut.length === replicas.length) return true;
+  const observers = view.proxies.filter(proxy => proxy.attached);
+  const unconfirmed = observers.filter(proxy => {
+    return proxy.reportsUnconfirmedTerm === view.record.term;
+  });
+  return cut.length > 0 && unconfirmed.length * 2 > observers.length;
+}
+
+function causeOfPlannedChange(view: FailoverView): string | undefined {
+  const primary = primaryOf(view);
+  if (!primary?.status) return undefined;
+  const wanted = primary.draining || primary.status.leaving;
+  const heir = view.targets.some(target => {
+    return target !== primary && isHeir(view, target);
+  });
+  if (!wanted || !heir) return undefined;
+  return primary.draining ? 'the primary is drained' : 'the primary leaves';
+}
+
+function isHeir(view: FailoverView, target: TargetView): boolean {
+  const {connected, draining, status} = target;
+  if (!connected || draining || !status || status.leaving) return false;
+  return status.matchedTerm === view.record.term && status.upstreamConnected;
+}
+
+/** Brings a member into line with the term in force. */
+function tend(view: FailoverView, target: TargetView): FailoverAction[] {
+  const {status, connected, instance} = target;
+  const {record} = view;
+  if (!connected || !status) return [];
+  if (instance === record.primary) {
+    const leads = status.role === Role.ROLE_PRIMARY;
+    if (leads && status.term === record.term) return [];
+    return [{kind: 'promote', instance}];
+  }
+  if (status.term >= record.term && status.upstreamConnected) return [];
+  const primary = primaryOf(view)?.status;
+  if (primary?.role !== Role.ROLE_PRIMARY || primary.term !== record.term) {
+    return [];
+  }
+  const {replicationAddress} = primary;
+  return [{kind: 'follow', instance, replicationAddress}];
+}
+
+// ---- A service between two primaries ----
+
+function decideChanging(view: FailoverView): FailoverAction[] {
+  const actions: FailoverAction[] = fenceActions(view);
+  if (!areLeasesOver(view)) return actions;
+  actions.push({kind: 'closed'});
+  const holders = view.targets.filter(target => isHolder(view, target));
+  const safe = safetyOf(view, holders);
+  if ('reason' in safe) {
+    return [...actions, {kind: 'blocked', reason: safe.reason}];
+  }
+  const heir = chooseHeir(holders);
+  if (!heir) return actions;
+  const {incarnation, received = ORIGIN} = heir.status!;
+  actions.push({
+    kind: 'complete',
+    primary: heir.instance,
+    incarnation,
+    baseOffset: received.offset,
+    inputs: `${safe.rule}; ${describeTargets(view)}`,
+  });
+  return actions;
+}
+
+function fenceActions(view: FailoverView): FailoverAction[] {
+  return view.targets
+    .filter(({connected, status}) => {
+      return connected && status && status.term < view.record.term;
+    })
+    .map(({instance}) => ({kind: 'fence', instance}));
+}
+
+/** A member that has promised the new term and says what it holds. */
+function isHolder(view: FailoverView, target: TargetView): boolean {
+  const {status, connected} = target;
+  if (!connected || !status) return false;
+  return (
+    status.term === view.record.term && status.role === Role.ROLE_REPLICA
+  );
+}
+
+/**
+ * Guard against two primaries that both acknowledge: the new term begins only
+ * when each registered proxy has handed its lease back or cannot hold one any
+ * more. A leader that is new waits out what the one before may have granted.
+ */
+export function areLeasesOver(view: FailoverView): boolean {
+  if (view.record.termStarts.length === 0) return true;
+  return view.proxies.every(proxy => {
+    return hasHandedBack(view, proxy) || hasRunOut(view, proxy);
+  });
+}
+
+function hasHandedBack(view: FailoverView, proxy: ProxyView): boolean {
+  return proxy.handedBackBelow >= view.record.term;
+}
+
+function hasRunOut(view: FailoverView, proxy: ProxyView): boolean {
+  const start = Math.max(proxy.lastGrantAt, view.leaderSince);
+  return view.now >= start + view.leaseBoundMs;
+}
+
+type Safety = {readonly rule: string} | {readonly reason: string};
+
+/**
+ * Guard against losing acknowledged writes. Such a write is on the primary and
+ * on as many replicas as there are confirmations; so any set of members that
+ * leaves out no more than that many meets it. A member that lost its data and
+ * has not caught up since counts as left out. Fewer members do where every
+ * proxy said what it acknowledged last and a member holds all of it.
+ */
+function safetyOf(
+  view: FailoverView,
+  holders: readonly TargetView[],
+): Safety {
+  const first = view.record.termStarts.length === 0;
+  const counted = holders.filter(({status}) => {
+    return first || status!.matchedTerm > 0;
+  });
+  const needed = view.members - (first ? 0 : view.confirmations);
+  if (counted.length >= needed) {
+    return {rule: `${counted.length} of ${view.members} members answered`};
+  }
+  const heir = chooseHeir(counted);
+  if (!first && heir && holdsAllAcknowledged(view, heir)) {
+    return {rule: 'it holds all that any proxy acknowledged'};
+  }
+  if (view.forced && holders.length > 0) {
+    return {rule: 'an operator forced the change'};
+  }
+  const reason =
+    `${counted.length} of ${view.members} members with their data answered, ` +
+    `${needed} are needed; bring a member back or force the change`;
+  return {reason};
+}
+
+function holdsAllAcknowledged(view: FailoverView, heir: TargetView): boolean {
+  const received = heir.status?.received ?? ORIGIN;
+  return view.proxies.every(proxy => {
+    if (!hasHandedBack(view, proxy)) return false;
+    const highest = proxy.highestAcknowledged ?? ORIGIN;
+    return comparePositions(received, highest) >= 0;
+  });
+}
+
+/** The newest log wins; among equals one that stays, then by name. */
+function chooseHeir(holders: readonly TargetView[]): TargetView | undefined {
+  const rank = ({status, draining}: TargetView) => {
+    return draining || status!.leaving ? 1 : 0;
+  };
+  return [...holders].sort((a, b) => {
+    const [first, second] = [a.status!, b.status!];
+    const order = comparePositions(
+      second.received ?? ORIGIN,
+      first.received ?? ORIGIN,
+    );
+    return order || rank(a) - rank(b) || (a.instance < b.instance ? -1 : 1);
+  })[0];
+}
+
+// ---- Helpers ----
+
+function primaryOf(view: FailoverView): TargetView | undefined {
+  return view.targets.find(({instance}) => instance === view.record.primary);
+}
+
+function begin(
+  view: FailoverView,
+  cause: string,
+  planned: boolean,
+): FailoverAction {
+  const terms = view.targets.map(({status}) => status?.term ?? 0);
+  const term = Math.max(view.record.term, ...terms) + 1;
+  const inputs = `${describeTargets(view)}; ${describeProxies(view)}`;
+  return {kind: 'begin', term, cause, inputs, planned};
+}
+
+function describeTargets(view: FailoverView): string {
+  return view.targets.map(describeTarget).join(', ');
+}
+
+function describeTarget(target: TargetView): string {
+  const {instance, status, connected, silentMs} = target;
+  if (!status) return `${instance} never seen`;
+  const link = connected ? `silent ${Math.round(silentMs)} ms` : 'closed';
+  return `${instance} at ${describeStatus(status)} ${link}`;
+}
+
+function describeStatus({received = ORIGIN, term}: TargetStatus): string {
+  return `${formatPosition(received)} in term ${term}`;
+}
+
+function describeProxies(view: FailoverView): string {
+  const attached = view.proxies.filter(proxy => proxy.attached);
+  const lost = attached.filter(proxy => {
+    return proxy.reportsLostTerm === view.record.term;
+  });
+  return `${lost.length} of ${attached.length} proxies report a loss`;
+}
--- /dev/null
+++ b/src/platform/sql/common/syntax_tree.ts
@@ -0,0 +1,57 @@
+/**
+ * The parts of PostgreSQL's syntax tree that are looked at. The grammar is
+ * libpg-query's; its trees are plain objects with one key, the node's type.
+ */
+export type SyntaxNode = Readonly<Record<string, unknown>>;
+
+/** One statement of a text. */
+export interface ParsedStatement {
+  /** The node's type, like SelectStmt. */
+  readonly type: string;
+  readonly node: SyntaxNode;
+}
+
+/** Parses a text into its statements, or says what is wrong with it. */
+export interface SqlGrammar {
+  parse(text: string): readonly ParsedStatement[] | SqlFault;
+}
+
+/** A text that is not SQL. */
+export interface SqlFault {
+  readonly message: string;
+}
+
+/** The type and fields of a node that stands where any node may. */
+export function openNode(node: unknown): [string, SyntaxNode] {
+  const entry = Object.entries((node ?? {}) as SyntaxNode)[0];
+  return entry ? [entry[0], entry[1] as SyntaxNode] : ['', {}];
+}
+
+/** A list field of a node. */
+export function listOf(node: SyntaxNode, field: string): SyntaxNode[] {
+  return (node[field] ?? []) as SyntaxNode[];
+}
+
+/** The text of a String node. */
+export function stringOf(node: unknown): string {
+  const [, {sval}] = openNode(node);
+  return String(sval ?? '');
+}
+
+/** A constant's value; undefined where the node is no constant. */
+export function constantOf(
+  node: unknown,
+): string | number | boolean | null | undefined {
+  const [type, fields] = openNode(node);
+  if (type !== 'A_Const') return undefined;
+  if (fields['isnull']) return null;
+  const {ival, fval, sval, boolval} = fields as Record<
+    string,
+    SyntaxNode | undefined
+  >;
+  if (ival) return Number(ival['ival'] ?? 0);
+  if (fval) return Number(fval['fval']);
+  if (sval) return String(sval['sval'] ?? '');
+  if (boolval) return Boolean(boolval['boolval']);
+  return null;
+}
--- /dev/null
+++ b/src/standin/common/tables.ts
@@ -0,0 +1,75 @@
+/** A value in a row. */
+export type Value = string | number | boolean | null;
+
+/** The values of a row by column name. */
+export type RowValues = Readonly<Record<string, Value>>;
+
+/** How values of a column are kept and shown. */
+export type ColumnType = 'text' | 'number' | 'boolean';
+
+export interface TableColumn {
+  readonly name: string;
+  readonly type: ColumnType;
+}
+
+/** A change of one row or table, as the log carries it. */
+export type RowOperation =
+  | {
+      readonly kind: 'create';
+      readonly table: string;
+      readonly columns: readonly TableColumn[];
+      readonly primaryKey: string | null;
+    }
+  | {
+      readonly kind: 'put';
+      readonly table: string;
+      readonly key: string;
+      readonly values: RowValues;
+    }
+  | {readonly kind: 'delete'; readonly table: string; readonly key: string};
+
+/** A row as it stands, with the offset that wrote it. */
+export interface StoredRow {
+  readonly key: string;
+  readonly values: RowValues;
+  readonly version: number;
+}
+
+export interface Table {
+  readonly name: string;
+  readonly columns: readonly TableColumn[];
+  readonly primaryKey: string | null;
+  readonly rows: Map<string, StoredRow>;
+}
+
+/** The tables of one member, as far as its log is applied. */
+export class TableStore {
+  private tables = new Map<string, Table>();
+
+  table(name: string): Table | undefined {
+    return this.tables.get(name);
+  }
+
+  clear(): void {
+    this.tables.clear();
+  }
+
+  apply(offset: number, operations: readonly RowOperation[]): void {
+    for (const operation of operations) this.applyOne(offset, operation);
+  }
+
+  private applyOne(offset: number, operation: RowOperation): void {
+    if (operation.kind === 'create') {
+      const {table: name, columns, primaryKey} = operation;
+      this.tables.set(name, {name, columns, primaryKey, rows: new Map()});
+      return;
+    }
+    const rows = this.tables.get(operation.table)?.rows;
+    if (operation.kind === 'delete') {
+      rows?.delete(operation.key);
+      return;
+    }
+    const {key, values} = operation;
+    rows?.set(key, {key, values, version: offset});
+  }
+}
--- /dev/null
+++ b/src/standin/node/database_server.ts
@@ -0,0 +1,99 @@
+import {randomInt} from 'node:crypto';
+import {createServer, type Server, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {settled, startTask, type Task} from '../../base/node/task';
+import {encodeError} from '../../platform/wire/common/backend';
+import {FrameConnection} from '../../platform/wire/node/frame_connection';
+import {TOO_MANY_CONNECTIONS} from '../common/database_error';
+import {Session, type SessionHost} from './session';
+
+const MOST_FRAME_BYTES = 64 * 1024 * 1024;
+
+/** How a member takes connections. */
+export interface ConnectionLimits {
+  readonly connections: number;
+  /** What opening one costs, in milliseconds. */
+  readonly connectionCostMs: number;
+}
+
+/** The PostgreSQL side of a stand-in member. */
+export class DatabaseServer {
+  private readonly sessions = new Set<Session>();
+  private connectionCount = 0;
+  private lastProcessId = 0;
+  private readonly server: Server;
+
+  constructor(
+    private readonly host: SessionHost,
+    private readonly limits: ConnectionLimits,
+    private readonly signal: AbortSignal,
+  ) {
+    this.server = createServer(socket => this.accept(socket));
+  }
+
+  /** Starts to listen; the bound port. */
+  listen(port: number, address: string): Promise<number> {
+    this.signal.addEventListener('abort', () => this.server.close());
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, () => {
+        const bound = this.server.address();
+        resolve(typeof bound === 'object' && bound ? bound.port : port);
+      });
+    });
+  }
+
+  private accept(socket: Socket): void {
+    const connection = new FrameConnection(
+      socket,
+      MOST_FRAME_BYTES,
+      this.signal,
+    );
+    void startTask('standin session', () => this.serve(connection));
+  }
+
+  private *serve(connection: FrameConnection): Task<void> {
+    for (;;) {
+      const incoming = yield* connection.receive();
+      if (incoming?.kind !== 'startup') return connection.destroy();
+      const {packet} = incoming;
+      if (packet.kind === 'startup') break;
+      if (packet.kind === 'encryption') Session.refuseEncryption(connection);
+      else {
+        if (packet.kind === 'cancel') this.cancel(packet.processId, packet.key);
+        return connection.end();
+      }
+    }
+    yield* this.serveSession(connection);
+  }
+
+  private *serveSession(connection: FrameConnection): Task<void> {
+    if (this.connectionCount >= this.limits.connections) {
+      return connection.end(
+        encodeError({
+          severity: 'FATAL',
+          code: TOO_MANY_CONNECTIONS,
+          message: 'sorry, too many clients already',
+        }),
+      );
+    }
+    this.connectionCount++;
+    yield* settled(sleep(this.limits.connectionCostMs));
+    const session = new Session(
+      connection,
+      this.host,
+      ++this.lastProcessId,
+      randomInt(2 ** 31),
+    );
+    this.sessions.add(session);
+    yield* session.run();
+    this.sessions.delete(session);
+    this.connectionCount--;
+  }
+
+  private cancel(processId: number, key: number): void {
+    for (const session of this.sessions) {
+      if (session.isNamedBy(processId, key)) session.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/src/standin/node/main.ts
@@ -0,0 +1,147 @@
+import {command, number, option, run, string, flag} from 'cmd-ts';
+import {parseAddress} from '../../base/common/address';
+import {createServer, listen} from '../../base/node/grpc';
+import {configureLogs, createLog} from '../../base/node/log';
+import {MonotonicClock} from '../../base/node/monotonic_clock';
+import {
+  EXIT_UNAVAILABLE,
+  EXIT_USAGE,
+  fail,
+  newIncarnation,
+  stopSignal,
+  VERSION,
+} from '../../base/node/program';
+import {every} from '../../base/node/timers';
+import {Announcer} from '../../platform/announcement/node/announcer';
+import {PostgresGrammar} from '../../platform/sql/node/postgres_grammar';
+import {ReplicationService as ReplicationDefinition} from '../../schema/generated/replication';
+import {DatabaseServer} from './database_server';
+import {GroupMember, type MemberIdentity} from './group_member';
+import {ReplicationService} from './replication_service';
+import {Slots} from './slots';
+import {GrpcUpstreams} from './upstream';
+
+const APPLY_TICK_MS = 5;
+
+interface Arguments {
+  readonly service: string;
+  readonly instance: string;
+  readonly site: string;
+  readonly listen: string;
+  readonly replication: string;
+  readonly announce: string;
+  readonly slots: number;
+  readonly connections: number;
+  readonly connectionCostMs: number;
+  readonly statementCostMs: number;
+  readonly receiveDelayMs: number;
+  readonly applyLagMs: number;
+  readonly jsonLogs: boolean;
+}
+
+async function main(args: Arguments): Promise<void> {
+  configureLogs(args.jsonLogs ? 'json' : 'text', false);
+  const log = createLog('standin');
+  const address = parseAddress(args.listen);
+  if (!address) {
+    fail(EXIT_USAGE, [`--listen ${args.listen}: host:port is allowed`]);
+  }
+  const signal = stopSignal();
+  const identity: MemberIdentity = {
+    service: args.service,
+    instance: args.instance,
+    site: args.site,
+    incarnation: newIncarnation(),
+    address: args.listen,
+    replicationAddress: args.replication,
+  };
+  const upstreams = new GrpcUpstreams(signal);
+  const member = new GroupMember(identity, upstreams, new MonotonicClock());
+  member.delays.receiveMs = args.receiveDelayMs;
+  member.delays.applyMs = args.applyLagMs;
+  every(signal, APPLY_TICK_MS, () => member.applyDue());
+
+  const links = createServer();
+  const replication = new ReplicationService(member, signal);
+  links.addService(ReplicationDefinition, replication.handlers);
+  const linked = await listen(links, args.replication, signal);
+  if (linked.isErr) fail(EXIT_UNAVAILABLE, [linked.error.message]);
+
+  const host = {
+    member,
+    grammar: await PostgresGrammar.load(),
+    slots: new Slots(args.slots),
+    statementCostMs: args.statementCostMs,
+    setting: (name: string, value: string) => applySetting(member, name, value),
+  };
+  const server = new DatabaseServer(host, args, signal);
+  await server.listen(address.port, address.host);
+  const announcers = args.announce
+    .split(',')
+    .filter(text => text !== '')
+    .map(observer => new Announcer(member, observer, signal));
+  member.onDidChange(() => {
+    for (const announcer of announcers) announcer.announce();
+  });
+  log.info('Ready.', {
+    service: identity.service,
+    instance: identity.instance,
+    address: args.listen,
+  });
+}
+
+function applySetting(
+  member: GroupMember,
+  name: string,
+  value: string,
+): boolean {
+  switch (name) {
+    case 'group.apply_lag_ms':
+      member.delays.applyMs = Number(value);
+      return true;
+    case 'group.receive_delay_ms':
+      member.delays.receiveMs = Number(value);
+      return true;
+    case 'group.leaving':
+      member.leaving = value === 'on' || value === 'true';
+      member.onUpstreamChange();
+      return true;
+    default:
+      return false;
+  }
+}
+
+const text = (long: string, description: string, fallback?: string) =>
+  option({
+    long,
+    description,
+    type: string,
+    ...(fallback === undefined ? {} : {defaultValue: () => fallback}),
+  });
+
+const count = (long: string, description: string, fallback: number) =>
+  option({long, description, type: number, defaultValue: () => fallback});
+
+const program = command({
+  name: 'bulrushstage-standin',
+  version: VERSION,
+  description: 'A stand-in database member for development and tests.',
+  args: {
+    service: text('service', 'name of the group'),
+    instance: text('instance', 'name of this member'),
+    site: text('site', 'site it stands in'),
+    listen: text('listen', 'host:port for callers'),
+    replication: text('replication', 'host:port for replicas'),
+    announce: text('announce', 'host:port list to announce to', ''),
+    slots: count('slots', 'transactions at once', 2),
+    connections: count('connections', 'connections at once', 16),
+    connectionCostMs: count('connection-cost-ms', 'cost of opening one', 0),
+    statementCostMs: count('statement-cost-ms', 'cost of a statement', 0),
+    receiveDelayMs: count('receive-delay-ms', 'delay of replication', 0),
+    applyLagMs: count('apply-lag-ms', 'lag of applying', 0),
+    jsonLogs: flag({long: 'json-logs', description: 'log lines as JSON'}),
+  },
+  handler: main,
+});
+
+void run(program, process.argv.slice(2));
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['src/**/test/**/*.test.ts', 'test/**/*.test.ts'],
+    globalSetup: ['test/build_programs.ts'],
+    testTimeout: 30_000,
+    hookTimeout: 30_000,
+    // Process tests start a dozen programs each: run few files at once.
+    maxWorkers: 3,
+  },
+});
