--- /dev/null
+++ b/src/control/node/control_log.ts
@@ -0,0 +1,32 @@
+import type {Result} from '../../base/common/outcome';
+import type {Refusal} from '../../platform/consensus/common/consensus_types';
+import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
+import {Command} from '../../schema/generated/control';
+
+type Body = NonNullable<Command['body']>;
+
+/** Puts commands into the log, one at a time for each purpose. */
+export class ControlLog {
+  private readonly pending = new Set<string>();
+
+  constructor(private readonly node: ConsensusNode) {}
+
+  /** Puts a command in; the index once it is committed. */
+  propose(body: Body): Promise<Result<number, Refusal>> {
+    const command = {wallTimeMs: Date.now(), body};
+    const bytes = Command.encode(command).finish();
+    return this.node.propose(Buffer.from(bytes));
+  }
+
+  /** Whether a command for a purpose is under way. */
+  isPending(purpose: string): boolean {
+    return this.pending.has(purpose);
+  }
+
+  /** Puts a command in unless one for the same purpose is under way. */
+  proposeOnce(purpose: string, body: Body): void {
+    if (this.pending.has(purpose)) return;
+    this.pending.add(purpose);
+    void this.propose(body).then(() => this.pending.delete(purpose));
+  }
+}
--- /dev/null
+++ b/src/control/node/control_state_machine.ts
@@ -0,0 +1,25 @@
+import type {StateMachine} from '../../platform/consensus/node/consensus_node';
+import {
+  ControlMachine,
+  emptyControlState,
+} from '../../platform/control_state/common/control_machine';
+import {Command, ControlState} from '../../schema/generated/control';
+
+/** The control state as the log's state machine, in protobuf. */
+export class ControlStateMachine implements StateMachine {
+  readonly machine = new ControlMachine();
+
+  apply(index: number, command: Buffer): void {
+    this.machine.apply(index, Command.decode(command));
+  }
+
+  snapshot(): Buffer {
+    return Buffer.from(ControlState.encode(this.machine.state).finish());
+  }
+
+  restore(state: Buffer): void {
+    const isEmpty = state.length === 0;
+    const decoded = isEmpty ? emptyControlState() : ControlState.decode(state);
+    this.machine.restore(decoded);
+  }
+}
--- /dev/null
+++ b/src/control/node/leadership.ts
@@ -0,0 +1,140 @@
+import type {Clock} from '../../base/common/clock';
+import {serviceName} from '../../base/common/ids';
+import {createLog} from '../../base/node/log';
+import type {TargetDirectory} from '../../platform/announcement/common/target_directory';
+import type {AnnouncementObserver} from '../../platform/announcement/node/announcement_observer';
+import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
+import type {ControlMachine} from '../../platform/control_state/common/control_machine';
+import {LeaseRegistry} from '../../platform/lease/common/lease_registry';
+import {
+  planMembership,
+  type Joiner,
+} from '../../platform/membership/common/membership_plan';
+import type {Settings} from '../../platform/settings/common/settings';
+import type {TargetStatus} from '../../schema/generated/announcement';
+import {ControlLog} from './control_log';
+import {FailoverDriver} from './failover_driver';
+import {forgetPurpose, ProxyAttachments} from './proxy_attachments';
+
+/** A proxy that was away for this long, without a lease, is forgotten. */
+const FORGET_PROXY_MS = 30_000;
+
+/** What a leadership is built on. */
+export interface LeadershipSurroundings {
+  readonly machine: ControlMachine;
+  readonly directory: TargetDirectory;
+  readonly observer: AnnouncementObserver;
+  readonly node: ConsensusNode;
+  readonly clock: Clock;
+  settings(): Settings;
+}
+
+/** Everything that a control instance does only while it leads. */
+export class Leadership {
+  readonly leases: LeaseRegistry;
+  readonly attachments: ProxyAttachments;
+  readonly log: ControlLog;
+  private readonly driver: FailoverDriver;
+  private readonly joiners = new Map<string, Joiner>();
+  private changingMembers = false;
+
+  constructor(
+    private readonly around: LeadershipSurroundings,
+    private readonly since: number,
+  ) {
+    const {system} = around.settings();
+    const logger = createLog('control');
+    this.leases = new LeaseRegistry({
+      silenceMs: system.silenceMs,
+      unconfirmedMs: system.silenceMs * 2,
+    });
+    this.log = new ControlLog(around.node);
+    const shared = {...around, leases: this.leases, log: this.log};
+    this.driver = new FailoverDriver(shared, since, logger);
+    this.attachments = new ProxyAttachments(
+      {
+        ...shared,
+        leaseMs: system.leaseMs,
+        isClosed: record => this.driver.isClosed(record),
+        onDidHear: () => this.drive(),
+      },
+      logger,
+    );
+  }
+
+  /** Looks at everything again; called on a timer and on news. */
+  drive(): void {
+    if (!this.around.node.core.leaderReady) return;
+    this.driver.drive();
+    this.attachments.pushChanges();
+  }
+
+  /** Work that may wait a little longer. */
+  tend(): void {
+    if (!this.around.node.core.leaderReady) return;
+    this.tendMembership();
+    this.forgetProxies();
+  }
+
+  onTarget(status: TargetStatus): void {
+    const known = this.around.machine.service(status.service);
+    const member = known?.members.find(({instance}) => {
+      return instance === status.instance;
+    });
+    if (member?.site === status.site || !this.isOffered(status)) return;
+    const {service, instance, site} = status;
+    this.log.proposeOnce(`member ${service}/${instance}`, {
+      $case: 'registerMember',
+      value: {service, member: {instance, site, draining: false}},
+    });
+  }
+
+  onJoin(joiner: Joiner): void {
+    this.joiners.set(joiner.id, joiner);
+  }
+
+  /** Lets a blocked change pass; false for an unknown service. */
+  force(service: string): boolean {
+    return this.driver.force(service);
+  }
+
+  end(): void {
+    this.attachments.endAll();
+  }
+
+  private isOffered({service}: TargetStatus): boolean {
+    return this.around.settings().services.has(serviceName(service));
+  }
+
+  private tendMembership(): void {
+    const {node, settings} = this.around;
+    const {core} = node;
+    if (this.changingMembers || !core.configurationCommitted) return;
+    const next = planMembership({
+      configuration: core.configuration,
+      allowed: new Set(settings().control.map(({instance}) => instance)),
+      joiners: [...this.joiners.values()],
+      commitIndex: core.commitIndex,
+      matchIndexOf: id => core.matchIndexOf(id),
+    });
+    if (!next) return;
+    this.changingMembers = true;
+    void node.changeConfiguration(next).then(() => {
+      this.changingMembers = false;
+    });
+  }
+
+  private forgetProxies(): void {
+    const now = this.around.clock.now();
+    for (const proxy of this.around.machine.state.proxies) {
+      const seen = Math.max(this.leases.heardAt(proxy), this.since);
+      if (now - seen < FORGET_PROXY_MS) continue;
+      this.leases.forget(proxy);
+      this.log.proposeOnce(forgetPurpose(proxy), {
+        $case: 'forgetProxy',
+        value: {proxy},
+      });
+    }
+  }
+}
+
--- /dev/null
+++ b/src/ctl/node/main.ts
@@ -0,0 +1,1 @@
+console.error('not built yet');
--- /dev/null
+++ b/src/platform/admission/common/fair_queue.ts
@@ -0,0 +1,117 @@
+import type {CallerName} from '../../../base/common/ids';
+
+/** A request that waits for its turn. */
+export interface Waiting {
+  readonly caller: CallerName;
+  /** 0 comes first. */
+  readonly priority: number;
+  /** On the monotonic clock, in milliseconds. */
+  readonly deadline: number;
+}
+
+/**
+ * Requests of one service in a fair order: by priority, then each caller in
+ * turn, then first come first served. A caller that floods the queue waits
+ * behind its own requests only.
+ */
+export class FairQueue<T extends Waiting> {
+  /** By priority; inside, callers in the order in which their turn comes. */
+  private readonly levels = new Map<number, Map<CallerName, T[]>>();
+  private count = 0;
+
+  get size(): number {
+    return this.count;
+  }
+
+  add(item: T): void {
+    const level = this.levels.get(item.priority) ?? new Map();
+    this.levels.set(item.priority, level);
+    const own = level.get(item.caller) ?? [];
+    own.push(item);
+    level.set(item.caller, own);
+    this.count++;
+  }
+
+  /** Takes one request out; false where it is not here. */
+  remove(item: T): boolean {
+    const level = this.levels.get(item.priority);
+    const own = level?.get(item.caller);
+    const at = own?.indexOf(item) ?? -1;
+    if (!level || !own || at < 0) return false;
+    own.splice(at, 1);
+    this.count--;
+    if (own.length === 0) level.delete(item.caller);
+    return true;
+  }
+
+  /** How many requests would be served before one of this kind. */
+  aheadOf({caller, priority}: Waiting): number {
+    let ahead = 0;
+    for (const [level, callers] of this.levels) {
+      if (level > priority) continue;
+      const own = callers.get(caller)?.length ?? 0;
+      for (const items of callers.values()) {
+        const all = level < priority;
+        ahead += all ? items.length : Math.min(items.length, own + 1);
+      }
+    }
+    return ahead;
+  }
+
+  /**
+   * Offers requests in fair order until `take` says to stop. A request that is
+   * taken leaves the queue, and its caller goes to the end of the turn.
+   */
+  serve(take: (item: T) => 'taken' | 'later' | 'stop'): void {
+    const priorities = [...this.levels.keys()].sort((a, b) => a - b);
+    for (const priority of priorities) {
+      if (!this.serveLevel(this.levels.get(priority)!, take)) return;
+    }
+  }
+
+  /** Takes out what is past its deadline. */
+  expire(now: number): T[] {
+    const expired: T[] = [];
+    for (const callers of this.levels.values()) {
+      for (const items of callers.values()) {
+        expired.push(...items.filter(({deadline}) => deadline <= now));
+      }
+    }
+    for (const item of expired) this.remove(item);
+    return expired;
+  }
+
+  private serveLevel(
+    level: Map<CallerName, T[]>,
+    take: (item: T) => 'taken' | 'later' | 'stop',
+  ): boolean {
+    const passed = new Map<CallerName, number>();
+    for (;;) {
+      const next = this.nextOf(level, passed);
+      if (!next) return true;
+      const [caller, item] = next;
+      const verdict = take(item);
+      if (verdict === 'stop') return false;
+      if (verdict === 'later') {
+        passed.set(caller, (passed.get(caller) ?? 0) + 1);
+        continue;
+      }
+      this.remove(item);
+      const rest = level.get(caller);
+      if (!rest) continue;
+      level.delete(caller);
+      level.set(caller, rest);
+    }
+  }
+
+  private nextOf(
+    level: Map<CallerName, T[]>,
+    passed: Map<CallerName, number>,
+  ): [CallerName, T] | undefined {
+    for (const [caller, items] of level) {
+      const item = items[passed.get(caller) ?? 0];
+      if (item) return [caller, item];
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/confirmation/common/commits.ts
@@ -0,0 +1,133 @@
+import type {InstanceId} from '../../../base/common/ids';
+import type {TargetStatus} from '../../../schema/generated/announcement';
+import {Phase, type ServiceRecord} from '../../../schema/generated/control';
+import type {TermLease} from '../../lease/common/term_lease';
+import {fateOf, type Position} from '../../position/common/position';
+import {Confirmations} from './confirmations';
+
+/** What a commit came to, as a caller may be told. */
+export type CommitOutcome =
+  /** It is done and will stay so. */
+  | 'done'
+  /** It is gone: the log of a later term does not have it. */
+  | 'not run'
+  /** Neither was known before the deadline. */
+  | 'unknown';
+
+interface PendingCommit {
+  /** In the term under which it will be acknowledged. */
+  position: Position;
+  state: 'confirming' | 'awaiting lease' | 'between terms';
+  readonly deadline: number;
+  readonly settle: (outcome: CommitOutcome, position: Position) => void;
+}
+
+/**
+ * Commits of one service on the way to their acknowledgement: each needs
+ * enough replicas and a lease on its term. Where the term ends first, the log
+ * of the next one tells whether the commit is done or never was.
+ */
+export class Commits {
+  private readonly confirmations: Confirmations;
+  private readonly pending = new Set<PendingCommit>();
+  private record: ServiceRecord | undefined;
+
+  constructor(
+    private readonly lease: TermLease,
+    confirmationsNeeded: number,
+  ) {
+    this.confirmations = new Confirmations(confirmationsNeeded);
+  }
+
+  get waiting(): number {
+    return this.pending.size;
+  }
+
+  setNeeded(needed: number): void {
+    this.confirmations.setNeeded(needed);
+  }
+
+  /** Settles once the commit may be acknowledged, or cannot be. */
+  add(
+    position: Position,
+    deadline: number,
+    now: number,
+    settle: PendingCommit['settle'],
+  ): void {
+    const commit: PendingCommit = {
+      position,
+      state: 'confirming',
+      deadline,
+      settle,
+    };
+    this.pending.add(commit);
+    if (position.term < (this.record?.term ?? 0)) this.endTerm(commit, now);
+    else this.confirm(commit, now);
+  }
+
+  onStatus(instance: InstanceId, status: TargetStatus): void {
+    this.confirmations.onStatus(instance, status);
+  }
+
+  onClosed(instance: InstanceId): void {
+    this.confirmations.onClosed(instance);
+  }
+
+  /** The service's term or primary changed. */
+  onRecord(record: ServiceRecord, now: number): void {
+    this.record = record;
+    this.confirmations.endTermsBelow(record.term);
+    for (const commit of [...this.pending]) {
+      if (commit.position.term < record.term) this.endTerm(commit, now);
+    }
+  }
+
+  /** The lease was extended. */
+  onLease(now: number): void {
+    for (const commit of [...this.pending]) {
+      if (commit.state === 'awaiting lease') this.acknowledge(commit, now);
+    }
+  }
+
+  onTick(now: number): void {
+    for (const commit of [...this.pending]) {
+      if (commit.deadline <= now) this.settle(commit, 'unknown');
+    }
+  }
+
+  /** How long the oldest commit has waited for replicas, in milliseconds. */
+  unconfirmedMs(now: number): number {
+    return this.confirmations.oldestWait(now);
+  }
+
+  private confirm(commit: PendingCommit, now: number): void {
+    commit.state = 'confirming';
+    this.confirmations.wait(commit.position, now, outcome => {
+      if (outcome !== 'confirmed' || !this.pending.has(commit)) return;
+      commit.state = 'awaiting lease';
+      this.acknowledge(commit, this.lease.now());
+    });
+  }
+
+  private acknowledge(commit: PendingCommit, now: number): void {
+    if (!this.lease.acknowledge(commit.position, now)) return;
+    this.settle(commit, 'done');
+  }
+
+  private endTerm(commit: PendingCommit, now: number): void {
+    const {record} = this;
+    commit.state = 'between terms';
+    if (!record || record.phase !== Phase.PHASE_STEADY) return;
+    const fate = fateOf(commit.position, record.termStarts);
+    if (fate === 'lost') return this.settle(commit, 'not run');
+    if (fate === 'undecided') return;
+    const {offset} = commit.position;
+    commit.position = {term: record.term, offset};
+    this.confirm(commit, now);
+  }
+
+  private settle(commit: PendingCommit, outcome: CommitOutcome): void {
+    if (!this.pending.delete(commit)) return;
+    commit.settle(outcome, commit.position);
+  }
+}
--- a/src/platform/consensus/common/consensus.ts
+++ b/src/platform/consensus/common/consensus.ts
@@ -120,6 +120,11 @@
     return this.log.configurationAt(this.log.lastIndex).index <= this.commit;
   }
 
+  /** The snapshot that the log begins with. */
+  get appliedSnapshot(): Snapshot {
+    return this.log.snapshot;
+  }
+
   get snapshotIndex(): number {
     return this.log.snapshot.index;
   }
--- a/src/platform/control_state/common/control_machine.ts
+++ b/src/platform/control_state/common/control_machine.ts
@@ -224,6 +224,7 @@
     record.termStarts.push({
       term: change.term,
       baseOffset: change.baseOffset,
+      baseTerm: change.baseTerm,
     });
     if (record.termStarts.length > MOST_TERM_STARTS) record.termStarts.shift();
     this.touch(record, index);
--- a/src/platform/failover/common/failover.ts
+++ b/src/platform/failover/common/failover.ts
@@ -87,9 +87,10 @@
   view: FailoverView,
   primary: TargetView | undefined,
 ): boolean {
-  const silentMs = primary?.silentMs ?? view.now - view.leaderSince;
-  if (primary?.status && !primary.connected) return true;
-  return silentMs >= view.silenceMs;
+  // A leader that has just started has seen nobody yet: it must not take its
+  // own ignorance for a loss.
+  if (!primary?.status) return view.now - view.leaderSince >= view.silenceMs;
+  return !primary.connected || primary.silentMs >= view.silenceMs;
 }
 
 function isCutFromReplicas(view: FailoverView): boolean {
@@ -162,7 +163,7 @@
     kind: 'complete',
     primary: heir.instance,
     incarnation,
-    baseOffset: received.offset,
+    base: received,
     inputs: `${safe.rule}; ${describeTargets(view)}`,
   });
   return actions;
--- a/src/platform/failover/common/failover_view.ts
+++ b/src/platform/failover/common/failover_view.ts
@@ -61,7 +61,7 @@
       readonly kind: 'complete';
       readonly primary: string;
       readonly incarnation: string;
-      readonly baseOffset: number;
+      readonly base: Position;
       readonly inputs: string;
     }
   | {readonly kind: 'fence'; readonly instance: string}
--- a/src/platform/position/common/position.ts
+++ b/src/platform/position/common/position.ts
@@ -46,3 +46,26 @@
       return Math.min(least, start.baseOffset);
     }, position.offset);
 }
+
+/** What became of a write after the term that it was made in. */
+export type WriteFate = 'kept' | 'lost' | 'undecided';
+
+/**
+ * Whether a write of an ended term is in the log of the terms after it.
+ *
+ * The first later term tells: its primary held the ended term's log up to its
+ * base, or, where its last entry is of an earlier term, nothing of it at all.
+ */
+export function fateOf(
+  position: Position,
+  termStarts: readonly TermStart[],
+): WriteFate {
+  const later = termStarts
+    .filter(({term}) => term > position.term)
+    .sort((a, b) => a.term - b.term);
+  const [next] = later;
+  if (!next) return 'undecided';
+  const held = next.baseTerm === position.term;
+  const kept = later.every(({baseOffset}) => position.offset <= baseOffset);
+  return held && kept ? 'kept' : 'lost';
+}
--- /dev/null
+++ b/src/platform/session/common/session_state.ts
@@ -0,0 +1,134 @@
+import {
+  className,
+  requestKey,
+  type ClassName,
+  type RequestKey,
+} from '../../../base/common/ids';
+import {
+  formatPosition,
+  laterPosition,
+  parsePosition,
+  type Position,
+} from '../../position/common/position';
+
+/** Settings of a session that the proxy itself keeps. */
+export const POSITION_VARIABLE = 'bulrush.position';
+export const CLASS_VARIABLE = 'bulrush.class';
+export const KEY_VARIABLE = 'bulrush.request_key';
+const OWN_PREFIX = 'bulrush.';
+const MOST_KEY_LENGTH = 200;
+const MOST_REPLAYED = 100;
+
+/** Why a value was not taken. */
+export interface VariableFault {
+  readonly message: string;
+}
+
+/** What a session has beyond its transactions. */
+export class SessionState {
+  requestClass = className('default');
+  /** The key of the next write, used up by it. */
+  key: RequestKey | undefined;
+  private seen: Position | undefined;
+  /** SET statements to repeat on each connection, by parameter. */
+  private readonly settings = new Map<string, string>();
+
+  /** What reads must see; undefined until it is known. */
+  get required(): Position | undefined {
+    return this.seen;
+  }
+
+  /** A write of this session was acknowledged, or a position brought along. */
+  see(position: Position): void {
+    this.seen = this.seen ? laterPosition(this.seen, position) : position;
+  }
+
+  /** The statements that give a connection this session's settings. */
+  get replay(): readonly string[] {
+    return [...this.settings.values()];
+  }
+
+  static isOwn(name: string): boolean {
+    return name.startsWith(OWN_PREFIX);
+  }
+
+  /** Sets one of the proxy's own variables. */
+  setOwn(
+    name: string,
+    value: string | undefined,
+    classes: ReadonlySet<ClassName>,
+  ): VariableFault | undefined {
+    switch (name) {
+      case POSITION_VARIABLE:
+        return this.setPosition(value ?? '');
+      case CLASS_VARIABLE:
+        return this.setClass(className(value ?? 'default'), classes);
+      case KEY_VARIABLE:
+        return this.setKey(value ?? '');
+      default:
+        return {message: `unrecognized parameter "${name}"`};
+    }
+  }
+
+  /** What SHOW answers for one of the proxy's own variables. */
+  showOwn(name: string): string | undefined {
+    switch (name) {
+      case POSITION_VARIABLE:
+        return this.seen ? formatPosition(this.seen) : '';
+      case CLASS_VARIABLE:
+        return this.requestClass;
+      case KEY_VARIABLE:
+        return this.key ?? '';
+      default:
+        return undefined;
+    }
+  }
+
+  /** Keeps a SET that a target accepted. */
+  remember(name: string, statement: string | undefined): boolean {
+    if (statement === undefined) {
+      this.settings.delete(name);
+      return true;
+    }
+    const isNew = !this.settings.has(name);
+    if (isNew && this.settings.size >= MOST_REPLAYED) return false;
+    this.settings.set(name, statement);
+    return true;
+  }
+
+  forgetSettings(): void {
+    this.settings.clear();
+  }
+
+  private setPosition(value: string): VariableFault | undefined {
+    const position = parsePosition(value);
+    if (!position) return {message: `invalid position "${value}"`};
+    this.see(position);
+    return undefined;
+  }
+
+  private setClass(
+    name: ClassName,
+    classes: ReadonlySet<ClassName>,
+  ): VariableFault | undefined {
+    if (name !== 'default' && !classes.has(name)) {
+      return {message: `unknown class "${name}"`};
+    }
+    this.requestClass = name;
+    return undefined;
+  }
+
+  private setKey(value: string): VariableFault | undefined {
+    if (value.length > MOST_KEY_LENGTH) {
+      return {message: `a request key has at most ${MOST_KEY_LENGTH} letters`};
+    }
+    this.key = value === '' ? undefined : requestKey(value);
+    return undefined;
+  }
+}
+
+/** Reads `-c name=value` pairs of the startup parameter `options`. */
+export function parseStartupOptions(options: string): [string, string][] {
+  const matches = options.matchAll(/(?:-c\s*|--)([\w.]+)=(\S+)/g);
+  return [...matches].map(([, name, value]) => [name!, value!]);
+}
--- /dev/null
+++ b/src/platform/sql/common/classifier.ts
@@ -0,0 +1,232 @@
+import {
+  constantOf,
+  listOf,
+  openNode,
+  stringOf,
+  type ParsedStatement,
+  type SqlGrammar,
+  type SyntaxNode,
+} from './syntax_tree';
+
+/** What a statement is to the proxy. */
+export type StatementClass =
+  /** Provably changes nothing: may run on a replica. */
+  | {readonly kind: 'read'}
+  /** Anything else that runs on the primary. */
+  | {readonly kind: 'write'}
+  | {readonly kind: 'begin'; readonly readOnly: boolean}
+  | {readonly kind: 'commit'}
+  | {readonly kind: 'rollback'}
+  /** SET or RESET of the session, or of the transaction when local. */
+  | {
+      readonly kind: 'set';
+      readonly name: string;
+      /** Undefined for RESET. */
+      readonly value: string | undefined;
+      readonly local: boolean;
+    }
+  | {readonly kind: 'resetAll'}
+  | {readonly kind: 'discardAll'}
+  | {readonly kind: 'show'; readonly name: string}
+  /** Would leave state behind on a connection that others use next. */
+  | {readonly kind: 'unsupported'; readonly what: string};
+
+/** The statements of one text, or why it could not be read. */
+export interface ClassifiedText {
+  readonly statements: readonly StatementClass[];
+  /** Set where the grammar does not accept the text. */
+  readonly fault: string | undefined;
+}
+
+const MOST_CACHED_TEXTS = 5_000;
+const MOST_CACHED_LENGTH = 4_000;
+
+/**
+ * Functions that change nothing and whose answer is the same on a replica.
+ * Any other function sends its statement to the primary.
+ */
+const SAFE_FUNCTIONS = new Set(
+  (
+    'abs array_agg array_length avg btrim ceil char_length coalesce concat ' +
+    'count date_part date_trunc floor generate_series greatest initcap ' +
+    'json_agg json_build_object jsonb_agg jsonb_build_object least left ' +
+    'length lower lpad ltrim max md5 min mod now nullif pg_sleep repeat ' +
+    'replace right round row_number rpad rtrim split_part string_agg strpos ' +
+    'substr substring sum to_char to_date to_number to_timestamp trim trunc ' +
+    'upper version'
+  ).split(' '),
+);
+
+/** Functions that keep something for the session beyond its transaction. */
+const SESSION_FUNCTIONS = new Set(
+  (
+    'pg_advisory_lock pg_advisory_lock_shared pg_try_advisory_lock ' +
+    'pg_try_advisory_lock_shared pg_advisory_unlock set_config'
+  ).split(' '),
+);
+
+/** Bits of DECLARE's options: a cursor that outlives its transaction. */
+const CURSOR_WITH_HOLD = 0x20;
+
+const UNSUPPORTED: Readonly<Record<string, string>> = {
+  PrepareStmt: 'PREPARE; use the protocol’s prepared statements',
+  ExecuteStmt: 'EXECUTE; use the protocol’s prepared statements',
+  DeallocateStmt: 'DEALLOCATE; use the protocol’s prepared statements',
+  ListenStmt: 'LISTEN',
+  UnlistenStmt: 'UNLISTEN',
+  CopyStmt: 'COPY',
+  LoadStmt: 'LOAD',
+};
+
+const TRANSACTION_KINDS: Readonly<Record<string, StatementClass>> = {
+  TRANS_STMT_COMMIT: {kind: 'commit'},
+  TRANS_STMT_ROLLBACK: {kind: 'rollback'},
+  TRANS_STMT_SAVEPOINT: {kind: 'write'},
+  TRANS_STMT_RELEASE: {kind: 'write'},
+  TRANS_STMT_ROLLBACK_TO: {kind: 'write'},
+};
+
+/** Says what statements are; texts that were seen are remembered. */
+export class Classifier {
+  private readonly known = new Map<string, ClassifiedText>();
+
+  constructor(private readonly grammar: SqlGrammar) {}
+
+  classify(text: string): ClassifiedText {
+    const known = this.known.get(text);
+    if (known) return known;
+    const classified = this.read(text);
+    this.remember(text, classified);
+    return classified;
+  }
+
+  private read(text: string): ClassifiedText {
+    const parsed = this.grammar.parse(text);
+    if ('message' in parsed) {
+      return {statements: [{kind: 'write'}], fault: parsed.message};
+    }
+    return {statements: parsed.map(classifyStatement), fault: undefined};
+  }
+
+  private remember(text: string, classified: ClassifiedText): void {
+    if (text.length > MOST_CACHED_LENGTH) return;
+    if (this.known.size >= MOST_CACHED_TEXTS) {
+      this.known.delete(this.known.keys().next().value!);
+    }
+    this.known.set(text, classified);
+  }
+}
+
+/** What one statement is. */
+export function classifyStatement({
+  type,
+  node,
+}: ParsedStatement): StatementClass {
+  const what = UNSUPPORTED[type];
+  if (what) return {kind: 'unsupported', what};
+  switch (type) {
+    case 'SelectStmt':
+      return classifySelect(node);
+    case 'TransactionStmt':
+      return classifyTransaction(node);
+    case 'VariableSetStmt':
+      return classifySet(node);
+    case 'VariableShowStmt':
+      return {kind: 'show', name: String(node['name'])};
+    case 'DiscardStmt':
+      return {kind: 'discardAll'};
+    case 'DeclareCursorStmt':
+      return classifyCursor(node);
+    default:
+      return classifyOther(node);
+  }
+}
+
+function classifySelect(node: SyntaxNode): StatementClass {
+  const found = new FunctionScan();
+  found.visit(node);
+  if (found.session) {
+    return {kind: 'unsupported', what: `the function ${found.session}`};
+  }
+  const changes = found.locks || found.writes || node['intoClause'];
+  return changes || found.unsafe ? {kind: 'write'} : {kind: 'read'};
+}
+
+function classifyTransaction(node: SyntaxNode): StatementClass {
+  const kind = String(node['kind']);
+  if (kind === 'TRANS_STMT_BEGIN' || kind === 'TRANS_STMT_START') {
+    return {kind: 'begin', readOnly: isReadOnly(node)};
+  }
+  const known = TRANSACTION_KINDS[kind];
+  return known ?? {kind: 'unsupported', what: 'two-phase commit'};
+}
+
+function isReadOnly(node: SyntaxNode): boolean {
+  return listOf(node, 'options').some(option => {
+    const [, {defname, arg}] = openNode(option);
+    return defname === 'transaction_read_only' && constantOf(arg) === 1;
+  });
+}
+
+function classifySet(node: SyntaxNode): StatementClass {
+  const kind = String(node['kind']);
+  const name = String(node['name'] ?? '');
+  if (kind === 'VAR_RESET_ALL') return {kind: 'resetAll'};
+  if (name === 'SESSION CHARACTERISTICS') {
+    return {kind: 'unsupported', what: 'SET SESSION CHARACTERISTICS'};
+  }
+  const local = Boolean(node['is_local']) || name === 'TRANSACTION';
+  if (kind === 'VAR_RESET' || kind === 'VAR_SET_DEFAULT') {
+    return {kind: 'set', name, value: undefined, local};
+  }
+  const [argument] = listOf(node, 'args');
+  return {kind: 'set', name, value: String(constantOf(argument) ?? ''), local};
+}
+
+function classifyCursor(node: SyntaxNode): StatementClass {
+  const held = Number(node['options'] ?? 0) & CURSOR_WITH_HOLD;
+  if (held) return {kind: 'unsupported', what: 'cursors WITH HOLD'};
+  return {kind: 'write'};
+}
+
+function classifyOther(node: SyntaxNode): StatementClass {
+  const relation = node['relation'] as SyntaxNode | undefined;
+  if (relation?.['relpersistence'] === 't') {
+    return {kind: 'unsupported', what: 'temporary tables'};
+  }
+  const found = new FunctionScan();
+  found.visit(node);
+  if (found.session) {
+    return {kind: 'unsupported', what: `the function ${found.session}`};
+  }
+  return {kind: 'write'};
+}
+
+/** Walks a tree for what keeps a SELECT from running on a replica. */
+class FunctionScan {
+  unsafe = false;
+  locks = false;
+  writes = false;
+  session: string | undefined;
+
+  visit(value: unknown): void {
+    if (Array.isArray(value)) {
+      for (const item of value) this.visit(item);
+      return;
+    }
+    if (typeof value !== 'object' || value === null) return;
+    for (const [field, child] of Object.entries(value)) {
+      this.look(field, child as SyntaxNode);
+      this.visit(child);
+    }
+  }
+
+  private look(field: string, child: SyntaxNode): void {
+    if (field === 'lockingClause') this.locks = true;
+    if (/^(Insert|Update|Delete|Merge)Stmt$/.test(field)) this.writes = true;
+    if (field !== 'FuncCall') return;
+    const name = stringOf(listOf(child, 'funcname').at(-1));
+    if (SESSION_FUNCTIONS.has(name)) this.session = name;
+    if (!SAFE_FUNCTIONS.has(name)) this.unsafe = true;
+  }
+}
--- a/src/platform/wire/node/frame_connection.ts
+++ b/src/platform/wire/node/frame_connection.ts
@@ -9,8 +9,12 @@
 const MOST_STARTUP_BYTES = 10_000;
 const STARTUP_MS = 10_000;
 
-/** What came in from the other side. */
+/** Something that happened around a connection while its task waits. */
+export type ConnectionEvent = 'stop' | 'target lost' | 'idle too long';
+
+/** What came in from the other side, or an event of this one. */
 export type Incoming =
+  | {readonly kind: 'event'; readonly event: ConnectionEvent}
   | {readonly kind: 'startup'; readonly packet: StartupPacket}
   | {readonly kind: 'frame'; readonly frame: Frame}
   /** The bytes are no frames, or one is longer than allowed. */
@@ -73,6 +77,12 @@
     return incoming;
   }
 
+  /** Wakes the task with an event, in order with what came in. */
+  notify(event: ConnectionEvent): void {
+    this.waiting++;
+    this.mailbox.post({kind: 'event', event});
+  }
+
   /** Sends bytes; false once the other side is behind. */
   send(bytes: Buffer): boolean {
     if (this.socket.destroyed) return true;
--- /dev/null
+++ b/src/proxy/common/arrival.ts
@@ -0,0 +1,53 @@
+import type {InstanceId} from '../../base/common/ids';
+import {
+  laterPosition,
+  ORIGIN,
+  type Position,
+} from '../../platform/position/common/position';
+
+interface Answer {
+  readonly askedAt: number;
+  readonly position: Position;
+}
+
+/**
+ * The position that a session must see that brought none along.
+ *
+ * Guard against a session that moved between proxies and does not see its own
+ * writes: it is held to what the group held when it arrived. All that was
+ * acknowledged before is at or below what the primary says after the arrival,
+ * while this proxy's lease proves that it is still the primary; or at or below
+ * the newest that enough members say, whoever is primary.
+ */
+export class ArrivalPositions {
+  private primary: Answer | undefined;
+  private readonly members = new Map<InstanceId, Answer>();
+
+  /** A primary under a lease answered with its position. */
+  onPrimary(askedAt: number, position: Position): void {
+    this.primary = {askedAt, position};
+  }
+
+  /** Any member with its data answered with what it holds. */
+  onMember(instance: InstanceId, askedAt: number, position: Position): void {
+    this.members.set(instance, {askedAt, position});
+  }
+
+  onClosed(instance: InstanceId): void {
+    this.members.delete(instance);
+  }
+
+  /** What a session that arrived then must see; undefined while unknown. */
+  since(arrivedAt: number, membersNeeded: number): Position | undefined {
+    if (this.primary && this.primary.askedAt >= arrivedAt) {
+      return this.primary.position;
+    }
+    const answers = [...this.members.values()].filter(({askedAt}) => {
+      return askedAt >= arrivedAt;
+    });
+    if (answers.length < membersNeeded) return undefined;
+    return answers.reduce((newest, {position}) => {
+      return laterPosition(newest, position);
+    }, ORIGIN);
+  }
+}
--- /dev/null
+++ b/src/proxy/node/batch_runner.ts
@@ -0,0 +1,277 @@
+import {settled, type Task} from '../../base/node/task';
+import {after} from '../../base/node/timers';
+import {formatPosition} from '../../platform/position/common/position';
+import {POSITION_VARIABLE} from '../../platform/session/common/session_state';
+import {
+  encodeError,
+  encodeNotice,
+  encodeParameter,
+  encodeReady,
+  type Diagnostic,
+} from '../../platform/wire/common/backend';
+import {
+  BatchEncoder,
+  type BatchMessage,
+  type BatchPlan,
+} from '../common/batch';
+import {
+  lostError,
+  notRunError,
+  readInterrupted,
+  unknownError,
+  NOT_RUN_LOST_WITH_TERM,
+} from '../common/outcome_codes';
+import {Exchange, type ExchangeEnd} from './exchange';
+import {acknowledge, Place} from './place';
+import {classSettingsOf, type SessionContext} from './session_context';
+
+/** A target that is no primary says so with this, having run nothing. */
+const READ_ONLY = '25006';
+const RETRY_MS = 15;
+const WARNING_OLDER = '01000';
+
+/** A transaction that is open on a place. */
+export interface OpenTransaction {
+  readonly place: Place;
+  readonly failed: boolean;
+}
+
+/** Runs the batches of one session on targets. */
+export class BatchRunner {
+  private open: Place | undefined;
+  private partial: Exchange | undefined;
+
+  constructor(private readonly context: SessionContext) {}
+
+  /** A transaction is open on a target. */
+  get inTransaction(): boolean {
+    return this.open !== undefined;
+  }
+
+  /** A batch was sent in part, without its Sync. */
+  get isPartial(): boolean {
+    return this.partial !== undefined;
+  }
+
+  /** Asks the target to give up what it runs for this session. */
+  cancel(): void {
+    this.open?.connection.cancel();
+  }
+
+  /** Runs a batch and answers it. */
+  *run(messages: readonly BatchMessage[], plan: BatchPlan): Task<void> {
+    if (this.open) return yield* this.runOn(this.open, messages, plan);
+    const needs = plan.isRead || isReadOnlyBegin(plan) ? 'read' : 'write';
+    const deadline = this.deadline();
+    for (;;) {
+      const taken = yield* Place.take(this.context, needs, deadline);
+      if (taken.isErr) return this.refuse(notRunError(taken.error));
+      const again = yield* this.attempt(taken.value, messages, plan, deadline);
+      if (!again) return;
+      yield* pause(RETRY_MS);
+    }
+  }
+
+  /** Sends a part of a batch whose Sync has not come yet. */
+  *runPart(messages: readonly BatchMessage[], plan: BatchPlan): Task<void> {
+    if (!this.open) {
+      const deadline = this.deadline();
+      const needs = plan.isRead ? 'read' : 'write';
+      const taken = yield* Place.take(this.context, needs, deadline);
+      if (taken.isErr) return this.refuse(notRunError(taken.error));
+      this.open = taken.value;
+      if (!(yield* this.open.prepare())) return yield* this.onLost(plan);
+    }
+    const {connection} = this.open;
+    this.partial ??= new Exchange(
+      connection,
+      this.context.connection,
+      'hold the end',
+    );
+    const encoder = new BatchEncoder(this.context.named, connection.prepared);
+    this.partial.send(encoder.encode(messages), false);
+  }
+
+  /** The connection of an open transaction was lost while it was idle. */
+  *endLost(): Task<void> {
+    yield* this.open?.release(false) ?? none();
+    this.open = undefined;
+    this.partial = undefined;
+  }
+
+  /** Ends an open transaction whose caller is gone. */
+  *abandon(): Task<void> {
+    const place = this.open;
+    this.open = undefined;
+    if (!place) return;
+    // The target rolls back what it ran when its connection goes.
+    place.connection.destroy();
+    yield* place.release(false);
+  }
+
+  private deadline(): number {
+    const {clock} = this.context;
+    return clock.now() + classSettingsOf(this.context).deadlineMs;
+  }
+
+  /** Runs a batch on a fresh place; true where it may be tried again. */
+  private *attempt(
+    place: Place,
+    messages: readonly BatchMessage[],
+    plan: BatchPlan,
+    deadline: number,
+  ): Task<boolean> {
+    if (!(yield* place.prepare())) {
+      yield* place.release(false);
+      return true;
+    }
+    const {grant} = place;
+    this.context.state.see(grant.required);
+    const before = place.connection.prepared.size;
+    const end = yield* this.exchange(place, messages, plan, deadline);
+    if (end.error && place.connection.prepared.size !== before) {
+      // A Parse may have failed: the names are not to be relied on.
+      place.connection.dirty = true;
+    }
+    if (end.status === undefined) {
+      yield* place.release(false);
+      return this.afterLoss(end, plan);
+    }
+    const refused = end.error?.code === READ_ONLY && !end.relayed;
+    if (refused && !plan.isRead) {
+      yield* place.release(true);
+      return true;
+    }
+    yield* this.finish(place, end, deadline);
+    return false;
+  }
+
+  /** What to do after a target was lost in the middle of a batch. */
+  private afterLoss(end: ExchangeEnd, plan: BatchPlan): boolean {
+    if (plan.isRead && !end.relayed) return true;
+    this.refuse(plan.isRead ? readInterrupted() : unknownError());
+    return false;
+  }
+
+  private *runOn(
+    place: Place,
+    messages: readonly BatchMessage[],
+    plan: BatchPlan,
+  ): Task<void> {
+    const deadline = this.deadline();
+    const end = yield* this.exchange(place, messages, plan, deadline);
+    if (end.status === undefined) return yield* this.onLost(plan);
+    yield* this.finish(place, end, deadline);
+  }
+
+  /** An open transaction went down with its target. */
+  private *onLost(plan: BatchPlan): Task<void> {
+    yield* this.endLost();
+    const commits = plan.statements.some(({kind}) => kind === 'commit');
+    if (commits) this.refuse(unknownError());
+    else {
+      // COMMIT was never sent, so the target undoes what it ran.
+      const message = 'not run: the transaction went down with its target';
+      const hint = 'retry after 0 ms';
+      const code = NOT_RUN_LOST_WITH_TERM;
+      this.refuse({severity: 'ERROR', code, message, hint});
+    }
+  }
+
+  private *exchange(
+    place: Place,
+    messages: readonly BatchMessage[],
+    plan: BatchPlan,
+    deadline: number,
+  ): Task<ExchangeEnd> {
+    const {connection} = place;
+    const mode = place.grant.onPrimary && !plan.isRead;
+    const exchange =
+      this.partial ??
+      new Exchange(
+        connection,
+        this.context.connection,
+        mode ? 'hold the end' : 'through',
+      );
+    this.partial = undefined;
+    this.warnIfOlder(place);
+    const encoder = new BatchEncoder(this.context.named, connection.prepared);
+    exchange.send(encoder.encode(messages), true);
+    const gone = this.context.connection.closed;
+    const stopTimer = after(gone, this.patience(deadline), () => {
+      // Accepts but never answers: what it holds is given up, so that the
+      // caller hears now that it is unknown.
+      if (!exchange.hasAnswer) connection.destroy();
+    });
+    const onGone = () => connection.destroy();
+    gone.addEventListener('abort', onGone, {once: true});
+    if (gone.aborted) onGone();
+    const done = yield* settled(exchange.ended);
+    gone.removeEventListener('abort', onGone);
+    stopTimer();
+    if ('error' in done) throw done.error;
+    return done.value;
+  }
+
+  private patience(deadline: number): number {
+    return Math.max(0, deadline - this.context.clock.now());
+  }
+
+  private warnIfOlder({grant}: Place): void {
+    if (grant.reason !== 'older replica with notice') return;
+    const age =
+      grant.ageMs === Infinity ? 'unknown' : `${Math.round(grant.ageMs)} ms`;
+    this.context.connection.send(
+      encodeNotice({
+        severity: 'WARNING',
+        code: WARNING_OLDER,
+        message: `figures may be older than accepted: ${age}`,
+      }),
+    );
+  }
+
+  private *finish(
+    place: Place,
+    end: ExchangeEnd,
+    deadline: number,
+  ): Task<void> {
+    const {connection, state} = this.context;
+    const status = end.status!;
+    const isOpen = status !== 'idle';
+    this.open = isOpen ? place : undefined;
+    // The connection is free before replicas confirm: it is scarce.
+    if (!isOpen) yield* place.release(true);
+    if (!end.position) {
+      connection.send(Buffer.concat([end.held, encodeReady(status)]));
+      return;
+    }
+    const {outcome, position} = yield* acknowledge(
+      this.context,
+      end.position,
+      deadline,
+    );
+    if (outcome === 'unknown') return this.refuse(unknownError());
+    if (outcome === 'not run') return this.refuse(lostError());
+    state.see(position);
+    const shown = encodeParameter(POSITION_VARIABLE, formatPosition(position));
+    connection.send(Buffer.concat([end.held, shown, encodeReady(status)]));
+  }
+
+  private refuse(diagnostic: Diagnostic): void {
+    const ready = encodeReady('idle');
+    const error = encodeError(diagnostic);
+    this.context.connection.send(Buffer.concat([error, ready]));
+  }
+}
+
+function isReadOnlyBegin({statements}: BatchPlan): boolean {
+  const [first] = statements;
+  if (first?.kind !== 'begin' || !first.readOnly) return false;
+  return statements.slice(1).every(({kind}) => kind === 'read');
+}
+
+function* pause(milliseconds: number): Task<void> {
+  yield* settled(new Promise(resolve => setTimeout(resolve, milliseconds)));
+}
+
+function* none(): Task<void> {}
--- /dev/null
+++ b/src/proxy/node/caller_session.ts
@@ -0,0 +1,277 @@
+import {settled, type Task} from '../../base/node/task';
+import {after} from '../../base/node/timers';
+import type {StatementClass} from '../../platform/sql/common/classifier';
+import {
+  encodeError,
+  encodeReady,
+  type Diagnostic,
+} from '../../platform/wire/common/backend';
+import type {Frame} from '../../platform/wire/common/frames';
+import {decodeFrontend} from '../../platform/wire/common/frontend';
+import type {
+  ConnectionEvent,
+  Incoming,
+} from '../../platform/wire/node/frame_connection';
+import {noteNames, planBatch, type BatchMessage} from '../common/batch';
+import {
+  fatal,
+  lostError,
+  NOT_RUN_SHUTTING_DOWN,
+  unsupportedError,
+} from '../common/outcome_codes';
+import {BatchRunner} from './batch_runner';
+import {KeyedWrite} from './keyed_write';
+import {encodeLocalAnswer, runLocally} from './local_statement';
+import type {SessionContext} from './session_context';
+
+const PROTOCOL_VIOLATION = '08P01';
+const IDLE_TRANSACTION = '25P03';
+/** The longest batch without a Sync. */
+const MOST_BATCH_BYTES = 64 * 1024 * 1024;
+
+/** The task of one caller's session. */
+export class CallerSession {
+  private readonly runner: BatchRunner;
+  private batch: BatchMessage[] = [];
+  private batchBytes = 0;
+  private skipToSync = false;
+  private stopping = false;
+  private busy = false;
+  private stopIdleTimer = () => {};
+
+  constructor(
+    private readonly context: SessionContext,
+    private readonly idleTransactionMs: () => number,
+  ) {
+    this.runner = new BatchRunner(context);
+  }
+
+  /** Nothing of the caller's is in progress. */
+  get isIdle(): boolean {
+    return !this.busy && !this.runner.inTransaction;
+  }
+
+  /** Ends the session as soon as nothing is in progress. */
+  stop(): void {
+    this.context.connection.notify('stop');
+  }
+
+  cancel(): void {
+    this.runner.cancel();
+  }
+
+  *run(): Task<void> {
+    const {connection} = this.context;
+    for (;;) {
+      this.watchIdleTransaction();
+      const incoming = yield* connection.receive();
+      this.stopIdleTimer();
+      if (!incoming) break;
+      this.busy = true;
+      const goesOn = yield* this.handle(incoming);
+      this.busy = false;
+      if (!goesOn || this.shouldStop()) break;
+      yield* connection.drained();
+    }
+    yield* this.runner.abandon();
+    if (this.stopping) {
+      const message = 'the proxy is shutting down; connect again';
+      connection.end(encodeError(fatal('57P01', message)));
+    } else {
+      connection.end();
+    }
+  }
+
+  private shouldStop(): boolean {
+    const idle = !this.runner.inTransaction && this.batch.length === 0;
+    return this.stopping && idle;
+  }
+
+  private *handle(incoming: Incoming): Task<boolean> {
+    switch (incoming.kind) {
+      case 'frame':
+        return yield* this.onFrame(incoming.frame);
+      case 'event':
+        return yield* this.onEvent(incoming.event);
+      case 'fault':
+        return this.endWith(fatal(PROTOCOL_VIOLATION, incoming.reason));
+      default:
+        return this.endWith(fatal(PROTOCOL_VIOLATION, 'second startup'));
+    }
+  }
+
+  private *onEvent(event: ConnectionEvent): Task<boolean> {
+    if (event === 'stop') {
+      this.stopping = true;
+      return true;
+    }
+    if (event === 'target lost') {
+      yield* this.runner.endLost();
+      return this.endWith({...lostError(), severity: 'FATAL'});
+    }
+    const message = 'the transaction was idle while others waited';
+    yield* this.runner.abandon();
+    return this.endWith(fatal(IDLE_TRANSACTION, message));
+  }
+
+  private endWith(diagnostic: Diagnostic): boolean {
+    this.context.connection.send(encodeError(diagnostic));
+    return false;
+  }
+
+  private *onFrame(frame: Frame): Task<boolean> {
+    const message = decodeFrontend(frame);
+    if (!message || message.kind === 'other') {
+      const reason = `message of type ${frame.type} is broken or unexpected`;
+      return this.endWith(fatal(PROTOCOL_VIOLATION, reason));
+    }
+    if (message.kind === 'terminate') return false;
+    noteNames(message, this.context.named);
+    if (message.kind === 'query') {
+      yield* this.runBatch([{message, frame}]);
+      return true;
+    }
+    if (message.kind === 'sync') {
+      yield* this.onSync({message, frame});
+      return true;
+    }
+    if (this.skipToSync) return true;
+    this.batchBytes += frame.bytes.length;
+    if (this.batchBytes > MOST_BATCH_BYTES) {
+      return this.endWith(fatal(PROTOCOL_VIOLATION, 'batch without a Sync'));
+    }
+    // The frame's bytes are the socket's; what is kept is copied.
+    const kept = {type: frame.type, bytes: Buffer.from(frame.bytes)};
+    this.batch.push({message: decodeFrontend(kept)!, frame: kept});
+    if (message.kind === 'flush') yield* this.runPart();
+    return true;
+  }
+
+  private *onSync(sync: BatchMessage): Task<void> {
+    const messages = [...this.batch, sync];
+    const skipped = this.skipToSync;
+    this.batch = [];
+    this.batchBytes = 0;
+    this.skipToSync = false;
+    if (skipped) return;
+    const isEmpty = messages.length === 1 && !this.runner.isPartial;
+    if (isEmpty && !this.runner.inTransaction) {
+      this.context.connection.send(encodeReady('idle'));
+      return;
+    }
+    yield* this.runBatch(messages);
+  }
+
+  /** A Flush: the caller wants answers before it sends its Sync. */
+  private *runPart(): Task<void> {
+    const messages = this.batch;
+    this.batch = [];
+    const {named, classifier} = this.context;
+    const plan = planBatch(messages, named, classifier);
+    if (plan.unsupported) {
+      const error = encodeError(unsupportedError(plan.unsupported));
+      this.context.connection.send(error);
+      this.skipToSync = true;
+      return;
+    }
+    yield* this.runner.runPart(messages, plan);
+  }
+
+  private *runBatch(messages: readonly BatchMessage[]): Task<void> {
+    const {named, classifier, clock, meter} = this.context;
+    const startedAt = clock.now();
+    const plan = planBatch(messages, named, classifier);
+    if (plan.unsupported) {
+      return this.refuse(unsupportedError(plan.unsupported));
+    }
+    if (this.stopping && this.isAtStart()) {
+      const message = 'not run: the proxy is shutting down';
+      const code = NOT_RUN_SHUTTING_DOWN;
+      return this.refuse({severity: 'ERROR', code, message});
+    }
+    if (this.isAtStart()) {
+      const [statement] = plan.statements;
+      const single = plan.statements.every(({kind}) => {
+        return kind === statement?.kind;
+      });
+      if (statement && single && this.answerLocally(messages, statement)) {
+        return;
+      }
+      if (this.takesKey(plan.isRead, plan.statements)) {
+        return yield* this.runKeyed(messages);
+      }
+    }
+    yield* this.runner.run(messages, plan);
+    yield* this.rememberSettings(messages, plan.statements);
+    const {caller, service, state} = this.context;
+    const name = {service, caller, requestClass: state.requestClass};
+    meter.record(name, 'whole', clock.now() - startedAt);
+  }
+
+  private isAtStart(): boolean {
+    return !this.runner.inTransaction && !this.runner.isPartial;
+  }
+
+  private answerLocally(
+    messages: readonly BatchMessage[],
+    statement: StatementClass,
+  ): boolean {
+    const {state, connection} = this.context;
+    const classes = new Set(this.context.classes().keys());
+    const answer = runLocally(statement, state, classes);
+    if (!answer) return false;
+    connection.send(encodeLocalAnswer(messages, answer));
+    return true;
+  }
+
+  private takesKey(
+    isRead: boolean,
+    statements: readonly StatementClass[],
+  ): boolean {
+    if (!this.context.state.key || isRead) return false;
+    return statements.every(({kind}) => kind === 'write');
+  }
+
+  private *runKeyed(messages: readonly BatchMessage[]): Task<void> {
+    const {state} = this.context;
+    const key = state.key!;
+    state.key = undefined;
+    yield* new KeyedWrite(this.context, key, messages).run();
+  }
+
+  /** Keeps a SET for the session's later places. */
+  private *rememberSettings(
+    messages: readonly BatchMessage[],
+    statements: readonly StatementClass[],
+  ): Task<void> {
+    const [statement] = statements;
+    if (statement?.kind !== 'set' || statement.local) return;
+    const text = messages
+      .map(({message}) => ('text' in message ? message.text : ''))
+      .join('');
+    const kept = this.context.state.remember(
+      statement.name,
+      statement.value === undefined ? undefined : text,
+    );
+    if (!kept) yield* settled(Promise.resolve());
+  }
+
+  private refuse(diagnostic: Diagnostic): void {
+    const status = this.runner.inTransaction ? 'open' : 'idle';
+    const parts = [encodeError(diagnostic), encodeReady(status)];
+    this.context.connection.send(Buffer.concat(parts));
+  }
+
+  private watchIdleTransaction(): void {
+    if (!this.runner.inTransaction) return;
+    const {connection, router} = this.context;
+    this.stopIdleTimer = after(
+      connection.closed,
+      this.idleTransactionMs(),
+      () => {
+        if (router.queued > 0) connection.notify('idle too long');
+        else this.watchIdleTransaction();
+      },
+    );
+  }
+}
--- /dev/null
+++ b/src/proxy/node/exchange.ts
@@ -0,0 +1,224 @@
+import type {
+  AnswerListener,
+  TargetConnection,
+} from '../../platform/pool/node/target_connection';
+import {
+  parsePosition,
+  type Position,
+} from '../../platform/position/common/position';
+import {
+  decodeComplete,
+  decodeDiagnostic,
+  decodeParameter,
+  decodeReady,
+  type Diagnostic,
+  type TransactionStatus,
+} from '../../platform/wire/common/backend';
+import {bodyOf, typeOf, type Frame} from '../../platform/wire/common/frames';
+import type {OutgoingBatch} from '../common/batch';
+
+const COMPLETE = typeOf('C');
+const CLOSE_COMPLETE = typeOf('3');
+const ERROR = typeOf('E');
+const PARAMETER = typeOf('S');
+const PARSE_COMPLETE = typeOf('1');
+const READY = typeOf('Z');
+const DATA_ROW = typeOf('D');
+
+/** Where the answer of a target goes. */
+export interface AnswerSink {
+  /** False once the receiver is behind. */
+  send(bytes: Buffer): boolean;
+  caughtUp(): Promise<void>;
+}
+
+/** How answers are passed on. */
+export type RelayMode =
+  /** As they come. */
+  | 'through'
+  /** The last completion and errors wait for what the commit comes to. */
+  | 'hold the end';
+
+/** How an exchange ended. */
+export interface ExchangeEnd {
+  /** Undefined where the connection was lost first. */
+  readonly status: TransactionStatus | undefined;
+  /** Where the group's log stood after a commit in it. */
+  readonly position: Position | undefined;
+  /** Completion or error that the caller has not seen yet. */
+  readonly held: Buffer;
+  readonly error: Diagnostic | undefined;
+  /** The caller has seen a part of the answer. */
+  readonly relayed: boolean;
+}
+
+const EMPTY = Buffer.alloc(0);
+
+/** One batch sent to a target and its answer passed on to a sink. */
+export class Exchange implements AnswerListener {
+  readonly ended: Promise<ExchangeEnd>;
+  private resolveEnd!: (end: ExchangeEnd) => void;
+  private shownParses: boolean[] = [];
+  private hiddenCloses = 0;
+  private held: Buffer[] = [];
+  private position: Position | undefined;
+  private error: Diagnostic | undefined;
+  private relayed = false;
+  private answered = false;
+  private synced = false;
+
+  constructor(
+    private readonly connection: TargetConnection,
+    private readonly sink: AnswerSink,
+    private readonly mode: RelayMode,
+  ) {
+    this.ended = new Promise(resolve => (this.resolveEnd = resolve));
+    connection.listen(this);
+    if (connection.isClosed) this.onClosed();
+  }
+
+  /** The target has answered with something. */
+  get hasAnswer(): boolean {
+    return this.answered;
+  }
+
+  /** Sends a part of the batch; the last part makes the target end it. */
+  send(outgoing: OutgoingBatch, isLast: boolean): void {
+    this.shownParses.push(...outgoing.shownParses);
+    this.hiddenCloses += outgoing.hiddenCloses;
+    this.synced ||= isLast;
+    this.connection.send(outgoing.bytes);
+  }
+
+  onFrames(frames: readonly Frame[]): void {
+    this.answered = true;
+    const out = new FrameRun();
+    for (const frame of frames) {
+      if (frame.type === DATA_ROW) {
+        this.flushHeld(out);
+        out.add(frame.bytes);
+        continue;
+      }
+      if (frame.type === READY) return this.onReady(frame, out);
+      this.onFrame(frame, out);
+    }
+    this.pass(out);
+  }
+
+  onClosed(): void {
+    this.finish(undefined);
+  }
+
+  private onFrame(frame: Frame, out: FrameRun): void {
+    switch (frame.type) {
+      case COMPLETE:
+        return this.onComplete(frame, out);
+      case ERROR:
+        return this.onError(frame, out);
+      case PARAMETER:
+        return this.onParameter(frame, out);
+      case PARSE_COMPLETE:
+        if (this.shownParses.shift() === false) return;
+        break;
+      case CLOSE_COMPLETE:
+        if (this.hiddenCloses > 0) {
+          this.hiddenCloses--;
+          return;
+        }
+    }
+    this.flushHeld(out);
+    out.add(frame.bytes);
+  }
+
+  private onComplete(frame: Frame, out: FrameRun): void {
+    this.flushHeld(out);
+    const ends = this.synced || decodeComplete(bodyOf(frame)) === 'COMMIT';
+    if (this.mode === 'hold the end' && ends) {
+      this.held.push(Buffer.from(frame.bytes));
+    } else {
+      out.add(frame.bytes);
+    }
+  }
+
+  private onError(frame: Frame, out: FrameRun): void {
+    this.flushHeld(out);
+    this.error ??= decodeDiagnostic(bodyOf(frame));
+    if (this.mode === 'hold the end' && this.synced) {
+      this.held.push(Buffer.from(frame.bytes));
+    } else {
+      out.add(frame.bytes);
+    }
+  }
+
+  private onParameter(frame: Frame, out: FrameRun): void {
+    const [name, value] = decodeParameter(bodyOf(frame));
+    if (name === 'group_position') this.position = parsePosition(value);
+    else if (!name.startsWith('group_')) out.add(frame.bytes);
+  }
+
+  private onReady(frame: Frame, out: FrameRun): void {
+    this.pass(out);
+    this.finish(decodeReady(bodyOf(frame)));
+  }
+
+  private finish(status: TransactionStatus | undefined): void {
+    this.connection.listen(undefined);
+    const {position, error, relayed, held} = this;
+    this.resolveEnd({
+      status,
+      position,
+      held: held.length === 0 ? EMPTY : Buffer.concat(held),
+      error,
+      relayed,
+    });
+  }
+
+  /** What was held was not the end after all. */
+  private flushHeld(out: FrameRun): void {
+    if (this.held.length === 0) return;
+    for (const bytes of this.held) out.add(bytes);
+    this.held = [];
+  }
+
+  private pass(out: FrameRun): void {
+    const bytes = out.take();
+    if (bytes.length === 0) return;
+    this.relayed = true;
+    let keepsUp = true;
+    for (const part of bytes) keepsUp = this.sink.send(part);
+    if (keepsUp) return;
+    // A slow caller must not make the proxy hold its answer in memory.
+    this.connection.pause();
+    void this.sink.caughtUp().then(() => this.connection.resume());
+  }
+}
+
+/** Frames to pass on; neighbours in one buffer go out as one piece. */
+class FrameRun {
+  private readonly parts: Buffer[] = [];
+
+  add(bytes: Buffer): void {
+    const last = this.parts.at(-1);
+    const isNext =
+      last !== undefined &&
+      last.buffer === bytes.buffer &&
+      last.byteOffset + last.length === bytes.byteOffset;
+    if (!isNext) {
+      this.parts.push(bytes);
+      return;
+    }
+    const length = last.length + bytes.length;
+    const joined = Buffer.from(last.buffer, last.byteOffset, length);
+    this.parts[this.parts.length - 1] = joined;
+  }
+
+  take(): readonly Buffer[] {
+    return this.parts;
+  }
+}
+
+/** A sink for answers that no caller is to see. */
+export const NO_SINK: AnswerSink = {
+  send: () => true,
+  caughtUp: () => Promise.resolve(),
+};
--- /dev/null
+++ b/src/proxy/node/main.ts
@@ -0,0 +1,171 @@
+import {command, flag, option, run, string} from 'cmd-ts';
+import {parseAddress, type Address} from '../../base/common/address';
+import {siteId} from '../../base/common/ids';
+import {createServer, listen} from '../../base/node/grpc';
+import {configureLogs, createLog} from '../../base/node/log';
+import {MonotonicClock} from '../../base/node/monotonic_clock';
+import {
+  EXIT_SETTINGS,
+  EXIT_UNAVAILABLE,
+  EXIT_USAGE,
+  fail,
+  newIncarnation,
+  stopSignal,
+  VERSION,
+} from '../../base/node/program';
+import {toError} from '../../base/node/task';
+import {PostgresGrammar} from '../../platform/sql/node/postgres_grammar';
+import {
+  formatFault,
+  parseSettings,
+  type Settings,
+} from '../../platform/settings/common/settings';
+import {
+  loadSettings,
+  readSource,
+} from '../../platform/settings/node/settings_files';
+import {AnnouncementService} from '../../schema/generated/announcement';
+import {CallerServer} from './caller_server';
+import {ControlLink} from './control_link';
+import {ProxyServices} from './proxy_services';
+import {RequestMeter} from './request_meter';
+import {StatusEndpoint} from './status_endpoint';
+
+interface Arguments {
+  readonly settings: string;
+  readonly overlay: string;
+  readonly instance: string;
+  readonly listen: string;
+  readonly announcements: string;
+  readonly status: string;
+  readonly jsonLogs: boolean;
+  readonly verbose: boolean;
+}
+
+async function main(args: Arguments): Promise<void> {
+  configureLogs(args.jsonLogs ? 'json' : 'text', args.verbose);
+  const log = createLog('proxy');
+  const callersAddress = checkedAddress('--listen', args.listen);
+  const statusAddress = checkedAddress('--status', args.status);
+  let settings = checkedSettings(args);
+  let settingsVersion = 0;
+  const {system} = settings;
+  const stop = stopSignal();
+  const running = new AbortController();
+  const {signal} = running;
+  const clock = new MonotonicClock();
+  const meter = new RequestMeter();
+  const site = siteId(settings.proxy.site);
+  const services = new ProxyServices(settings, site, clock, signal);
+
+  const links = createServer();
+  links.addService(AnnouncementService, services.observer.handlers);
+  const listening = await listen(links, args.announcements, signal);
+  if (listening.isErr) fail(EXIT_UNAVAILABLE, [listening.error.message]);
+  services.observer.start(system.pingMs, signal);
+
+  const onSettings = (version: number, text: string) => {
+    const parsed = parseSettings(
+      {file: 'settings', text},
+      args.overlay === '' ? undefined : readSource(args.overlay),
+    );
+    settingsVersion = version;
+    if (parsed.isErr) {
+      const faults = parsed.error.map(formatFault).join('; ');
+      log.error('The overlay does not fit the settings.', {version, faults});
+      return;
+    }
+    settings = parsed.value;
+    services.applySettings(settings);
+    log.info('Settings are in force.', {version});
+  };
+  const control = new ControlLink(
+    {
+      proxy: {instance: args.instance, incarnation: newIncarnation()},
+      site,
+      addresses: settings.control.map(({address}) => address),
+      services,
+      clock,
+      log,
+      renewalMs: system.leaseRenewalMs,
+      leaseMs: system.leaseMs,
+      settingsVersion: () => settingsVersion,
+      onSettings,
+    },
+    signal,
+  );
+  control.start();
+
+  const callers = new CallerServer(
+    {
+      services,
+      grammar: await PostgresGrammar.load(),
+      meter,
+      log,
+      settings: () => settings,
+    },
+    signal,
+  );
+  const endpoint = new StatusEndpoint({
+    instance: args.instance,
+    site,
+    services,
+    meter,
+    settingsVersion: () => settingsVersion,
+    isAttached: () => control.isAttached,
+    sessions: () => callers.sessionCount,
+  });
+  try {
+    await endpoint.listen(statusAddress.port, statusAddress.host, signal);
+    await callers.listen(callersAddress.port, callersAddress.host);
+  } catch (thrown) {
+    fail(EXIT_UNAVAILABLE, [`proxy: ${toError(thrown).message}`]);
+  }
+  log.info('Ready.', {instance: args.instance, address: args.listen});
+  stop.addEventListener('abort', () => {
+    void callers.drain().then(() => {
+      running.abort();
+      // gRPC keeps handles for a moment; nothing of ours is left to do.
+      process.exit(0);
+    });
+  });
+}
+
+function checkedSettings(args: Arguments): Settings {
+  const settings = loadSettings(args.settings, args.overlay);
+  if (settings.isErr) fail(EXIT_SETTINGS, settings.error.map(formatFault));
+  return settings.value;
+}
+
+function checkedAddress(name: string, text: string): Address {
+  const address = parseAddress(text);
+  if (!address) fail(EXIT_USAGE, [`${name} ${text}: host:port is allowed`]);
+  return address;
+}
+
+const text = (long: string, description: string, fallback?: string) =>
+  option({
+    long,
+    description,
+    type: string,
+    ...(fallback === undefined ? {} : {defaultValue: () => fallback}),
+  });
+
+const program = command({
+  name: 'bulrushstage-proxy',
+  version: VERSION,
+  description: 'Speaks PostgreSQL to callers and sends them to targets.',
+  args: {
+    settings: text('settings', 'base file of the settings'),
+    overlay: text('overlay', 'overlay of the site', ''),
+    instance: text('instance', 'name of this instance'),
+    listen: text('listen', 'host:port for callers'),
+    announcements: text('announcements', 'host:port for targets'),
+    status: text('status', 'host:port of the status endpoint'),
+    jsonLogs: flag({long: 'json-logs', description: 'log lines as JSON'}),
+    verbose: flag({long: 'verbose', description: 'log more'}),
+  },
+  handler: main,
+});
+
+void run(program, process.argv.slice(2));
--- /dev/null
+++ b/src/proxy/node/service_targets.ts
@@ -0,0 +1,197 @@
+import type {Clock} from '../../base/common/clock';
+import type {InstanceId, ServiceName, SiteId} from '../../base/common/ids';
+import {siteId} from '../../base/common/ids';
+import {childController} from '../../base/node/timers';
+import {
+  isConnected,
+  silenceOf,
+  type TargetDirectory,
+  type TargetObservation,
+} from '../../platform/announcement/common/target_directory';
+import {TargetPool} from '../../platform/pool/node/target_pool';
+import type {Candidate, Distance} from '../../platform/routing/common/router';
+import {OutlierEjection} from '../../platform/routing/common/outlier_ejection';
+import type {SampleHistory} from '../../platform/routing/common/sample_history';
+import type {
+  ServiceSettings,
+  SystemSettings,
+} from '../../platform/settings/common/settings';
+import {Role} from '../../schema/generated/announcement';
+import {Phase, type ServiceRecord} from '../../schema/generated/control';
+
+const LEAST_USABLE = 1;
+const LAG_WEIGHT = 0.1;
+
+/** What the targets of a service are judged by. */
+export interface TargetSurroundings {
+  readonly service: ServiceName;
+  readonly site: SiteId;
+  readonly directory: TargetDirectory;
+  readonly history: SampleHistory;
+  readonly system: SystemSettings;
+  readonly clock: Clock;
+  readonly distance: Distance;
+  onDidFree(): void;
+}
+
+interface PooledTarget {
+  readonly pool: TargetPool;
+  readonly controller: AbortController;
+  /** Smoothed time from the primary's writing to this one's applying. */
+  lagMs: number;
+}
+
+/** The targets of one service as this proxy sees them, with their pools. */
+export class ServiceTargets {
+  readonly ejection = new OutlierEjection(LEAST_USABLE);
+  private readonly targets = new Map<InstanceId, PooledTarget>();
+
+  constructor(
+    private readonly around: TargetSurroundings,
+    private settings: ServiceSettings,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  setSettings(settings: ServiceSettings): void {
+    this.settings = settings;
+    for (const {pool} of this.targets.values()) {
+      pool.setCapacity(this.capacity);
+    }
+  }
+
+  /** How many connections to one target this proxy may have. */
+  get capacity(): number {
+    const {connections, proxies} = this.settings;
+    return Math.max(1, Math.floor(connections / proxies));
+  }
+
+  /** A target said something: keeps a pool for this run of it. */
+  onTarget(target: TargetObservation): void {
+    const {instance} = target.key;
+    const {incarnation, address} = target.status;
+    const known = this.targets.get(instance);
+    const same =
+      known?.pool.incarnation === incarnation &&
+      known.pool.login.address === address;
+    if (same) return;
+    known?.controller.abort();
+    const controller = childController(this.signal);
+    const {service, clock} = this.around;
+    const pool = new TargetPool(
+      {address, user: 'bulrushstage', database: service},
+      incarnation,
+      this.capacity,
+      clock,
+      {
+        onDidFree: () => this.around.onDidFree(),
+        onDidFailToOpen: () => {},
+      },
+      controller.signal,
+    );
+    this.targets.set(instance, {pool, controller, lagMs: 0});
+  }
+
+  /** Notes how far behind a replica was seen to be. */
+  onAge(instance: InstanceId, ageMs: number): void {
+    const target = this.targets.get(instance);
+    if (!target || ageMs === Infinity) return;
+    target.lagMs += (ageMs - target.lagMs) * LAG_WEIGHT;
+  }
+
+  poolOf(instance: InstanceId): TargetPool | undefined {
+    return this.targets.get(instance)?.pool;
+  }
+
+  /** Gives up what still runs on a target that leads no more. */
+  abandon(instance: InstanceId): void {
+    this.targets.get(instance)?.pool.abandon();
+  }
+
+  maintain(): void {
+    for (const {pool} of this.targets.values()) pool.maintain();
+  }
+
+  /** All members as candidates for a read. */
+  candidates(record: ServiceRecord, primaryUsable: boolean): Candidate[] {
+    const {directory, service} = this.around;
+    const now = this.around.clock.now();
+    const draining = new Set(
+      record.members
+        .filter(member => member.draining)
+        .map(({instance}) => instance),
+    );
+    return directory.targetsOf(service).flatMap(target => {
+      const pooled = this.targets.get(target.key.instance);
+      if (!pooled) return [];
+      const isDrained = draining.has(target.key.instance);
+      return this.candidate(
+        target,
+        pooled,
+        record,
+        primaryUsable,
+        isDrained,
+        now,
+      );
+    });
+  }
+
+  /** The primary in force, if it says so itself and can be reached. */
+  primary(record: ServiceRecord): TargetObservation | undefined {
+    if (record.phase !== Phase.PHASE_STEADY) return undefined;
+    const {directory, service, clock} = this.around;
+    const target = directory.targetsOf(service).find(({key}) => {
+      return key.instance === record.primary;
+    });
+    if (!target || !isConnected(target, clock.now())) return undefined;
+    const {role, term, incarnation} = target.status;
+    const leads = role === Role.ROLE_PRIMARY && term === record.term;
+    return leads && incarnation === record.primaryIncarnation
+      ? target
+      : undefined;
+  }
+
+  private candidate(
+    target: TargetObservation,
+    {pool, lagMs}: PooledTarget,
+    record: ServiceRecord,
+    primaryUsable: boolean,
+    isDrained: boolean,
+    now: number,
+  ): Candidate {
+    const {status, key} = target;
+    const {history, distance, site, system} = this.around;
+    const isPrimary = key.instance === record.primary;
+    const answers =
+      isConnected(target, now) && silenceOf(target, now) < system.silenceMs;
+    const welcome = !isDrained && !status.leaving;
+    const healthy = !this.ejection.isEjected(key.instance, now);
+    const isPrefix = status.appliedOffset <= prefixLimit(target, record);
+    const limit = this.ejection.limitOf(key.instance, now);
+    return {
+      instance: key.instance,
+      isPrimary,
+      usable: isPrimary
+        ? primaryUsable
+        : answers && welcome && healthy && isPrefix,
+      appliedOffset: status.appliedOffset,
+      ageMs: history.ageOf(status.appliedOffset, now),
+      free: pool.inUse < limit ? pool.free : 0,
+      running: pool.inUse,
+      distanceMs: distance(site, siteId(status.site)),
+      lagMs,
+    };
+  }
+}
+
+/**
+ * Up to where a member's log is known to be the log in force. Past the point
+ * where a later term began it may hold writes that were never acknowledged.
+ */
+function prefixLimit(
+  {status}: TargetObservation,
+  record: ServiceRecord,
+): number {
+  return record.termStarts
+    .filter(({term}) => term > status.matchedTerm)
+    .reduce((least, {baseOffset}) => Math.min(least, baseOffset), Infinity);
+}
--- /dev/null
+++ b/src/proxy/node/session_context.ts
@@ -0,0 +1,62 @@
+import type {Clock} from '../../base/common/clock';
+import type {CallerName, ClassName, ServiceName} from '../../base/common/ids';
+import type {Classifier} from '../../platform/sql/common/classifier';
+import type {SessionState} from '../../platform/session/common/session_state';
+import type {ClassSettings} from '../../platform/settings/common/settings';
+import type {FrameConnection} from '../../platform/wire/node/frame_connection';
+import type {NamedStatements} from '../common/batch';
+import type {PlaceRequest} from '../common/request';
+import type {RequestMeter} from './request_meter';
+import type {ServiceRouter} from './service_router';
+
+/** What the parts of one caller's session share. */
+export interface SessionContext {
+  readonly caller: CallerName;
+  readonly service: ServiceName;
+  readonly connection: FrameConnection;
+  readonly state: SessionState;
+  readonly named: NamedStatements;
+  readonly router: ServiceRouter;
+  readonly classifier: Classifier;
+  readonly clock: Clock;
+  readonly meter: RequestMeter;
+  /** When the session arrived, on the monotonic clock. */
+  readonly arrivedAt: number;
+  classes(): ReadonlyMap<ClassName, ClassSettings>;
+}
+
+const BUILT_IN_CLASS: ClassSettings = {
+  ageMs: 0,
+  priority: 5,
+  deadlineMs: 5_000,
+  olderWithNotice: false,
+};
+
+/** The settings of the session's class. */
+export function classSettingsOf(context: SessionContext): ClassSettings {
+  const {requestClass} = context.state;
+  return context.classes().get(requestClass) ?? BUILT_IN_CLASS;
+}
+
+/** A request for a place on a target, without its answer. */
+export function describeRequest(
+  context: SessionContext,
+  needs: 'read' | 'write',
+): Omit<PlaceRequest, 'settle'> {
+  const {ageMs, priority, deadlineMs, olderWithNotice} =
+    classSettingsOf(context);
+  const since = context.clock.now();
+  return {
+    caller: context.caller,
+    service: context.service,
+    requestClass: context.state.requestClass,
+    priority,
+    deadline: since + deadlineMs,
+    needs,
+    ageMs,
+    olderWithNotice,
+    required: context.state.required,
+    arrivedAt: context.arrivedAt,
+    since,
+  };
+}
--- /dev/null
+++ b/src/proxy/node/status_endpoint.ts
@@ -0,0 +1,131 @@
+import {createServer, type ServerResponse} from 'node:http';
+import {encodeIntoCompressedBase64} from 'hdr-histogram-js';
+import type {ProxyServices} from './proxy_services';
+import {PHASES, type RequestMeter, type Series} from './request_meter';
+
+const QUANTILES = [50, 90, 99, 99.9];
+
+/** What the endpoint shows. */
+export interface StatusSurroundings {
+  readonly instance: string;
+  readonly site: string;
+  readonly services: ProxyServices;
+  readonly meter: RequestMeter;
+  settingsVersion(): number;
+  isAttached(): boolean;
+  sessions(): number;
+}
+
+/** The status of a proxy over HTTP: metrics text, histograms, status. */
+export class StatusEndpoint {
+  private readonly pages: Readonly<
+    Record<string, (response: ServerResponse) => void>
+  > = {
+    '/metrics': response => this.metrics(response),
+    '/histograms': response => sendJson(response, this.histograms()),
+    '/status': response => sendJson(response, this.status()),
+  };
+
+  constructor(private readonly around: StatusSurroundings) {}
+
+  listen(port: number, host: string, signal: AbortSignal): Promise<void> {
+    const server = createServer((request, response) => {
+      const page = this.pages[request.url ?? ''];
+      if (page) return page(response);
+      response.statusCode = 404;
+      response.end('not found\n');
+    });
+    signal.addEventListener('abort', () => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+  }
+
+  private status() {
+    const {instance, site, services, sessions} = this.around;
+    return {
+      instance,
+      site,
+      settingsVersion: this.around.settingsVersion(),
+      attached: this.around.isAttached(),
+      sessions: sessions(),
+      outcomes: Object.fromEntries(this.around.meter.counts()),
+      services: [...services.all()].map(([name, {router}]) => ({
+        name,
+        term: router.serviceRecord?.term ?? 0,
+        primary: router.serviceRecord?.primary ?? '',
+        queued: router.queued,
+      })),
+    };
+  }
+
+  private histograms() {
+    return this.around.meter.all().flatMap(({name, histograms}) => {
+      return PHASES.map(phase => ({
+        ...name,
+        phase,
+        histogram: encodeIntoCompressedBase64(histograms[phase]),
+      }));
+    });
+  }
+
+  private metrics(response: ServerResponse): void {
+    const {meter, sessions, services} = this.around;
+    const lines = [
+      '# TYPE bulrushstage_sessions gauge',
+      `bulrushstage_sessions ${sessions()}`,
+      '# TYPE bulrushstage_settings_version gauge',
+      `bulrushstage_settings_version ${this.around.settingsVersion()}`,
+      '# TYPE bulrushstage_control_attached gauge',
+      `bulrushstage_control_attached ${Number(this.around.isAttached())}`,
+      '# TYPE bulrushstage_service_term gauge',
+      ...[...services.all()].map(([service, {router}]) => {
+        const term = router.serviceRecord?.term ?? 0;
+        return `bulrushstage_service_term{${label('service', service)}} ${term}`;
+      }),
+      '# TYPE bulrushstage_requests_total counter',
+      ...[...meter.counts()].map(([outcome, count]) => {
+        return `bulrushstage_requests_total{${label('outcome', outcome)}} ${count}`;
+      }),
+      '# TYPE bulrushstage_request_seconds summary',
+      ...meter.all().flatMap(seriesLines),
+    ];
+    response.setHeader('content-type', 'text/plain; version=0.0.4');
+    response.end(`${lines.join('\n')}\n`);
+  }
+}
+
+function seriesLines({name, histograms}: Series): string[] {
+  return PHASES.flatMap(phase => {
+    const histogram = histograms[phase];
+    const labels = [
+      label('service', name.service),
+      label('caller', name.caller),
+      label('class', name.requestClass),
+      label('phase', phase),
+    ].join(',');
+    const quantiles = QUANTILES.map(percent => {
+      const seconds = histogram.getValueAtPercentile(percent) / 1e6;
+      const quantile = label('quantile', String(percent / 100));
+      return `bulrushstage_request_seconds{${labels},${quantile}} ${seconds}`;
+    });
+    const count = `bulrushstage_request_seconds_count{${labels}} ${histogram.totalCount}`;
+    return [...quantiles, count];
+  });
+}
+
+function label(name: string, value: string): string {
+  const escaped = value.replace(/[\\"\n]/g, character => {
+    return character === '\n' ? '\\n' : `\\${character}`;
+  });
+  return `${name}="${escaped}"`;
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  response.setHeader('content-type', 'application/json');
+  response.end(`${JSON.stringify(value)}\n`);
+}
