Answer a new control instance before it knows the configuration

The log of c1 showed it leader until it took c2 in as a voter, then candidate for ever: c2 had an empty configuration, so its transport did not know c1's address and its answers were dropped, and a learner with nothing counted as caught up while the log was short. Ruled out: the stand-in and the proxies (the changes were proposed, never committed). Change: messages carry the sender's address; a learner must match something.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -43,7 +43,7 @@
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
         {
-          selector: ['variable', 'function', 'parameter', 'method'],
+          selector: ['variable', 'function', 'parameter', 'classMethod'],
           format: ['camelCase', 'UPPER_CASE'],
           leadingUnderscore: 'forbid',
         },
@@ -52,7 +52,7 @@
     },
   },
   {
-    files: ['eslint.config.mjs', 'vitest.config.ts'],
+    files: ['eslint.config.mjs', 'vitest.config.ts', '**/*.d.ts'],
     rules: {'no-restricted-syntax': 'off'},
   },
   layerRule('src/base/**', [...LAYERS.slice(1), ...PROGRAMS]),
@@ -67,9 +67,11 @@
   {
     files: ['src/**/common/**'],
     ignores: ['**/test/**'],
-    rules: {'@typescript-eslint/no-restricted-imports': [
-      'error',
-      {patterns: PURE_PATTERNS},
-    ]},
+    rules: {
+      '@typescript-eslint/no-restricted-imports': [
+        'error',
+        {patterns: PURE_PATTERNS},
+      ],
+    },
   },
 );
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -1,6 +1,13 @@
 // Generates code and reference pages from src/schema; --check only compares.
 import {execFileSync} from 'node:child_process';
-import {mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync, mkdirSync} from 'node:fs';
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+  mkdirSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {renderSettingsModule, renderSettingsPage} from './render_settings.mjs';
--- a/scripts/hygiene.mjs
+++ b/scripts/hygiene.mjs
@@ -13,7 +13,10 @@
     faults.push(`${name}: file names are snake_case`);
   }
   const text = readFileSync(name, 'utf8');
-  if (/\/(work|home|root)\/[a-z]/.test(text) && name !== 'scripts/hygiene.mjs') {
+  if (
+    /\/(work|home|root)\/[a-z]/.test(text) &&
+    name !== 'scripts/hygiene.mjs'
+  ) {
     faults.push(`${name}: names a path of a machine`);
   }
   if (name === 'package-lock.json' && text.includes('"resolved"')) {
@@ -22,7 +25,10 @@
   if (/\.ts$/.test(name) && /copyright|SPDX/i.test(text)) {
     faults.push(`${name}: source files carry no notice`);
   }
-  if (/\.test\.ts$/.test(name) && /\b(it|test|describe)\.(skip|only|todo)\b/.test(text)) {
+  if (
+    /\.test\.ts$/.test(name) &&
+    /\b(it|test|describe)\.(skip|only|todo)\b/.test(text)
+  ) {
     faults.push(`${name}: a test is skipped or singled out`);
   }
 }
--- a/scripts/render_settings.mjs
+++ b/scripts/render_settings.mjs
@@ -16,7 +16,18 @@
   list: 'string[]',
 };
 
-const camel = name => name.replace(/_([a-z])/g, (_, c) => c.toUpperCase());
+const camel = name => name.replace(/_[a-z]/g, found => found[1].toUpperCase());
+
+const schemaOfKey = key => ({
+  key: key.key,
+  field: camel(key.key),
+  type: key.type,
+  unit: key.unit,
+  minimum: key.minimum,
+  maximum: key.maximum,
+  required: key.required,
+  defaultValue: key.default,
+});
 
 /** The module that src/platform/settings reads its schema from. */
 export function renderSettingsModule(schema) {
@@ -55,11 +66,7 @@
   const sections = schema.sections.map(section => ({
     name: section.name,
     repeated: section.repeated,
-    keys: section.keys.map(({doc: _doc, default: defaultValue, ...key}) => ({
-      ...key,
-      field: camel(key.key),
-      defaultValue,
-    })),
+    keys: section.keys.map(schemaOfKey),
   }));
   lines.push('/** Every section that a settings file may have. */');
   lines.push(
@@ -79,12 +86,19 @@
     '',
   ];
   for (const section of schema.sections) {
-    const head = section.repeated ? `[${section.name}.NAME]` : `[${section.name}]`;
+    const head = section.repeated
+      ? `[${section.name}.NAME]`
+      : `[${section.name}]`;
     lines.push(`## \`${head}\``, '', `${section.title}.`, '');
-    lines.push('| key | unit | allowed | default | meaning |', '|---|---|---|---|---|');
+    lines.push(
+      '| key | unit | allowed | default | meaning |',
+      '|---|---|---|---|---|',
+    );
     for (const key of section.keys) {
       const allowed =
-        key.minimum === undefined ? key.type : `${key.minimum} to ${key.maximum}`;
+        key.minimum === undefined
+          ? key.type
+          : `${key.minimum} to ${key.maximum}`;
       const fallback = key.required ? 'required' : `\`${key.default}\``;
       lines.push(
         `| \`${key.key}\` | ${key.unit ?? ''} | ${allowed} | ${fallback} | ${key.doc} |`,
--- a/src/base/node/program.ts
+++ b/src/base/node/program.ts
@@ -1,4 +1,5 @@
 import {randomBytes} from 'node:crypto';
+import {ownController} from './timers';
 import {incarnationId, type IncarnationId} from '../common/ids';
 
 declare const PROGRAM_VERSION: string;
@@ -15,7 +16,7 @@
 
 /** A signal that aborts when the program is told to stop. */
 export function stopSignal(): AbortSignal {
-  const controller = new AbortController();
+  const controller = ownController();
   for (const name of ['SIGTERM', 'SIGINT'] as const) {
     process.once(name, () => controller.abort());
   }
--- a/src/base/node/timers.ts
+++ b/src/base/node/timers.ts
@@ -1,3 +1,5 @@
+import {setMaxListeners} from 'node:events';
+
 /** Timers that end with an abort signal. */
 
 /** Calls back after a time, unless the signal aborts first. */
@@ -30,9 +32,16 @@
   signal.addEventListener('abort', () => clearInterval(timer), {once: true});
 }
 
+/** A controller whose signal any number of owners may listen to. */
+export function ownController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
+
 /** A controller that aborts with its parent, and alone when told to. */
 export function childController(parent: AbortSignal): AbortController {
-  const child = new AbortController();
+  const child = ownController();
   if (parent.aborted) {
     child.abort();
     return child;
--- a/src/control/node/control_log.ts
+++ b/src/control/node/control_log.ts
@@ -23,10 +23,11 @@
     return this.pending.has(purpose);
   }
 
-  /** Puts a command in unless one for the same purpose is under way. */
-  proposeOnce(purpose: string, body: Body): void {
-    if (this.pending.has(purpose)) return;
+  /** Puts a command in; false where one for this purpose is under way. */
+  proposeOnce(purpose: string, body: Body): boolean {
+    if (this.pending.has(purpose)) return false;
     this.pending.add(purpose);
     void this.propose(body).then(() => this.pending.delete(purpose));
+    return true;
   }
 }
--- a/src/control/node/failover_driver.ts
+++ b/src/control/node/failover_driver.ts
@@ -22,6 +22,14 @@
 import type {ControlLog} from './control_log';
 
 const REPEAT_ORDER_MS = 150;
+/** A change that waits this long for members is reported as blocked. */
+const BLOCKED_PATIENCE_MS = 1_000;
+
+interface BlockedChange {
+  readonly term: number;
+  readonly since: number;
+  reported: string;
+}
 
 /** What the driver asks of its surroundings. */
 export interface FailoverSurroundings {
@@ -39,7 +47,7 @@
   private readonly orderedAt = new Map<string, number>();
   private readonly closedTerms = new Map<string, number>();
   private readonly forcedTerms = new Map<string, number>();
-  private readonly blockedReasons = new Map<string, string>();
+  private readonly blocked = new Map<string, BlockedChange>();
   private lastOrderId = 0;
 
   constructor(
@@ -136,13 +144,14 @@
   ): void {
     const {cause, inputs, planned, term} = action;
     const service = record.name;
-    this.logger.info('Begins a change of primary.', {service, term, cause});
     const fromTerm = record.term;
     const value = {service, fromTerm, cause, inputs, planned, term};
-    this.around.log.proposeOnce(`change ${service}`, {
+    const isNew = this.around.log.proposeOnce(`change ${service}`, {
       $case: 'beginChange',
       value,
     });
+    if (!isNew) return;
+    this.logger.info('Begins a change of primary.', {service, term, cause});
   }
 
   private complete(
@@ -151,7 +160,6 @@
   ): void {
     const {primary, incarnation, base, inputs} = action;
     const {term, name: service} = record;
-    this.logger.info('Chooses a primary.', {service, term, primary});
     const value = {
       service,
       term,
@@ -161,17 +169,26 @@
       baseTerm: base.term,
       inputs,
     };
-    this.around.log.proposeOnce(`change ${service}`, {
+    const isNew = this.around.log.proposeOnce(`change ${service}`, {
       $case: 'completeChange',
       value,
     });
+    if (!isNew) return;
+    this.logger.info('Chooses a primary.', {service, term, primary});
   }
 
   private onBlocked(record: ServiceRecord, reason: string): void {
     const {term, name: service} = record;
-    const known = `${term} ${reason}`;
-    if (this.blockedReasons.get(service) === known) return;
-    this.blockedReasons.set(service, known);
+    const now = this.around.clock.now();
+    const known = this.blocked.get(service);
+    if (known?.term !== term) {
+      this.blocked.set(service, {term, since: now, reported: ''});
+      return;
+    }
+    // A change is blocked for a moment each time, until members answer.
+    if (now - known.since < BLOCKED_PATIENCE_MS) return;
+    if (known.reported === reason) return;
+    known.reported = reason;
     this.logger.warn('Cannot promote safely.', {service, reason});
     const value = {
       subject: `service ${service}`,
--- a/src/control/node/joining.ts
+++ b/src/control/node/joining.ts
@@ -1,9 +1,5 @@
 import {Metadata} from '@grpc/grpc-js';
-import {
-  deadlineIn,
-  LINK_CREDENTIALS,
-  LINK_OPTIONS,
-} from '../../base/node/grpc';
+import {deadlineIn, LINK_CREDENTIALS, LINK_OPTIONS} from '../../base/node/grpc';
 import {every} from '../../base/node/timers';
 import type {Joiner} from '../../platform/membership/common/membership_plan';
 import type {ControlAddress} from '../../platform/settings/common/settings';
--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -137,4 +137,3 @@
     }
   }
 }
-
--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -16,11 +16,11 @@
 import {every} from '../../base/node/timers';
 import {TargetDirectory} from '../../platform/announcement/common/target_directory';
 import {AnnouncementObserver} from '../../platform/announcement/node/announcement_observer';
+import {Consensus} from '../../platform/consensus/common/consensus';
 import {
   bootstrapState,
-  Consensus,
   emptyState,
-} from '../../platform/consensus/common/consensus';
+} from '../../platform/consensus/common/initial_state';
 import {ConsensusNode} from '../../platform/consensus/node/consensus_node';
 import {LogStorage} from '../../platform/consensus/node/log_storage';
 import {
@@ -72,19 +72,18 @@
 
   let leadership: Leadership | undefined;
   const settings = new SettingsInForce(machine, own);
+  const transport = new PeerTransport(self.address, signal);
   const node: ConsensusNode = new ConsensusNode(
     core,
     storage,
     stateMachine,
-    new PeerTransport(signal),
+    transport,
     {
       onDidChangeRole: role => {
         log.info('Changed its part.', {role, term: core.currentTerm});
         leadership?.end();
         leadership =
-          role === 'leader'
-            ? new Leadership(around, clock.now())
-            : undefined;
+          role === 'leader' ? new Leadership(around, clock.now()) : undefined;
       },
       onDidApply: () => leadership?.drive(),
       onDidFail: ({kind, detail}) => {
@@ -96,7 +95,7 @@
   );
   const directory = new TargetDirectory();
   const observer = new AnnouncementObserver(directory, clock, {
-    onDidChangeTarget: (_key, status) => {
+    onDidChangeTarget: (...[, status]) => {
       if (status) leadership?.onTarget(status);
       leadership?.drive();
     },
@@ -126,7 +125,7 @@
   server.addService(AnnouncementService, observer.handlers);
   server.addService(
     ConsensusService,
-    consensusHandlers(node, () => leadership),
+    consensusHandlers(node, transport, () => leadership),
   );
   const listening = await listen(server, self.address, signal);
   if (listening.isErr) fail(EXIT_UNAVAILABLE, [listening.error.message]);
@@ -186,10 +185,12 @@
 
 function consensusHandlers(
   node: ConsensusNode,
+  transport: PeerTransport,
   leadership: () => Leadership | undefined,
 ): ConsensusServer {
   return {
     deliver(call, respond) {
+      transport.learn(call.request);
       node.deliver(call.request);
       respond(null, {});
     },
--- a/src/control/node/operator_service.ts
+++ b/src/control/node/operator_service.ts
@@ -12,7 +12,6 @@
   ProxyMessage,
   ProxyRecord,
   StatusReply,
-  StatusRequest,
 } from '../../schema/generated/control';
 import type {Leadership} from './leadership';
 import type {SettingsInForce} from './settings_in_force';
@@ -41,7 +40,7 @@
       attach: stream => this.attach(stream),
       apply: (call, respond) => void this.apply(call, respond),
       drain: (call, respond) => void this.drain(call, respond),
-      status: (call, respond) => void this.status(call, respond),
+      status: (...[, respond]) => void this.status(respond),
       force: (call, respond) => this.force(call, respond),
     };
   }
@@ -106,10 +105,7 @@
     respond(null, {outcome, notLeader: false, leaderAddress: ''});
   }
 
-  private async status(
-    _call: ServerUnaryCall<StatusRequest, StatusReply>,
-    respond: Respond<StatusReply>,
-  ): Promise<void> {
+  private async status(respond: Respond<StatusReply>): Promise<void> {
     const {node, machine, instance} = this.around;
     const {core} = node;
     const confirmed = await node.confirm();
--- a/src/control/node/peer_transport.ts
+++ b/src/control/node/peer_transport.ts
@@ -1,9 +1,5 @@
 import {Metadata} from '@grpc/grpc-js';
-import {
-  deadlineIn,
-  LINK_CREDENTIALS,
-  LINK_OPTIONS,
-} from '../../base/node/grpc';
+import {deadlineIn, LINK_CREDENTIALS, LINK_OPTIONS} from '../../base/node/grpc';
 import type {ConsensusTransport} from '../../platform/consensus/node/consensus_node';
 import {
   ConsensusClient,
@@ -24,21 +20,33 @@
 export class PeerTransport implements ConsensusTransport {
   private readonly links = new Map<string, Link>();
 
-  constructor(signal: AbortSignal) {
+  private readonly addresses = new Map<string, string>();
+
+  constructor(
+    private readonly ownAddress: string,
+    signal: AbortSignal,
+  ) {
     signal.addEventListener('abort', () => {
       for (const {client} of this.links.values()) client.close();
     });
   }
 
+  /** Takes note of where a peer that sent something is answered. */
+  learn({from, fromAddress}: ConsensusMessage): void {
+    if (fromAddress !== '') this.addresses.set(from, fromAddress);
+  }
+
   send(message: ConsensusMessage, configuration: Configuration): void {
     const peer = configuration.peers.find(({id}) => id === message.to);
-    if (!peer) return;
-    const link = this.linkTo(peer.address);
+    const address = peer?.address ?? this.addresses.get(message.to);
+    if (address === undefined) return;
+    const link = this.linkTo(address);
+    const signed = {...message, fromAddress: this.ownAddress};
     if (link.underWay >= MOST_UNDER_WAY) return;
     link.underWay++;
     const options = {deadline: deadlineIn(DELIVERY_MS)};
     // Failures are not looked at: the core repeats what was not answered.
-    link.client.deliver(message, new Metadata(), options, () => {
+    link.client.deliver(signed, new Metadata(), options, () => {
       link.underWay--;
     });
   }
@@ -46,11 +54,7 @@
   private linkTo(address: string): Link {
     const known = this.links.get(address);
     if (known) return known;
-    const client = new ConsensusClient(
-      address,
-      LINK_CREDENTIALS,
-      LINK_OPTIONS,
-    );
+    const client = new ConsensusClient(address, LINK_CREDENTIALS, LINK_OPTIONS);
     const link = {client, underWay: 0};
     this.links.set(address, link);
     return link;
--- a/src/control/node/settings_in_force.ts
+++ b/src/control/node/settings_in_force.ts
@@ -34,6 +34,8 @@
     // shorter ones would not wait them out.
     const same =
       JSON.stringify(parsed.value.system) === JSON.stringify(this.own.system);
-    return same ? '' : '[system] is read when a process starts; keep it as it is';
+    return same
+      ? ''
+      : '[system] is read when a process starts; keep it as it is';
   }
 }
--- a/src/platform/announcement/common/target_directory.ts
+++ b/src/platform/announcement/common/target_directory.ts
@@ -1,5 +1,8 @@
 import type {InstanceId, ServiceName} from '../../../base/common/ids';
-import type {Position, TargetStatus} from '../../../schema/generated/announcement';
+import type {
+  Position,
+  TargetStatus,
+} from '../../../schema/generated/announcement';
 
 /** A closed stream counts as a loss after this time, in milliseconds. */
 const CLOSED_GRACE_MS = 40;
--- a/src/platform/confirmation/common/confirmations.ts
+++ b/src/platform/confirmation/common/confirmations.ts
@@ -1,5 +1,8 @@
 import type {InstanceId} from '../../../base/common/ids';
-import type {Position, TargetStatus} from '../../../schema/generated/announcement';
+import type {
+  Position,
+  TargetStatus,
+} from '../../../schema/generated/announcement';
 
 /** What became of a commit that waited for replicas. */
 export type ConfirmationOutcome =
--- a/src/platform/consensus/common/consensus.ts
+++ b/src/platform/consensus/common/consensus.ts
@@ -5,7 +5,6 @@
   Configuration,
   ConsensusMessage,
   LogEntry,
-  Peer,
   Snapshot,
   SnapshotRequest,
   VoteReply,
@@ -21,10 +20,14 @@
   Ticket,
 } from './consensus_types';
 import {EntryLog} from './entry_log';
+import {PendingTickets} from './pending_tickets';
 import {
   hasMajority,
   isSingleChange,
+  isVoter,
   majorityValue,
+  othersThan,
+  PeerTable,
   type PeerProgress,
 } from './progress';
 
@@ -34,18 +37,6 @@
 
 type Body = NonNullable<ConsensusMessage['body']>;
 
-interface PendingProposal {
-  readonly ticket: Ticket;
-  readonly index: number;
-  readonly term: number;
-}
-
-interface PendingConfirmation {
-  readonly ticket: Ticket;
-  readonly round: number;
-  readonly index: number;
-}
-
 /**
  * The replicated log: leader election with pre-vote, replication, single
  * changes of configuration, snapshots and confirmation by a majority.
@@ -70,11 +61,10 @@
   private preVoting = false;
   private votes = new Set<string>();
 
-  private progress = new Map<string, PeerProgress>();
+  private readonly peers = new PeerTable();
   private round = 0;
   private nextHeartbeat = 0;
-  private proposals: PendingProposal[] = [];
-  private confirmations: PendingConfirmation[] = [];
+  private readonly pending = new PendingTickets();
 
   constructor(
     readonly id: string,
@@ -151,7 +141,7 @@
   /** How far a peer's log is known to match, 0 when unknown. */
   matchIndexOf(id: string): number {
     if (id === this.id) return this.synced;
-    return this.progress.get(id)?.matchIndex ?? 0;
+    return this.peers.get(id)?.matchIndex ?? 0;
   }
 
   /** Takes one event at a time of the monotonic clock, in milliseconds. */
@@ -191,7 +181,7 @@
     if (this.currentRole === 'leader') return this.leaderTick();
     if (this.now < this.electionDeadline) return;
     this.resetElection(this.now);
-    if (this.isVoter()) this.startElection(true);
+    if (isVoter(this.configuration.peers, this.id)) this.startElection(true);
   }
 
   private leaderTick(): void {
@@ -206,10 +196,7 @@
 
   private hearsMajority(): boolean {
     const limit = this.now - this.options.electionMs * LEADER_PATIENCE;
-    const heard = new Set([this.id]);
-    for (const [id, peer] of this.progress) {
-      if (peer.heardAt >= limit) heard.add(id);
-    }
+    const heard = this.peers.heardSince(limit).add(this.id);
     return hasMajority(this.configuration.peers, heard);
   }
 
@@ -233,7 +220,7 @@
     if (hasMajority(this.configuration.peers, this.votes)) {
       return this.winElection();
     }
-    for (const peer of this.otherPeers()) {
+    for (const peer of othersThan(this.configuration.peers, this.id)) {
       if (!peer.voter) continue;
       this.send(
         peer.id,
@@ -265,12 +252,12 @@
       return this.sendVote(message.from, false, ask.pre);
     }
     if (ask.pre) {
-      const granted = message.term > this.term && this.isUpToDate(ask);
+      const granted = message.term > this.term && this.log.isCoveredBy(ask);
       return this.sendVote(message.from, granted, true, message.term);
     }
     if (message.term > this.term) this.becomeFollower(message.term, '');
     const free = this.votedFor === '' || this.votedFor === message.from;
-    const granted = free && this.isUpToDate(ask);
+    const granted = free && this.log.isCoveredBy(ask);
     if (granted) {
       this.votedFor = message.from;
       this.saveHardState();
@@ -279,13 +266,6 @@
     this.sendVote(message.from, granted, false);
   }
 
-  private isUpToDate(ask: VoteRequest): boolean {
-    if (ask.lastTerm !== this.log.lastTerm) {
-      return ask.lastTerm > this.log.lastTerm;
-    }
-    return ask.lastIndex >= this.log.lastIndex;
-  }
-
   private sendVote(
     to: string,
     granted: boolean,
@@ -311,9 +291,10 @@
   private becomeLeader(): void {
     this.setRole('leader');
     this.currentLeader = this.id;
-    this.progress.clear();
-    this.confirmations = [];
-    for (const peer of this.otherPeers()) this.trackPeer(peer.id);
+    this.peers.clear();
+    for (const {id} of othersThan(this.configuration.peers, this.id)) {
+      this.peers.track(id, this.log.lastIndex + 1, this.now);
+    }
     // Entries of earlier terms count as committed only below an entry of
     // this leader's own term.
     this.appendOwn({$case: 'noop', value: true});
@@ -339,11 +320,7 @@
   }
 
   private refuseAll(reason: Refusal): void {
-    for (const {ticket} of [...this.proposals, ...this.confirmations]) {
-      this.effects.push({kind: 'refused', ticket, reason});
-    }
-    this.proposals = [];
-    this.confirmations = [];
+    for (const ticket of this.pending.takeAll()) this.refuse(ticket, reason);
   }
 
   // ---- Messages ----
@@ -434,7 +411,7 @@
 
   private onAppendReply(message: ConsensusMessage, reply: AppendReply): void {
     if (this.currentRole !== 'leader' || message.term !== this.term) return;
-    const peer = this.progress.get(message.from);
+    const peer = this.peers.get(message.from);
     if (!peer) return;
     peer.heardAt = this.now;
     peer.round = Math.max(peer.round, reply.round);
@@ -459,8 +436,9 @@
       return this.refuse(ticket, 'not leader');
     }
     const index = this.appendOwn(payload);
-    this.proposals.push({ticket, index, term: this.term});
-    for (const peer of this.otherPeers()) this.replicateTo(peer.id);
+    this.pending.addProposal({ticket, index, term: this.term});
+    for (const peer of othersThan(this.configuration.peers, this.id))
+      this.replicateTo(peer.id);
   }
 
   private onChangeConfiguration(ticket: Ticket, next: Configuration): void {
@@ -472,15 +450,17 @@
       return this.refuse(ticket, 'change in progress');
     }
     this.onPropose(ticket, {$case: 'configuration', value: next});
-    for (const peer of this.otherPeers()) this.trackPeer(peer.id);
+    for (const {id} of othersThan(this.configuration.peers, this.id)) {
+      this.peers.track(id, this.log.lastIndex + 1, this.now);
+    }
   }
 
   private onConfirm(ticket: Ticket): void {
     if (!this.leaderReady) return this.refuse(ticket, 'not leader');
-    const quiet = this.confirmations.length === 0;
+    const isFirst = !this.pending.hasConfirmations;
     const round = this.round + 1;
-    this.confirmations.push({ticket, round, index: this.commit});
-    if (quiet) this.startRound();
+    this.pending.addConfirmation({ticket, round, index: this.commit});
+    if (isFirst) this.startRound();
   }
 
   private refuse(ticket: Ticket, reason: Refusal): void {
@@ -490,24 +470,21 @@
   private startRound(): void {
     this.round++;
     this.nextHeartbeat = this.now + this.options.heartbeatMs;
-    for (const peer of this.otherPeers()) this.replicateTo(peer.id);
+    for (const peer of othersThan(this.configuration.peers, this.id))
+      this.replicateTo(peer.id);
     this.settleConfirmations();
   }
 
   private settleConfirmations(): void {
-    if (this.confirmations.length === 0) return;
+    if (!this.pending.hasConfirmations) return;
     const reached = majorityValue(this.configuration.peers, id => {
-      return id === this.id ? this.round : (this.progress.get(id)?.round ?? 0);
-    });
-    const due = this.confirmations.filter(({round}) => round <= reached);
-    if (due.length === 0) return;
-    this.confirmations = this.confirmations.filter(({round}) => {
-      return round > reached;
+      return id === this.id ? this.round : (this.peers.get(id)?.round ?? 0);
     });
+    const due = this.pending.takeConfirmations(reached);
     for (const {ticket, index} of due) {
       this.effects.push({kind: 'confirmed', ticket, index});
     }
-    if (this.confirmations.length > 0) this.startRound();
+    if (due.length > 0 && this.pending.hasConfirmations) this.startRound();
   }
 
   private appendOwn(payload: NonNullable<LogEntry['payload']>): number {
@@ -519,7 +496,7 @@
   }
 
   private replicateTo(id: string): void {
-    const peer = this.progress.get(id);
+    const peer = this.peers.get(id);
     if (!peer) return;
     const previousTerm = this.log.termAt(peer.nextIndex - 1);
     if (previousTerm === undefined) return this.sendSnapshot(id, peer);
@@ -544,17 +521,6 @@
     this.send(id, {$case: 'snapshotRequest', value});
   }
 
-  private trackPeer(id: string): void {
-    if (this.progress.has(id)) return;
-    this.progress.set(id, {
-      nextIndex: this.log.lastIndex + 1,
-      matchIndex: 0,
-      round: 0,
-      heardAt: this.now,
-      snapshotSentAt: -Infinity,
-    });
-  }
-
   private onSynced(index: number, term: number): void {
     // Entries that were replaced while the disk was busy are not the ones
     // that it reports.
@@ -582,21 +548,21 @@
     if (this.currentRole === 'leader') this.afterCommit();
   }
 
-  private answerProposal(entry: LogEntry): void {
-    const found = this.proposals.findIndex(({index}) => index === entry.index);
-    if (found < 0) return;
-    const [{ticket, term}] = this.proposals.splice(found, 1) as [
-      PendingProposal,
-    ];
-    if (term === entry.term) {
-      this.effects.push({kind: 'committed', ticket, index: entry.index});
+  private answerProposal({index, term}: LogEntry): void {
+    const proposal = this.pending.takeProposal(index);
+    if (!proposal) return;
+    const {ticket} = proposal;
+    if (proposal.term === term) {
+      this.effects.push({kind: 'committed', ticket, index});
     } else {
       this.refuse(ticket, 'leadership lost');
     }
   }
 
   private afterCommit(): void {
-    const removed = this.configurationCommitted && !this.isVoter();
+    const removed =
+      this.configurationCommitted &&
+      !isVoter(this.configuration.peers, this.id);
     if (removed) this.becomeFollower(this.term, '');
   }
 
@@ -608,16 +574,6 @@
 
   // ---- Helpers ----
 
-  private isVoter(): boolean {
-    return this.configuration.peers.some(peer => {
-      return peer.id === this.id && peer.voter;
-    });
-  }
-
-  private otherPeers(): readonly Peer[] {
-    return this.configuration.peers.filter(peer => peer.id !== this.id);
-  }
-
   private saveHardState(): void {
     this.effects.push({
       kind: 'saveHardState',
@@ -628,30 +584,7 @@
   private send(to: string, body: Body, term = this.term): void {
     this.effects.push({
       kind: 'send',
-      message: {from: this.id, to, term, body},
+      message: {from: this.id, to, term, body, fromAddress: ''},
     });
   }
 }
-
-/** The state of an instance that starts a system of its own. */
-export function bootstrapState(peer: Peer): PersistedState {
-  const configuration = {peers: [{...peer, voter: true}]};
-  const snapshot: Snapshot = {
-    index: 1,
-    term: 1,
-    configuration,
-    state: Buffer.alloc(0),
-  };
-  return {hardState: {term: 1, votedFor: ''}, snapshot, entries: []};
-}
-
-/** The state of an instance that waits to be taken in by a leader. */
-export function emptyState(): PersistedState {
-  const snapshot: Snapshot = {
-    index: 0,
-    term: 0,
-    configuration: {peers: []},
-    state: Buffer.alloc(0),
-  };
-  return {hardState: {term: 0, votedFor: ''}, snapshot, entries: []};
-}
--- a/src/platform/consensus/common/entry_log.ts
+++ b/src/platform/consensus/common/entry_log.ts
@@ -42,6 +42,12 @@
     return this.entries.slice(start, start + most);
   }
 
+  /** Whether a log that ends like this one is at least as new as ours. */
+  isCoveredBy(end: {lastIndex: number; lastTerm: number}): boolean {
+    if (end.lastTerm !== this.lastTerm) return end.lastTerm > this.lastTerm;
+    return end.lastIndex >= this.lastIndex;
+  }
+
   append(entries: readonly LogEntry[]): void {
     this.entries.push(...entries);
   }
--- /dev/null
+++ b/src/platform/consensus/common/initial_state.ts
@@ -0,0 +1,25 @@
+import type {Peer, Snapshot} from '../../../schema/generated/consensus';
+import type {PersistedState} from './consensus_types';
+
+/** The state of an instance that starts a system of its own. */
+export function bootstrapState(peer: Peer): PersistedState {
+  const configuration = {peers: [{...peer, voter: true}]};
+  const snapshot: Snapshot = {
+    index: 1,
+    term: 1,
+    configuration,
+    state: Buffer.alloc(0),
+  };
+  return {hardState: {term: 1, votedFor: ''}, snapshot, entries: []};
+}
+
+/** The state of an instance that waits to be taken in by a leader. */
+export function emptyState(): PersistedState {
+  const snapshot: Snapshot = {
+    index: 0,
+    term: 0,
+    configuration: {peers: []},
+    state: Buffer.alloc(0),
+  };
+  return {hardState: {term: 0, votedFor: ''}, snapshot, entries: []};
+}
--- a/src/platform/consensus/common/progress.ts
+++ b/src/platform/consensus/common/progress.ts
@@ -12,6 +12,37 @@
   snapshotSentAt: number;
 }
 
+/** What a leader knows of all its peers. */
+export class PeerTable {
+  private readonly peers = new Map<string, PeerProgress>();
+
+  get(id: string): PeerProgress | undefined {
+    return this.peers.get(id);
+  }
+
+  /** Begins to follow a peer, counting it as heard of just now. */
+  track(id: string, nextIndex: number, now: number): void {
+    if (this.peers.has(id)) return;
+    this.peers.set(id, {
+      nextIndex,
+      matchIndex: 0,
+      round: 0,
+      heardAt: now,
+      snapshotSentAt: -Infinity,
+    });
+  }
+
+  clear(): void {
+    this.peers.clear();
+  }
+
+  /** The peers that answered at or after a time. */
+  heardSince(limit: number): Set<string> {
+    const heard = [...this.peers].filter(([, peer]) => peer.heardAt >= limit);
+    return new Set(heard.map(([id]) => id));
+  }
+}
+
 /** The highest value that a majority of the voters has reached. */
 export function majorityValue(
   peers: readonly Peer[],
@@ -49,3 +80,13 @@
 function voterIds(peers: readonly Peer[]): Set<string> {
   return new Set(peers.filter(peer => peer.voter).map(peer => peer.id));
 }
+
+/** Whether a peer votes in a configuration. */
+export function isVoter(peers: readonly Peer[], id: string): boolean {
+  return peers.some(peer => peer.id === id && peer.voter);
+}
+
+/** All peers but one. */
+export function othersThan(peers: readonly Peer[], id: string): Peer[] {
+  return peers.filter(peer => peer.id !== id);
+}
--- a/src/platform/failover/common/failover.ts
+++ b/src/platform/failover/common/failover.ts
@@ -181,9 +181,7 @@
 function isHolder(view: FailoverView, target: TargetView): boolean {
   const {status, connected} = target;
   if (!connected || !status) return false;
-  return (
-    status.term === view.record.term && status.role === Role.ROLE_REPLICA
-  );
+  return status.term === view.record.term && status.role === Role.ROLE_REPLICA;
 }
 
 /**
@@ -216,10 +214,7 @@
  * has not caught up since counts as left out. Fewer members do where every
  * proxy said what it acknowledged last and a member holds all of it.
  */
-function safetyOf(
-  view: FailoverView,
-  holders: readonly TargetView[],
-): Safety {
+function safetyOf(view: FailoverView, holders: readonly TargetView[]): Safety {
   const first = view.record.termStarts.length === 0;
   const counted = holders.filter(({status}) => {
     return first || status!.matchedTerm > 0;
--- a/src/platform/failover/common/failover_view.ts
+++ b/src/platform/failover/common/failover_view.ts
@@ -1,4 +1,7 @@
-import type {Position, TargetStatus} from '../../../schema/generated/announcement';
+import type {
+  Position,
+  TargetStatus,
+} from '../../../schema/generated/announcement';
 import type {ServiceRecord} from '../../../schema/generated/control';
 
 /** What the control leader sees of one member of a group. */
--- a/src/platform/membership/common/membership_plan.ts
+++ b/src/platform/membership/common/membership_plan.ts
@@ -69,8 +69,9 @@
 
 function isReady(view: MembershipView, peer: Peer): boolean {
   if (peer.voter) return false;
-  const behind = view.commitIndex - view.matchIndexOf(peer.id);
-  return behind <= CAUGHT_UP_ENTRIES;
+  const match = view.matchIndexOf(peer.id);
+  const behind = view.commitIndex - match;
+  return match > 0 && behind <= CAUGHT_UP_ENTRIES;
 }
 
 function isReplacedBy(peer: Peer, learner: Peer): boolean {
--- a/src/platform/settings/common/ini_file.ts
+++ b/src/platform/settings/common/ini_file.ts
@@ -12,7 +12,10 @@
 /** A file of settings with the line of everything in it. */
 export interface IniFile {
   readonly file: string;
-  readonly sections: readonly {readonly section: string; readonly line: number}[];
+  readonly sections: readonly {
+    readonly section: string;
+    readonly line: number;
+  }[];
   readonly entries: readonly IniEntry[];
 }
 
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -110,11 +110,7 @@
   }
 }
 
-function take(
-  ini: IniFile,
-  values: Values,
-  faults: SettingsFault[],
-): void {
+function take(ini: IniFile, values: Values, faults: SettingsFault[]): void {
   for (const {section, line} of ini.sections) {
     if (schemaOf(section)) {
       values.set(section, values.get(section) ?? {});
--- a/src/platform/wire/node/frame_connection.ts
+++ b/src/platform/wire/node/frame_connection.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import {Mailbox, settled, type Task} from '../../../base/node/task';
-import {after} from '../../../base/node/timers';
+import {after, ownController} from '../../../base/node/timers';
 import {FrameSplitter, type Frame} from '../common/frames';
 import {decodeStartup, type StartupPacket} from '../common/frontend';
 
@@ -30,7 +30,7 @@
   private startupBytes: Buffer = Buffer.alloc(0);
   private started = false;
   private waiting = 0;
-  private readonly ended = new AbortController();
+  private readonly ended = ownController();
 
   constructor(
     private readonly socket: Socket,
--- a/src/proxy/common/outcome_codes.ts
+++ b/src/proxy/common/outcome_codes.ts
@@ -1,5 +1,5 @@
 import type {Diagnostic} from '../../platform/wire/common/backend';
-import type {NotRun, NotRunReason} from './request';
+import type {NotRun, NotRunReason} from './not_run';
 
 /**
  * What a caller is told apart by SQLSTATE. Class RN: the request was not run,
--- a/src/proxy/node/batch_runner.ts
+++ b/src/proxy/node/batch_runner.ts
@@ -9,11 +9,7 @@
   encodeReady,
   type Diagnostic,
 } from '../../platform/wire/common/backend';
-import {
-  BatchEncoder,
-  type BatchMessage,
-  type BatchPlan,
-} from '../common/batch';
+import {BatchEncoder, type BatchMessage, type BatchPlan} from '../common/batch';
 import {
   lostError,
   notRunError,
--- a/src/proxy/node/keyed_write.ts
+++ b/src/proxy/node/keyed_write.ts
@@ -94,7 +94,9 @@
       connection,
       `BEGIN; INSERT INTO ${TABLE} (key, answer) VALUES (${key}, '')`,
     );
-    if (!succeeded(begun)) return yield* this.afterNoKey(place, begun, deadline);
+    if (!succeeded(begun)) {
+      return yield* this.afterNoKey(place, begun, deadline);
+    }
     const sink = new AnswerBuffer();
     const end = yield* this.runBatch(place, sink);
     if (end.status === undefined) return {kind: 'try again'};
--- a/src/proxy/node/main.ts
+++ b/src/proxy/node/main.ts
@@ -14,6 +14,7 @@
   VERSION,
 } from '../../base/node/program';
 import {toError} from '../../base/node/task';
+import {ownController} from '../../base/node/timers';
 import {PostgresGrammar} from '../../platform/sql/node/postgres_grammar';
 import {
   formatFault,
@@ -51,7 +52,7 @@
   let settingsVersion = 0;
   const {system} = settings;
   const stop = stopSignal();
-  const running = new AbortController();
+  const running = ownController();
   const {signal} = running;
   const clock = new MonotonicClock();
   const meter = new RequestMeter();
--- a/src/proxy/node/place.ts
+++ b/src/proxy/node/place.ts
@@ -1,10 +1,9 @@
 import type {Result} from '../../base/common/outcome';
 import {settled, type Task} from '../../base/node/task';
-import type {
-  CommitOutcome,
-} from '../../platform/confirmation/common/commits';
+import type {CommitOutcome} from '../../platform/confirmation/common/commits';
 import type {Position} from '../../platform/position/common/position';
-import type {Grant, NotRun} from '../common/request';
+import type {NotRun} from '../common/not_run';
+import type {Grant} from './request';
 import {runOwnQuery, succeeded} from './own_query';
 import {describeRequest, type SessionContext} from './session_context';
 
--- a/src/proxy/node/proxy_services.ts
+++ b/src/proxy/node/proxy_services.ts
@@ -1,5 +1,9 @@
 import type {Clock} from '../../base/common/clock';
-import {serviceName, type ServiceName, type SiteId} from '../../base/common/ids';
+import {
+  serviceName,
+  type ServiceName,
+  type SiteId,
+} from '../../base/common/ids';
 import {childController} from '../../base/node/timers';
 import {
   TargetDirectory,
@@ -11,7 +15,7 @@
   type TargetListener,
 } from '../../platform/announcement/node/announcement_observer';
 import type {Settings} from '../../platform/settings/common/settings';
-import type {OrderResult, TargetStatus} from '../../schema/generated/announcement';
+import type {TargetStatus} from '../../schema/generated/announcement';
 import {
   Phase,
   type HandBack,
@@ -121,7 +125,8 @@
     this.router(key.service)?.post({kind: 'sample', key, sample});
   }
 
-  onDidAnswerOrder(_key: TargetKey, _result: OrderResult): void {}
+  /** Proxies give no orders. */
+  onDidAnswerOrder(): void {}
 
   /** Services without a primary in force, for status and metrics. */
   changing(): string[] {
--- a/src/proxy/common/request.ts
+++ b/src/proxy/node/request.ts
@@ -1,29 +1,11 @@
-import type {
-  ClassName,
-  InstanceId,
-  ServiceName,
-} from '../../base/common/ids';
+import type {ClassName, InstanceId, ServiceName} from '../../base/common/ids';
 import type {Result} from '../../base/common/outcome';
 import type {Waiting} from '../../platform/admission/common/fair_queue';
+import type {NotRun} from '../common/not_run';
 import type {TargetConnection} from '../../platform/pool/node/target_connection';
 import type {Position} from '../../platform/position/common/position';
 import type {RouteReason} from '../../platform/routing/common/router';
 
-/** Why a request was not run, for the caller. */
-export interface NotRun {
-  readonly reason: NotRunReason;
-  /** When to come back, in milliseconds. */
-  readonly retryAfterMs: number;
-}
-
-export type NotRunReason =
-  | 'queue full'
-  | 'deadline cannot be met'
-  | 'deadline passed'
-  | 'no primary'
-  | 'unknown service'
-  | 'shutting down';
-
 /** A place on a target for one transaction. */
 export interface Grant {
   readonly connection: TargetConnection;
--- a/src/proxy/node/service_router.ts
+++ b/src/proxy/node/service_router.ts
@@ -45,7 +45,8 @@
   type Suspicion,
 } from '../../schema/generated/control';
 import {ArrivalPositions} from '../common/arrival';
-import type {Grant, NotRun, PlaceRequest} from '../common/request';
+import type {NotRun} from '../common/not_run';
+import type {Grant, PlaceRequest} from './request';
 import {ServiceTargets} from './service_targets';
 
 const TICK_MS = 10;
--- a/src/proxy/node/session_context.ts
+++ b/src/proxy/node/session_context.ts
@@ -5,7 +5,7 @@
 import type {ClassSettings} from '../../platform/settings/common/settings';
 import type {FrameConnection} from '../../platform/wire/node/frame_connection';
 import type {NamedStatements} from '../common/batch';
-import type {PlaceRequest} from '../common/request';
+import type {PlaceRequest} from './request';
 import type {RequestMeter} from './request_meter';
 import type {ServiceRouter} from './service_router';
 
--- a/src/standin/node/session.ts
+++ b/src/standin/node/session.ts
@@ -293,9 +293,7 @@
     this.complete(tag === 'SELECT' ? `SELECT ${count}` : tag);
   }
 
-  private *sendRows(
-    rows: Iterable<readonly (string | null)[]>,
-  ): Task<number> {
+  private *sendRows(rows: Iterable<readonly (string | null)[]>): Task<number> {
     let count = 0;
     let waiting: Buffer[] = [];
     for (const row of rows) {
