--- a/src/platform/consensus/common/consensus.ts
+++ b/src/platform/consensus/common/consensus.ts
@@ -19,6 +19,7 @@
   Refusal,
   Ticket,
 } from './consensus_types';
+import {Election} from './election';
 import {EntryLog} from './entry_log';
 import {PendingTickets} from './pending_tickets';
 import {
@@ -56,10 +57,8 @@
   private effects: Effect[] = [];
   private now = 0;
 
-  private electionDeadline = 0;
   private leaderHeardAt = -Infinity;
-  private preVoting = false;
-  private votes = new Set<string>();
+  private readonly election: Election;
 
   private readonly peers = new PeerTable();
   private round = 0;
@@ -70,8 +69,9 @@
     readonly id: string,
     persisted: PersistedState,
     private readonly options: ConsensusOptions,
-    private readonly random: SeededRandom,
+    random: SeededRandom,
   ) {
+    this.election = new Election(options.electionMs, random);
     this.log = new EntryLog(persisted.snapshot, persisted.entries);
     this.term = persisted.hardState.term;
     this.votedFor = persisted.hardState.votedFor;
@@ -146,7 +146,7 @@
 
   /** Takes one event at a time of the monotonic clock, in milliseconds. */
   step(event: ConsensusEvent, now: number): Effect[] {
-    if (this.electionDeadline === 0) this.resetElection(now);
+    this.election.startTimer(now);
     this.now = now;
     this.effects = [];
     this.handle(event);
@@ -159,11 +159,10 @@
         return this.onTick();
       case 'message':
         return this.onMessage(event.message);
-      case 'propose':
-        return this.onPropose(event.ticket, {
-          $case: 'command',
-          value: event.command,
-        });
+      case 'propose': {
+        const {ticket, command: value} = event;
+        return this.onPropose(ticket, {$case: 'command', value});
+      }
       case 'changeConfiguration':
         return this.onChangeConfiguration(event.ticket, event.configuration);
       case 'confirm':
@@ -175,22 +174,17 @@
     }
   }
 
-  // ---- Time ----
-
   private onTick(): void {
     if (this.currentRole === 'leader') return this.leaderTick();
-    if (this.now < this.electionDeadline) return;
-    this.resetElection(this.now);
+    if (!this.election.isDue(this.now)) return;
+    this.election.resetTimer(this.now);
     if (isVoter(this.configuration.peers, this.id)) this.startElection(true);
   }
 
   private leaderTick(): void {
     // An isolated leader must not go on believing in itself: operators and
     // proxies would wait on it. Confirmations guard safety; this frees them.
-    if (!this.hearsMajority()) {
-      this.becomeFollower(this.term, '');
-      return;
-    }
+    if (!this.hearsMajority()) return this.becomeFollower(this.term, '');
     if (this.now >= this.nextHeartbeat) this.startRound();
   }
 
@@ -200,16 +194,8 @@
     return hasMajority(this.configuration.peers, heard);
   }
 
-  private resetElection(now: number): void {
-    const wait = this.options.electionMs * (1 + this.random.fraction());
-    this.electionDeadline = now + wait;
-  }
-
-  // ---- Elections ----
-
   private startElection(pre: boolean): void {
-    this.preVoting = pre;
-    this.votes = new Set([this.id]);
+    this.election.begin(pre, this.id);
     this.setRole('candidate');
     this.currentLeader = '';
     if (!pre) {
@@ -217,7 +203,7 @@
       this.votedFor = this.id;
       this.saveHardState();
     }
-    if (hasMajority(this.configuration.peers, this.votes)) {
+    if (hasMajority(this.configuration.peers, this.election.votes)) {
       return this.winElection();
     }
     for (const peer of othersThan(this.configuration.peers, this.id)) {
@@ -238,7 +224,7 @@
   }
 
   private winElection(): void {
-    if (this.preVoting) return this.startElection(false);
+    if (this.election.isPre) return this.startElection(false);
     this.becomeLeader();
   }
 
@@ -261,7 +247,7 @@
     if (granted) {
       this.votedFor = message.from;
       this.saveHardState();
-      this.resetElection(this.now);
+      this.election.resetTimer(this.now);
     }
     this.sendVote(message.from, granted, false);
   }
@@ -277,15 +263,17 @@
 
   private onVoteReply(message: ConsensusMessage, reply: VoteReply): void {
     if (this.currentRole !== 'candidate') return;
-    if (reply.pre !== this.preVoting) return;
+    if (reply.pre !== this.election.isPre) return;
     if (!reply.granted) {
       if (message.term > this.term) this.becomeFollower(message.term, '');
       return;
     }
     const expected = reply.pre ? this.term + 1 : this.term;
     if (message.term !== expected) return;
-    this.votes.add(message.from);
-    if (hasMajority(this.configuration.peers, this.votes)) this.winElection();
+    this.election.addVote(message.from);
+    if (hasMajority(this.configuration.peers, this.election.votes)) {
+      this.winElection();
+    }
   }
 
   private becomeLeader(): void {
@@ -309,7 +297,7 @@
     }
     this.currentLeader = leader;
     if (this.currentRole === 'leader') this.refuseAll('leadership lost');
-    if (this.currentRole !== 'follower') this.resetElection(this.now);
+    if (this.currentRole !== 'follower') this.election.resetTimer(this.now);
     this.setRole('follower');
   }
 
@@ -323,8 +311,6 @@
     for (const ticket of this.pending.takeAll()) this.refuse(ticket, reason);
   }
 
-  // ---- Messages ----
-
   private onMessage(message: ConsensusMessage): void {
     const body = message.body;
     if (!body) return;
@@ -343,7 +329,7 @@
     }
     this.becomeFollower(message.term, message.from);
     this.leaderHeardAt = this.now;
-    this.resetElection(this.now);
+    this.election.resetTimer(this.now);
     if (body.$case === 'appendRequest') {
       return this.onAppendRequest(message.from, body.value);
     }
@@ -426,8 +412,6 @@
     if (peer.nextIndex <= this.log.lastIndex) this.replicateTo(message.from);
   }
 
-  // ---- Leader ----
-
   private onPropose(
     ticket: Ticket,
     payload: NonNullable<LogEntry['payload']>,
@@ -437,8 +421,7 @@
     }
     const index = this.appendOwn(payload);
     this.pending.addProposal({ticket, index, term: this.term});
-    for (const peer of othersThan(this.configuration.peers, this.id))
-      this.replicateTo(peer.id);
+    this.replicateToAll();
   }
 
   private onChangeConfiguration(ticket: Ticket, next: Configuration): void {
@@ -470,8 +453,7 @@
   private startRound(): void {
     this.round++;
     this.nextHeartbeat = this.now + this.options.heartbeatMs;
-    for (const peer of othersThan(this.configuration.peers, this.id))
-      this.replicateTo(peer.id);
+    this.replicateToAll();
     this.settleConfirmations();
   }
 
@@ -495,6 +477,11 @@
     return index;
   }
 
+  private replicateToAll(): void {
+    const others = othersThan(this.configuration.peers, this.id);
+    for (const {id} of others) this.replicateTo(id);
+  }
+
   private replicateTo(id: string): void {
     const peer = this.peers.get(id);
     if (!peer) return;
@@ -572,8 +559,6 @@
     this.effects.push({kind: 'installSnapshot', snapshot, kept});
   }
 
-  // ---- Helpers ----
-
   private saveHardState(): void {
     this.effects.push({
       kind: 'saveHardState',
