Keep the lineage of terms, so that "not run" never comes back

Ruled out: leases and confirmations (no acknowledged write was lost or late). Change: the heir is chosen by the term it caught up with; each term records whose log it goes on with; a loss is told only once enough replicas have the new log; a member whose process runs since the group formed has its data.

--- a/src/control/node/failover_driver.ts
+++ b/src/control/node/failover_driver.ts
@@ -18,7 +18,7 @@
 import type {LeaseRegistry} from '../../platform/lease/common/lease_registry';
 import type {Settings} from '../../platform/settings/common/settings';
 import type {Order} from '../../schema/generated/announcement';
-import type {ServiceRecord} from '../../schema/generated/control';
+import type {MemberRecord, ServiceRecord} from '../../schema/generated/control';
 import type {ControlLog} from './control_log';
 
 const REPEAT_ORDER_MS = 150;
@@ -107,8 +107,8 @@
     const byInstance = new Map(
       observed.map(target => [String(target.key.instance), target]),
     );
-    return record.members.map(({instance, draining}) => {
-      return viewOfTarget(instance, draining, byInstance.get(instance), now);
+    return record.members.map(member => {
+      return viewOfTarget(member, byInstance.get(member.instance), now);
     });
   }
 
@@ -219,8 +219,7 @@
 }
 
 function viewOfTarget(
-  instance: string,
-  draining: boolean,
+  {instance, draining, incarnation: firstIncarnation}: MemberRecord,
   target: TargetObservation | undefined,
   now: number,
 ): TargetView {
@@ -228,6 +227,7 @@
     return {
       instance,
       draining,
+      firstIncarnation,
       connected: false,
       silentMs: Infinity,
       status: undefined,
@@ -238,6 +238,7 @@
   return {
     instance,
     draining,
+    firstIncarnation,
     connected: isConnected(target, now),
     silentMs: silenceOf(target, now),
     status,
--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -11,6 +11,7 @@
   type Joiner,
 } from '../../platform/membership/common/membership_plan';
 import type {Settings} from '../../platform/settings/common/settings';
+import {Phase} from '../../schema/generated/control';
 import type {TargetStatus} from '../../schema/generated/announcement';
 import {ControlLog} from './control_log';
 import {FailoverDriver} from './failover_driver';
@@ -81,11 +82,18 @@
     const member = known?.members.find(({instance}) => {
       return instance === status.instance;
     });
-    if (member?.site === status.site || !this.isOffered(status)) return;
-    const {service, instance, site} = status;
+    if (!this.isOffered(status)) return;
+    const {service, instance, site, incarnation} = status;
+    const forming = known?.phase === Phase.PHASE_FORMING;
+    const isKnown =
+      member?.site === site && (!forming || member.incarnation === incarnation);
+    if (isKnown) return;
     this.log.proposeOnce(`member ${service}/${instance}`, {
       $case: 'registerMember',
-      value: {service, member: {instance, site, draining: false}},
+      value: {
+        service,
+        member: {instance, site, draining: false, incarnation},
+      },
     });
   }
 
--- a/src/platform/announcement/common/target_directory.ts
+++ b/src/platform/announcement/common/target_directory.ts
@@ -1,8 +1,5 @@
 import type {InstanceId, ServiceName} from '../../../base/common/ids';
-import type {
-  Position,
-  TargetStatus,
-} from '../../../schema/generated/announcement';
+import type {TargetStatus} from '../../../schema/generated/announcement';
 
 /** A closed stream counts as a loss after this time, in milliseconds. */
 const CLOSED_GRACE_MS = 40;
@@ -20,7 +17,6 @@
   /** When it was asked, on the observer's clock. */
   readonly askedAt: number;
   readonly status: TargetStatus;
-  readonly received: Position;
 }
 
 /** What one observer knows of one target. */
@@ -94,9 +90,7 @@
     target.pings.delete(sequence);
     target.lastHeardAt = now;
     target.roundTripMs = now - askedAt;
-    const {status} = target;
-    const received = status.received ?? {term: 0, offset: 0};
-    return {askedAt, status, received};
+    return {askedAt, status: target.status};
   }
 
   onClosed(key: TargetKey, now: number): void {
--- a/src/platform/confirmation/common/commits.ts
+++ b/src/platform/confirmation/common/commits.ts
@@ -2,7 +2,8 @@
 import type {TargetStatus} from '../../../schema/generated/announcement';
 import {Phase, type ServiceRecord} from '../../../schema/generated/control';
 import type {TermLease} from '../../lease/common/term_lease';
-import {fateOf, type Position} from '../../position/common/position';
+import {Lineage} from '../../position/common/lineage';
+import type {Position} from '../../position/common/position';
 import {Confirmations} from './confirmations';
 
 /** What a commit came to, as a caller may be told. */
@@ -15,9 +16,11 @@
   | 'unknown';
 
 interface PendingCommit {
+  /** Where it was made. */
+  readonly made: Position;
   /** In the term under which it will be acknowledged. */
   position: Position;
-  state: 'confirming' | 'awaiting lease' | 'between terms';
+  state: 'confirming' | 'awaiting lease' | 'between terms' | 'lost';
   readonly deadline: number;
   readonly settle: (outcome: CommitOutcome, position: Position) => void;
 }
@@ -55,6 +58,7 @@
     settle: PendingCommit['settle'],
   ): void {
     const commit: PendingCommit = {
+      made: position,
       position,
       state: 'confirming',
       deadline,
@@ -118,12 +122,29 @@
     const {record} = this;
     commit.state = 'between terms';
     if (!record || record.phase !== Phase.PHASE_STEADY) return;
-    const fate = fateOf(commit.position, record.termStarts);
-    if (fate === 'lost') return this.settle(commit, 'not run');
-    if (fate === 'undecided') return;
-    const {offset} = commit.position;
-    commit.position = {term: record.term, offset};
-    this.confirm(commit, now);
+    const {term, termStarts} = record;
+    const lineage = new Lineage(term, termStarts);
+    commit.position = {term, offset: commit.made.offset};
+    if (lineage.holds(commit.made)) this.confirm(commit, now);
+    else this.confirmLoss(commit, record, now);
+  }
+
+  /**
+   * Guard against calling a write "not run" that comes back: while only the
+   * new primary has the new term's log, its loss could bring an older log with
+   * the write back. Once enough replicas are matched with it, no later term
+   * can go on with an older log.
+   */
+  private confirmLoss(
+    commit: PendingCommit,
+    {term, termStarts}: ServiceRecord,
+    now: number,
+  ): void {
+    commit.state = 'lost';
+    const offset = termStarts.at(-1)?.baseOffset ?? 0;
+    this.confirmations.wait({term, offset}, now, outcome => {
+      if (outcome === 'confirmed') this.settle(commit, 'not run');
+    });
   }
 
   private settle(commit: PendingCommit, outcome: CommitOutcome): void {
--- a/src/platform/control_state/common/control_machine.ts
+++ b/src/platform/control_state/common/control_machine.ts
@@ -168,8 +168,13 @@
     const known = record.members.find(({instance}) => {
       return instance === member.instance;
     });
-    if (known) known.site = member.site;
-    else record.members.push(member);
+    if (known) {
+      known.site = member.site;
+      const forming = record.phase === Phase.PHASE_FORMING;
+      if (forming) known.incarnation = member.incarnation;
+    } else {
+      record.members.push(member);
+    }
     this.touch(record, index);
   }
 
--- a/src/platform/failover/common/failover.ts
+++ b/src/platform/failover/common/failover.ts
@@ -3,6 +3,8 @@
 import {
   comparePositions,
   formatPosition,
+  heldPosition,
+  logEnd,
   ORIGIN,
 } from '../../position/common/position';
 import type {
@@ -158,12 +160,12 @@
   }
   const heir = chooseHeir(holders);
   if (!heir) return actions;
-  const {incarnation, received = ORIGIN} = heir.status!;
+  const {incarnation} = heir.status!;
   actions.push({
     kind: 'complete',
     primary: heir.instance,
     incarnation,
-    base: received,
+    base: logEnd(heir.status!),
     inputs: `${safe.rule}; ${describeTargets(view)}`,
   });
   return actions;
@@ -216,9 +218,7 @@
  */
 function safetyOf(view: FailoverView, holders: readonly TargetView[]): Safety {
   const first = view.record.termStarts.length === 0;
-  const counted = holders.filter(({status}) => {
-    return first || status!.matchedTerm > 0;
-  });
+  const counted = holders.filter(holder => first || hasItsData(holder));
   const needed = view.members - (first ? 0 : view.confirmations);
   if (counted.length >= needed) {
     return {rule: `${counted.length} of ${view.members} members answered`};
@@ -236,25 +236,34 @@
   return {reason};
 }
 
+/** A member that never lost its data, or has caught up since it did. */
+function hasItsData({status, firstIncarnation}: TargetView): boolean {
+  const {matchedTerm, incarnation} = status!;
+  return matchedTerm > 0 || incarnation === firstIncarnation;
+}
+
 function holdsAllAcknowledged(view: FailoverView, heir: TargetView): boolean {
-  const received = heir.status?.received ?? ORIGIN;
+  const held = heldPosition(heir.status!);
   return view.proxies.every(proxy => {
     if (!hasHandedBack(view, proxy)) return false;
     const highest = proxy.highestAcknowledged ?? ORIGIN;
-    return comparePositions(received, highest) >= 0;
+    return comparePositions(held, highest) >= 0;
   });
 }
 
-/** The newest log wins; among equals one that stays, then by name. */
+/**
+ * The newest log wins: the one matched with the newest term, then the longest.
+ * Not the one with the newest entry: an old primary may hold later entries of
+ * its own than a newer term that wrote nothing, and they were given up.
+ */
 function chooseHeir(holders: readonly TargetView[]): TargetView | undefined {
   const rank = ({status, draining}: TargetView) => {
     return draining || status!.leaving ? 1 : 0;
   };
   return [...holders].sort((a, b) => {
-    const [first, second] = [a.status!, b.status!];
     const order = comparePositions(
-      second.received ?? ORIGIN,
-      first.received ?? ORIGIN,
+      heldPosition(b.status!),
+      heldPosition(a.status!),
     );
     return order || rank(a) - rank(b) || (a.instance < b.instance ? -1 : 1);
   })[0];
@@ -288,8 +297,8 @@
   return `${instance} at ${describeStatus(status)} ${link}`;
 }
 
-function describeStatus({received = ORIGIN, term}: TargetStatus): string {
-  return `${formatPosition(received)} in term ${term}`;
+function describeStatus(status: TargetStatus): string {
+  return `${formatPosition(heldPosition(status))} in term ${status.term}`;
 }
 
 function describeProxies(view: FailoverView): string {
--- a/src/platform/failover/common/failover_view.ts
+++ b/src/platform/failover/common/failover_view.ts
@@ -8,6 +8,8 @@
 export interface TargetView {
   readonly instance: string;
   readonly draining: boolean;
+  /** The run of its process when the group formed. */
+  readonly firstIncarnation: string;
   /** An announcement stream is open. */
   readonly connected: boolean;
   /** Since the last sign of life, in milliseconds. */
--- a/src/proxy/common/arrival.ts
+++ b/src/proxy/common/arrival.ts
@@ -1,13 +1,15 @@
 import type {InstanceId} from '../../base/common/ids';
 import {
-  laterPosition,
-  ORIGIN,
+  comparePositions,
+  heldPosition,
+  logEnd,
   type Position,
 } from '../../platform/position/common/position';
+import type {TargetStatus} from '../../schema/generated/announcement';
 
 interface Answer {
   readonly askedAt: number;
-  readonly position: Position;
+  readonly status: TargetStatus;
 }
 
 /**
@@ -24,13 +26,13 @@
   private readonly members = new Map<InstanceId, Answer>();
 
   /** A primary under a lease answered with its position. */
-  onPrimary(askedAt: number, position: Position): void {
-    this.primary = {askedAt, position};
+  onPrimary(askedAt: number, status: TargetStatus): void {
+    this.primary = {askedAt, status};
   }
 
   /** Any member with its data answered with what it holds. */
-  onMember(instance: InstanceId, askedAt: number, position: Position): void {
-    this.members.set(instance, {askedAt, position});
+  onMember(instance: InstanceId, askedAt: number, status: TargetStatus): void {
+    this.members.set(instance, {askedAt, status});
   }
 
   onClosed(instance: InstanceId): void {
@@ -40,14 +42,18 @@
   /** What a session that arrived then must see; undefined while unknown. */
   since(arrivedAt: number, membersNeeded: number): Position | undefined {
     if (this.primary && this.primary.askedAt >= arrivedAt) {
-      return this.primary.position;
+      return logEnd(this.primary.status);
     }
     const answers = [...this.members.values()].filter(({askedAt}) => {
       return askedAt >= arrivedAt;
     });
-    if (answers.length < membersNeeded) return undefined;
-    return answers.reduce((newest, {position}) => {
-      return laterPosition(newest, position);
-    }, ORIGIN);
+    const [first, ...others] = answers.map(({status}) => status);
+    if (!first || answers.length < membersNeeded) return undefined;
+    return logEnd(others.reduce(newer, first));
   }
 }
+
+function newer(a: TargetStatus, b: TargetStatus): TargetStatus {
+  const order = comparePositions(heldPosition(b), heldPosition(a));
+  return order > 0 ? b : a;
+}
--- a/src/proxy/node/service_router.ts
+++ b/src/proxy/node/service_router.ts
@@ -22,10 +22,8 @@
 } from '../../platform/confirmation/common/commits';
 import {TermLease} from '../../platform/lease/common/term_lease';
 import type {TargetConnection} from '../../platform/pool/node/target_connection';
-import {
-  requiredOffset,
-  type Position,
-} from '../../platform/position/common/position';
+import {Lineage} from '../../platform/position/common/lineage';
+import type {Position} from '../../platform/position/common/position';
 import {
   routeRead,
   type Candidate,
@@ -136,6 +134,7 @@
   private readonly targets: ServiceTargets;
   private readonly commits: Commits;
   private record: ServiceRecord | undefined;
+  private lineage = new Lineage(0, []);
   private lastPrimary: InstanceId | undefined;
   private writesRunning = 0;
   private changeSeenAt = 0;
@@ -290,7 +289,11 @@
     const now = this.around.clock.now();
     const primaryUsable = this.isPrimaryUsable(record, now);
     this.queue.serve(request => {
-      const candidates = this.targets.candidates(record, primaryUsable);
+      const candidates = this.targets.candidates(
+        record,
+        this.lineage,
+        primaryUsable,
+      );
       if (!candidates.some(({free}) => free > 0)) return 'stop';
       return this.place(request, record, candidates, now) ? 'taken' : 'later';
     });
@@ -308,7 +311,7 @@
     now: number,
   ): boolean {
     const required = this.requiredOf(request);
-    const decision = this.decide(request, required, record, candidates, now);
+    const decision = this.decide(request, required, candidates, now);
     if (decision.kind === 'wait') return false;
     const {instance, reason} = decision;
     const connection = this.targets.poolOf(instance)?.checkout();
@@ -331,12 +334,11 @@
   private decide(
     request: PlaceRequest,
     required: Position | undefined,
-    record: ServiceRecord,
     candidates: readonly Candidate[],
     now: number,
   ): RouteDecision {
     const isWrite = request.needs === 'write';
-    const offset = required && requiredOffset(required, record.termStarts);
+    const offset = required && this.lineage.requiredOffset(required);
     return routeRead(
       {
         ageMs: isWrite ? 0 : request.ageMs,
@@ -374,8 +376,9 @@
   private usableReplicas(): number {
     const {record} = this;
     if (!record) return 0;
-    return this.targets.candidates(record, false).filter(({usable}) => usable)
-      .length;
+    return this.targets
+      .candidates(record, this.lineage, false)
+      .filter(({usable}) => usable).length;
   }
 
   private noteFree(): void {
@@ -401,13 +404,13 @@
   }
 
   private onSample(key: TargetKey, sample: PositionSample, now: number): void {
-    const {status, askedAt, received} = sample;
+    const {status, askedAt} = sample;
     if (status.matchedTerm > 0) {
-      this.arrivals.onMember(key.instance, askedAt, received);
+      this.arrivals.onMember(key.instance, askedAt, status);
     }
     if (this.isLeasedPrimary(key, status, askedAt)) {
-      this.arrivals.onPrimary(askedAt, received);
-      this.history.onSample(askedAt, received.offset);
+      this.arrivals.onPrimary(askedAt, status);
+      this.history.onSample(askedAt, status.appliedOffset);
     } else {
       const age = this.history.ageOf(status.appliedOffset, now);
       this.targets.onAge(key.instance, age);
@@ -440,6 +443,7 @@
     if (known && known.revision > record.revision) return;
     const isNewTerm = known !== undefined && record.term > known.term;
     this.record = record;
+    this.lineage = lineageOf(record);
     if (isNewTerm) {
       this.changeSeenAt = now;
       this.history.onOpened();
@@ -509,3 +513,8 @@
     this.dispatch();
   }
 }
+
+/** Between two terms the log in force is still that of the last one. */
+function lineageOf({termStarts}: ServiceRecord): Lineage {
+  return new Lineage(termStarts.at(-1)?.term ?? 0, termStarts);
+}
--- a/src/proxy/node/service_targets.ts
+++ b/src/proxy/node/service_targets.ts
@@ -11,6 +11,7 @@
 import {TargetPool} from '../../platform/pool/node/target_pool';
 import type {Candidate, Distance} from '../../platform/routing/common/router';
 import {OutlierEjection} from '../../platform/routing/common/outlier_ejection';
+import type {Lineage} from '../../platform/position/common/lineage';
 import type {SampleHistory} from '../../platform/routing/common/sample_history';
 import type {
   ServiceSettings,
@@ -112,7 +113,11 @@
   }
 
   /** All members as candidates for a read. */
-  candidates(record: ServiceRecord, primaryUsable: boolean): Candidate[] {
+  candidates(
+    record: ServiceRecord,
+    lineage: Lineage,
+    primaryUsable: boolean,
+  ): Candidate[] {
     const {directory, service} = this.around;
     const now = this.around.clock.now();
     const draining = new Set(
@@ -128,6 +133,7 @@
         target,
         pooled,
         record,
+        lineage,
         primaryUsable,
         isDrained,
         now,
@@ -154,6 +160,7 @@
     target: TargetObservation,
     {pool, lagMs}: PooledTarget,
     record: ServiceRecord,
+    lineage: Lineage,
     primaryUsable: boolean,
     isDrained: boolean,
     now: number,
@@ -165,7 +172,9 @@
       isConnected(target, now) && silenceOf(target, now) < system.silenceMs;
     const welcome = !isDrained && !status.leaving;
     const healthy = !this.ejection.isEjected(key.instance, now);
-    const isPrefix = status.appliedOffset <= prefixLimit(target, record);
+    // Past the common part a member may show writes that were given up.
+    const common = lineage.commonOffset(status.logTerm);
+    const isPrefix = status.appliedOffset <= common;
     const limit = this.ejection.limitOf(key.instance, now);
     return {
       instance: key.instance,
@@ -182,16 +191,3 @@
     };
   }
 }
-
-/**
- * Up to where a member's log is known to be the log in force. Past the point
- * where a later term began it may hold writes that were never acknowledged.
- */
-function prefixLimit(
-  {status}: TargetObservation,
-  record: ServiceRecord,
-): number {
-  return record.termStarts
-    .filter(({term}) => term > status.matchedTerm)
-    .reduce((least, {baseOffset}) => Math.min(least, baseOffset), Infinity);
-}
--- a/src/standin/node/group_member.ts
+++ b/src/standin/node/group_member.ts
@@ -53,6 +53,7 @@
   committed = 0;
   private term = 0;
   private matchedTerm = 0;
+  private logTerm = 0;
   private role = Role.ROLE_REPLICA;
   private applied = 0;
   private upstream: Upstream | undefined;
@@ -97,6 +98,7 @@
       role: this.role,
       term: this.term,
       matchedTerm: this.matchedTerm,
+      logTerm: this.logTerm,
       received: this.log.last,
       appliedOffset: this.applied,
       upstreamConnected: this.upstream?.connected ?? false,
@@ -136,6 +138,7 @@
       this.log.truncateAfter(keepOffset);
       if (this.applied > keepOffset) this.rebuild(keepOffset);
     }
+    this.logTerm = this.term;
     this.catchUpOffset = endOffset;
     this.markMatched();
     this.changed();
@@ -197,6 +200,7 @@
     this.waiting = [];
     this.role = Role.ROLE_PRIMARY;
     this.matchedTerm = term;
+    this.logTerm = term;
     return undefined;
   }
 
