--- /dev/null
+++ b/src/platform/admission/test/common/fair_queue.test.ts
@@ -0,0 +1,74 @@
+import {describe, expect, it} from 'vitest';
+import {callerName} from '../../../../base/common/ids';
+import {FairQueue, type Waiting} from '../../common/fair_queue';
+
+interface Item extends Waiting {
+  readonly name: string;
+}
+
+function item(
+  name: string,
+  caller: string,
+  priority = 5,
+  deadline = 100,
+): Item {
+  return {name, caller: callerName(caller), priority, deadline};
+}
+
+function drain(queue: FairQueue<Item>, most = Infinity): string[] {
+  const served: string[] = [];
+  queue.serve(({name}) => {
+    if (served.length >= most) return 'stop';
+    served.push(name);
+    return 'taken';
+  });
+  return served;
+}
+
+describe('the fair queue', () => {
+  // A practice sends hundreds of reviews at once. Another one's single filing
+  // waits behind all of them if the queue is first come, first served.
+  it('lets a flood of one caller wait behind itself only', () => {
+    const queue = new FairQueue<Item>();
+    for (let at = 0; at < 300; at++) queue.add(item(`flood${at}`, 'a'));
+    queue.add(item('quiet', 'b'));
+    expect(drain(queue, 2)).toEqual(['flood0', 'quiet']);
+  });
+
+  it('serves the lower priority number first', () => {
+    const queue = new FairQueue<Item>();
+    queue.add(item('review', 'a', 7));
+    queue.add(item('release check', 'b', 1));
+    expect(drain(queue)).toEqual(['release check', 'review']);
+  });
+
+  it('passes over what cannot run yet and keeps it', () => {
+    const queue = new FairQueue<Item>();
+    queue.add(item('write', 'a'));
+    queue.add(item('read', 'a'));
+    const taken: string[] = [];
+    queue.serve(({name}) => {
+      if (name === 'write') return 'later';
+      taken.push(name);
+      return 'taken';
+    });
+    expect(taken).toEqual(['read']);
+    expect(queue.size).toBe(1);
+  });
+
+  it('gives up what is past its deadline', () => {
+    const queue = new FairQueue<Item>();
+    queue.add(item('late', 'a', 5, 50));
+    queue.add(item('in time', 'a', 5, 150));
+    expect(queue.expire(100).map(({name}) => name)).toEqual(['late']);
+    expect(drain(queue)).toEqual(['in time']);
+  });
+
+  it('counts what would be served before a request', () => {
+    const queue = new FairQueue<Item>();
+    for (let at = 0; at < 10; at++) queue.add(item(`a${at}`, 'a'));
+    queue.add(item('first', 'c', 1));
+    expect(queue.aheadOf(item('new', 'b'))).toBe(2);
+    expect(queue.aheadOf(item('more', 'a'))).toBe(11);
+  });
+});
--- /dev/null
+++ b/src/platform/confirmation/test/common/commits.test.ts
@@ -0,0 +1,133 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../../../../base/common/clock';
+import {instanceId} from '../../../../base/common/ids';
+import {
+  Role,
+  type TargetStatus,
+} from '../../../../schema/generated/announcement';
+import {Phase, type ServiceRecord} from '../../../../schema/generated/control';
+import {TermLease} from '../../../lease/common/term_lease';
+import {Commits} from '../../common/commits';
+
+const R1 = instanceId('r1');
+
+function status(
+  term: number,
+  offset: number,
+  matchedTerm = term,
+): TargetStatus {
+  return {
+    service: 's',
+    instance: 'r1',
+    site: '',
+    address: '',
+    replicationAddress: '',
+    incarnation: '1',
+    role: Role.ROLE_REPLICA,
+    term,
+    matchedTerm,
+    logTerm: term,
+    received: {term, offset},
+    appliedOffset: offset,
+    upstreamConnected: true,
+    leaving: false,
+  };
+}
+
+function record(
+  term: number,
+  phase: Phase,
+  termStarts: ServiceRecord['termStarts'] = [],
+): ServiceRecord {
+  return {
+    name: 's',
+    term,
+    primary: 'a',
+    phase,
+    members: [],
+    termStarts,
+    revision: term * 2 + (phase === Phase.PHASE_STEADY ? 1 : 0),
+    planned: false,
+    cause: '',
+    primaryIncarnation: '1',
+  };
+}
+
+const FIRST = {term: 1, baseOffset: 0, baseTerm: 0};
+
+function setUp() {
+  const clock = new ManualClock(1_000);
+  const lease = new TermLease(clock);
+  const commits = new Commits(lease, 1);
+  commits.onRecord(record(1, Phase.PHASE_STEADY, [FIRST]), clock.now());
+  lease.extend(1, clock.now(), 500);
+  const outcomes: string[] = [];
+  const add = (term: number, offset: number) => {
+    const position = {term, offset};
+    commits.add(position, clock.now() + 400, clock.now(), outcome => {
+      outcomes.push(outcome);
+    });
+  };
+  return {clock, lease, commits, outcomes, add};
+}
+
+describe('commits on their way to the caller', () => {
+  // The primary answers COMMIT and dies before any replica has it. Told
+  // "done", the treasurer never lodges again and the filing is lost.
+  it('waits until a replica of the same term holds it', () => {
+    const {commits, outcomes, add} = setUp();
+    add(1, 10);
+    commits.onStatus(R1, status(1, 9));
+    commits.onStatus(R1, status(1, 50, 0));
+    expect(outcomes).toEqual([]);
+    commits.onStatus(R1, status(1, 10));
+    expect(outcomes).toEqual(['done']);
+  });
+
+  // A proxy is cut off from control. Its primary was replaced meanwhile, and
+  // an old replica still confirms to it.
+  it('is not acknowledged once the lease has run out', () => {
+    const {clock, lease, commits, outcomes, add} = setUp();
+    add(1, 10);
+    clock.advance(500);
+    commits.onStatus(R1, status(1, 10));
+    expect(outcomes).toEqual([]);
+    lease.extend(1, clock.now(), 500);
+    commits.onLease(clock.now());
+    expect(outcomes).toEqual(['done']);
+  });
+
+  it('is done where the next term has it, under the next lease', () => {
+    const {clock, lease, commits, outcomes, add} = setUp();
+    add(1, 10);
+    commits.onRecord(record(2, Phase.PHASE_CHANGING, [FIRST]), clock.now());
+    const starts = [FIRST, {term: 2, baseOffset: 10, baseTerm: 1}];
+    commits.onRecord(record(2, Phase.PHASE_STEADY, starts), clock.now());
+    commits.onStatus(R1, status(2, 10));
+    expect(outcomes).toEqual([]);
+    lease.extend(2, clock.now(), 500);
+    commits.onLease(clock.now());
+    expect(outcomes).toEqual(['done']);
+  });
+
+  // The next term lacks the write, but so far only its primary has its log.
+  // If that one is lost too, an older log may come back, write and all.
+  it('is called not run only when no older log can come back', () => {
+    const {clock, commits, outcomes, add} = setUp();
+    add(1, 10);
+    const starts = [FIRST, {term: 2, baseOffset: 9, baseTerm: 1}];
+    commits.onRecord(record(2, Phase.PHASE_STEADY, starts), clock.now());
+    expect(outcomes).toEqual([]);
+    commits.onStatus(R1, status(2, 9));
+    expect(outcomes).toEqual(['not run']);
+  });
+
+  it('is unknown at its deadline, and final at once', () => {
+    const {clock, commits, outcomes, add} = setUp();
+    add(1, 10);
+    clock.advance(400);
+    commits.onTick(clock.now());
+    commits.onStatus(R1, status(1, 10));
+    expect(outcomes).toEqual(['unknown']);
+  });
+});
--- /dev/null
+++ b/src/platform/settings/test/common/settings.test.ts
@@ -0,0 +1,68 @@
+import {describe, expect, it} from 'vitest';
+import {className, serviceName, siteId} from '../../../../base/common/ids';
+import {formatFault, parseSettings} from '../../common/settings';
+
+const BASE = `[system]
+control = c1=127.0.0.1:7001
+
+[service.accounts-core-1]
+members = 3
+
+[class.review]
+age_ms = 5000
+
+[distance.hobart-a/lton-b]
+one_way_ms = 20
+`;
+
+function faultsOf(base: string, overlay?: string): string[] {
+  const parsed = parseSettings(
+    {file: 'base.ini', text: base},
+    overlay === undefined ? undefined : {file: 'site.ini', text: overlay},
+  );
+  return parsed.isOk ? [] : parsed.error.map(formatFault);
+}
+
+describe('settings', () => {
+  it('fills what is left out and reads an overlay over the base', () => {
+    const parsed = parseSettings(
+      {file: 'base.ini', text: BASE},
+      {file: 'site.ini', text: '[class.review]\nage_ms = 9000\n'},
+    );
+    if (parsed.isErr) throw new Error('faults');
+    const {services, classes, system} = parsed.value;
+    expect(services.get(serviceName('accounts-core-1'))?.slots).toBe(2);
+    expect(classes.get(className('review'))?.ageMs).toBe(9_000);
+    expect(system.leaseMs).toBe(800);
+    const [from, to] = [siteId('lton-b'), siteId('hobart-a')];
+    expect(parsed.value.distance(from, to)).toBe(20);
+  });
+
+  it('names file, line, key, what was found and what is allowed, all at once', () => {
+    const text = `${BASE}[class.filing]\nage_ms = soon\nagee_ms = 1\nnonsense\n[other]\n`;
+    expect(faultsOf(text)).toMatchInlineSnapshot(`
+      [
+        "base.ini:15: : found "nonsense"; allowed: key = value",
+        "base.ini:16: [other]: found an unknown section; allowed: [system], [service.NAME], [class.NAME], [proxy], [distance.NAME]",
+        "base.ini:13: age_ms: found "soon"; allowed: integer from 0 to 86400000 ms",
+        "base.ini:14: agee_ms: found an unknown key; allowed: age_ms, priority, deadline_ms, older_with_notice",
+      ]
+    `);
+  });
+
+  it('lets an overlay change only what is there, and nothing of [system]', () => {
+    const overlay = '[service.new]\nslots = 2\n[system]\nlease_ms = 500\n';
+    expect(faultsOf(BASE, overlay)).toEqual([
+      'site.ini:2: slots: found [service.new]; allowed: a section of the base file',
+      'site.ini:4: lease_ms: found [system]; allowed: only in the base file',
+    ]);
+  });
+
+  it('wants 1, 3 or 5 control instances and each key once', () => {
+    const two = BASE.replace(':7001', ':7001, c2=127.0.0.1:7002');
+    expect(faultsOf(two)).toHaveLength(1);
+    expect(faultsOf(`${BASE}one_way_ms = 3\n`)).toEqual([
+      'base.ini:12: one_way_ms: found a second value, the first is on line 11; allowed: one value',
+    ]);
+  });
+});
