Repair a control member without taking its lost folder back in

Cause: 'one lost, repaired, then a second one lost' red: the leader kept the word of the lost incarnation as one that asks to join, so once it was taken out it was taken in again, in place of the new one, without end. Found while looking: an instance answered messages meant for its lost incarnation, since both have one address; it now drops what is not addressed to its id. Ruled out: catching up (the learner matched within 1 s).

--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -118,10 +118,14 @@
     const {node, settings} = this.around;
     const {core} = node;
     if (this.changingMembers || !core.configurationCommitted) return;
+    // An instance that still wants in asks again. Keeping the word of one
+    // that is gone would take its lost folder back in for the new one.
+    const joiners = [...this.joiners.values()];
+    this.joiners.clear();
     const next = planMembership({
       configuration: core.configuration,
       allowed: new Set(settings().control.map(({instance}) => instance)),
-      joiners: [...this.joiners.values()],
+      joiners,
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
     });
--- a/src/platform/consensus/common/consensus.ts
+++ b/src/platform/consensus/common/consensus.ts
@@ -313,7 +313,9 @@
 
   private onMessage(message: ConsensusMessage): void {
     const body = message.body;
-    if (!body) return;
+    // Guard against answering for a lost incarnation: one that came back
+    // without its data has the old one's address, but not its id.
+    if (!body || message.to !== this.id) return;
     if (body.$case === 'voteRequest') {
       return this.onVoteRequest(message, body.value);
     }
