--- /dev/null
+++ b/bench/replica_share.ts
@@ -0,0 +1,86 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fetchJson, Fleet} from './fleet/fleet';
+import {runLoad} from '../src/load/node/load_run';
+
+const SERVICE = 'bench';
+const SECONDS = 4;
+const LAGS_MS = [5, 100, 400, 1_200];
+
+/** The same load with reads of some age, and with all reads at the primary. */
+async function main(): Promise<void> {
+  for (const lagMs of LAGS_MS) {
+    for (const requestClass of ['review', 'filing']) {
+      console.log(await once(lagMs, requestClass));
+    }
+  }
+  process.exit();
+}
+
+async function once(lagMs: number, requestClass: string): Promise<string> {
+  const fleet = await Fleet.start({
+    controls: 1,
+    proxies: 3,
+    services: [SERVICE],
+    members: 3,
+    service: {slots: 2, connections: 16},
+    classes:
+      '[class.review]\nage_ms = 1000\n[class.filing]\nage_ms = 0\npriority = 1',
+    standin: [
+      ...['--slots', '2', '--connections', '16', '--statement-cost-ms', '2'],
+      ...['--connection-cost-ms', '12', '--apply-lag-ms', String(lagMs)],
+    ],
+  });
+  try {
+    await sleep(1_500);
+    const result = await runLoad(
+      {
+        proxies: fleet.proxies.map(({port}) => `127.0.0.1:${port}`),
+        service: SERVICE,
+        classes: [
+          {name: 'filing', caller: 'a', kind: 'write', rate: 60, sessions: 6},
+          {
+            name: requestClass,
+            caller: 'b',
+            kind: 'read',
+            rate: 600,
+            sessions: 24,
+          },
+        ],
+        seconds: SECONDS,
+        seed: 1,
+      },
+      new AbortController().signal,
+    );
+    const share = await replicaShare(fleet);
+    const read = result.classes.find(({kind}) => kind === 'read')!;
+    const write = result.classes.find(({kind}) => kind === 'write')!;
+    const policy = requestClass === 'review' ? 'age 1000 ms' : 'all to primary';
+    return (
+      `lag ${lagMs} ms, ${policy}: replicas served ${(share * 100).toFixed(1)} %, ` +
+      `reads p50 ${read.p50Ms.toFixed(1)} p99 ${read.p99Ms.toFixed(1)} ms ` +
+      `(${read.done} of ${read.offered} done), ` +
+      `writes p50 ${write.p50Ms.toFixed(1)} p99 ${write.p99Ms.toFixed(1)} ms`
+    );
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function replicaShare(fleet: Fleet): Promise<number> {
+  let served = 0;
+  let reads = 0;
+  for (const {statusPort} of fleet.proxies) {
+    const page = await fetchJson(statusPort, '/status');
+    const {outcomes} = page as {outcomes: Record<string, number>};
+    for (const [outcome, count] of Object.entries(outcomes)) {
+      if (outcome === 'primary for a write' || outcome === 'not run') continue;
+      reads += count;
+      if (outcome.includes('replica')) {
+        served += outcome.startsWith('primary') ? 0 : count;
+      }
+    }
+  }
+  return reads === 0 ? 0 : served / reads;
+}
+
+void main();
--- a/src/platform/pool/node/target_connection.ts
+++ b/src/platform/pool/node/target_connection.ts
@@ -27,6 +27,8 @@
   readonly address: string;
   readonly user: string;
   readonly database: string;
+  /** Settings of the session, as `-c name=value` pairs. */
+  readonly options?: string;
 }
 
 /** Who hears what a target answers; one at a time. */
@@ -138,8 +140,8 @@
         },
       };
       this.socket.once('connect', () => {
-        const {user, database} = this.login;
-        this.send(serialize.startup({user, database}));
+        const {user, database, options = ''} = this.login;
+        this.send(serialize.startup({user, database, options}));
       });
     });
   }
--- /dev/null
+++ b/test/config.test.ts
@@ -0,0 +1,28 @@
+import {readdirSync} from 'node:fs';
+import {join} from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {formatFault, siteOf} from '../src/platform/settings/common/settings';
+import {loadSettings} from '../src/platform/settings/node/settings_files';
+
+describe.each(['derwent', 'volta'])('the deployment of %s', user => {
+  const folder = join('config', user);
+  const overlays = readdirSync(folder).filter(name => name !== 'base.ini');
+
+  it('is valid at each of its three sites', () => {
+    expect(overlays).toHaveLength(3);
+    for (const overlay of overlays) {
+      const loaded = loadSettings(
+        join(folder, 'base.ini'),
+        join(folder, overlay),
+      );
+      const faults = loaded.isErr ? loaded.error.map(formatFault) : [];
+      expect(faults).toEqual([]);
+      if (loaded.isErr) continue;
+      expect(`${siteOf(loaded.value)}.ini`).toBe(overlay);
+      expect(loaded.value.services.size).toBe(3);
+      for (const {members} of loaded.value.services.values()) {
+        expect(members).toBe(3);
+      }
+    }
+  });
+});
