Let a mass of arrivals share one question, and mailboxes grow as they fill

Each arriving session pinged every target, each answer looked at every waiting request, each look made all candidates anew; and a mailbox of the library takes its 16384 places (128 KB) at once. Ruled out: the grammar and the sockets (one session: 531 µs). Change: one question under way, the next shared; candidates made once for a dispatch; a buffer of our own that grows. The router gave up two parts to files of their own.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -4,6 +4,15 @@
 import {runLoad} from '../src/load/node/load_run';
 
 const WINDOW_MS = 3_000;
+/** Services and proxies. */
+const SIZES = [
+  [1, 1],
+  [1, 4],
+  [4, 1],
+  [4, 4],
+  [12, 1],
+  [12, 4],
+] as const;
 
 /** What one role spent while nothing but control went on. */
 interface Idle {
@@ -17,14 +26,8 @@
 
 /** Measures what roles cost at several sizes, for docs/CAPACITY.md. */
 async function main(): Promise<void> {
-  for (const [services, proxies] of [
-    [1, 1],
-    [1, 4],
-    [4, 1],
-    [4, 4],
-    [12, 1],
-    [12, 4],
-  ] as const) {
+  const sessionsOnly = process.argv.includes('--sessions');
+  for (const [services, proxies] of sessionsOnly ? [] : SIZES) {
     const idle = await measureIdle(services, proxies);
     console.log(
       `${services} services, ${proxies} proxies: ` +
--- a/src/base/node/js_csp.d.ts
+++ b/src/base/node/js_csp.d.ts
@@ -4,6 +4,10 @@
   }
   interface Buffer {
     isFull(): boolean;
+    add(item: unknown): void;
+    remove(): unknown;
+    count(): number;
+    closeBuffer(): void;
   }
   const csp: {
     CLOSED: null;
@@ -15,7 +19,6 @@
     poll(channel: Channel): unknown;
     putAsync(channel: Channel, value: unknown): void;
     spawn(generator: Generator<unknown, unknown, unknown>): Channel;
-    buffers: {fixed(size: number): Buffer};
   };
   export default csp;
 }
--- a/src/base/node/task.ts
+++ b/src/base/node/task.ts
@@ -1,4 +1,5 @@
 import csp from 'js-csp';
+import {MessageBuffer} from './message_buffer';
 
 /**
  * Tasks in the manner of communicating sequential processes, typed.
@@ -19,7 +20,7 @@
   private readonly channel;
 
   constructor(capacity = MAILBOX_CAPACITY) {
-    this.channel = csp.chan(csp.buffers.fixed(capacity));
+    this.channel = csp.chan(new MessageBuffer(capacity));
   }
 
   /** Puts a message in; false when the mailbox is full or closed. */
@@ -49,7 +50,7 @@
 export function* settled<T>(
   promise: Promise<T>,
 ): Task<{readonly value: T} | {readonly error: Error}> {
-  const done = csp.chan(1);
+  const done = csp.chan(new MessageBuffer(1));
   promise.then(
     value => csp.putAsync(done, {value}),
     error => csp.putAsync(done, {error: toError(error)}),
@@ -59,7 +60,7 @@
 
 /** One answer that a task waits for; cheaper than a promise. */
 export class Reply<T> {
-  private readonly channel = csp.chan(1);
+  private readonly channel = csp.chan(new MessageBuffer(1));
 
   /** Gives the answer; the first one counts. */
   readonly give = (answer: T): void => {
--- a/src/proxy/node/service_router.ts
+++ b/src/proxy/node/service_router.ts
@@ -43,8 +43,10 @@
   type Suspicion,
 } from '../../schema/generated/control';
 import {ArrivalPositions} from '../common/arrival';
+import {ArrivalQuestion} from '../common/arrival_question';
 import type {NotRun} from '../common/not_run';
 import type {Grant, PlaceRequest} from './request';
+import {DispatchView} from './dispatch_view';
 import {ServiceTargets} from './service_targets';
 
 const TICK_MS = 10;
@@ -131,6 +133,7 @@
   private readonly queue = new FairQueue<PlaceRequest>();
   private readonly history = new SampleHistory();
   private readonly arrivals = new ArrivalPositions();
+  private readonly arrivalQuestion: ArrivalQuestion;
   private readonly targets: ServiceTargets;
   private readonly commits: Commits;
   private record: ServiceRecord | undefined;
@@ -149,6 +152,9 @@
   ) {
     const {clock, service, site, directory, system, distance} = around;
     this.lease = new TermLease(clock);
+    this.arrivalQuestion = new ArrivalQuestion(clock, () => {
+      for (const {key} of directory.targetsOf(service)) around.ping(key);
+    });
     this.commits = new Commits(this.lease, settings.confirmations);
     this.targets = new ServiceTargets(
       {
@@ -279,9 +285,8 @@
   private askArrival(request: PlaceRequest): void {
     const {record} = this;
     if (request.required || request.needs === 'write' || !record) return;
-    const {directory, service} = this.around;
     if (this.requiredOf(request)) return;
-    for (const {key} of directory.targetsOf(service)) this.around.ping(key);
+    this.arrivalQuestion.want();
   }
 
   private dispatch(): void {
@@ -289,24 +294,18 @@
     if (!record || this.queue.size === 0) return;
     const now = this.around.clock.now();
     const primaryUsable = this.isPrimaryUsable(record, now);
+    const {targets, lineage} = this;
+    const view = new DispatchView(targets, record, lineage, primaryUsable);
     this.queue.serve(request => {
       if (!this.targets.hasFree) return 'stop';
-      const candidates = this.candidatesFor(request, record, primaryUsable);
-      return this.place(request, record, candidates, now) ? 'taken' : 'later';
+      const needsPrimary = request.needs === 'write' || request.ageMs === 0;
+      const candidates = needsPrimary ? view.primary : view.all;
+      if (!this.place(request, record, candidates, now)) return 'later';
+      view.forget();
+      return 'taken';
     });
   }
 
-  private candidatesFor(
-    request: PlaceRequest,
-    record: ServiceRecord,
-    primaryUsable: boolean,
-  ): Candidate[] {
-    if (request.needs === 'write' || request.ageMs === 0) {
-      return this.targets.primaryCandidate(record, primaryUsable);
-    }
-    return this.targets.candidates(record, this.lineage, primaryUsable);
-  }
-
   private isPrimaryUsable(record: ServiceRecord, now: number): boolean {
     const primary = this.targets.primary(record);
     return primary !== undefined && this.lease.isHeld(record.term, now);
@@ -417,6 +416,7 @@
     }
     if (this.isLeasedPrimary(key, status, askedAt)) {
       this.arrivals.onPrimary(askedAt, status);
+      this.arrivalQuestion.onAnswer(askedAt);
       this.history.onSample(askedAt, status.appliedOffset);
     } else {
       const age = this.history.ageOf(status.appliedOffset, now);
@@ -525,6 +525,7 @@
 
   private onTick(now: number): void {
     this.noteLoss();
+    this.arrivalQuestion.onTick(now);
     this.targets.maintain();
     this.commits.onTick(now);
     this.giveUpIfDone(now);
