--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -73,6 +73,8 @@
   /** Work that may wait a little longer. */
   tend(): void {
     if (!this.around.node.core.leaderReady) return;
+    // Targets that announced themselves before this instance led.
+    for (const {status} of this.around.directory.all()) this.onTarget(status);
     this.tendMembership();
     this.forgetProxies();
   }
--- a/src/platform/announcement/node/announcement_observer.ts
+++ b/src/platform/announcement/node/announcement_observer.ts
@@ -7,6 +7,7 @@
   ObserverMessage,
   Order,
   OrderResult,
+  Pong,
   TargetMessage,
   TargetStatus,
 } from '../../../schema/generated/announcement';
@@ -84,7 +85,7 @@
       const {body} = message;
       if (body?.$case === 'status') key = this.onStatus(stream, body.value);
       if (!key || !body) return;
-      if (body.$case === 'pong') this.onPong(key, body.value.sequence);
+      if (body.$case === 'pong') this.onPong(key, body.value);
       if (body.$case === 'result') this.onResult(key, body.value);
     });
     const onEnd = () => this.onClosed(stream, key);
@@ -106,8 +107,11 @@
     return key;
   }
 
-  private onPong(key: TargetKey, sequence: number): void {
-    const sample = this.directory.onPong(key, sequence, this.clock.now());
+  /** Changes came with a status of their own; a pong only dates them. */
+  private onPong(key: TargetKey, {sequence, status}: Pong): void {
+    const now = this.clock.now();
+    if (status) this.directory.onStatus(key, status, now);
+    const sample = this.directory.onPong(key, sequence, now);
     if (sample) this.listener.onDidSample(key, sample);
   }
 
--- a/src/platform/announcement/node/announcer.ts
+++ b/src/platform/announcement/node/announcer.ts
@@ -80,8 +80,8 @@
   private onMessage({body}: ObserverMessage): void {
     this.heardAt = Date.now();
     if (body?.$case === 'ping') {
-      this.say({$case: 'status', value: this.target.status()});
-      this.say({$case: 'pong', value: {sequence: body.value}});
+      const status = this.target.status();
+      this.say({$case: 'pong', value: {sequence: body.value, status}});
     }
     if (body?.$case === 'order') {
       this.say({$case: 'result', value: this.target.obey(body.value)});
--- a/src/platform/confirmation/test/common/commits.test.ts
+++ b/src/platform/confirmation/test/common/commits.test.ts
@@ -1,39 +1,13 @@
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
 import {instanceId} from '../../../../base/common/ids';
-import {
-  Role,
-  type TargetStatus,
-} from '../../../../schema/generated/announcement';
 import {Phase, type ServiceRecord} from '../../../../schema/generated/control';
 import {TermLease} from '../../../lease/common/term_lease';
+import {replicaStatus as status} from '../../../announcement/test/common/status_fixture';
 import {Commits} from '../../common/commits';
 
 const R1 = instanceId('r1');
 
-function status(
-  term: number,
-  offset: number,
-  matchedTerm = term,
-): TargetStatus {
-  return {
-    service: 's',
-    instance: 'r1',
-    site: '',
-    address: '',
-    replicationAddress: '',
-    incarnation: '1',
-    role: Role.ROLE_REPLICA,
-    term,
-    matchedTerm,
-    logTerm: term,
-    received: {term, offset},
-    appliedOffset: offset,
-    upstreamConnected: true,
-    leaving: false,
-  };
-}
-
 function record(
   term: number,
   phase: Phase,
@@ -78,7 +52,7 @@
     const {commits, outcomes, add} = setUp();
     add(1, 10);
     commits.onStatus(R1, status(1, 9));
-    commits.onStatus(R1, status(1, 50, 0));
+    commits.onStatus(R1, status(1, 50, {matchedTerm: 0}));
     expect(outcomes).toEqual([]);
     commits.onStatus(R1, status(1, 10));
     expect(outcomes).toEqual(['done']);
--- a/src/platform/failover/test/common/failover.test.ts
+++ b/src/platform/failover/test/common/failover.test.ts
@@ -4,6 +4,7 @@
   type TargetStatus,
 } from '../../../../schema/generated/announcement';
 import {Phase, type ServiceRecord} from '../../../../schema/generated/control';
+import {replicaStatus} from '../../../announcement/test/common/status_fixture';
 import {decideFailover} from '../../common/failover';
 import type {
   FailoverView,
@@ -39,23 +40,13 @@
     connected: true,
     silentMs: 0,
     upstreamLostMs: 0,
-    status: {
-      service: 's',
+    status: replicaStatus(1, 10, {
       instance,
-      site: '',
-      address: '',
       replicationAddress: `${instance}:1`,
       incarnation: 'later',
-      role: Role.ROLE_REPLICA,
       term: 2,
-      matchedTerm: 1,
-      logTerm: 1,
-      received: {term: 1, offset: 10},
-      appliedOffset: 10,
-      upstreamConnected: true,
-      leaving: false,
       ...status,
-    },
+    }),
     ...parts,
   };
 }
--- a/src/platform/pool/node/target_pool.ts
+++ b/src/platform/pool/node/target_pool.ts
@@ -76,9 +76,15 @@
     return connection;
   }
 
-  /** Gives a connection back; one that is not clean is closed. */
+  /**
+   * Gives a connection back; one that is not clean is closed, and so is one
+   * of an earlier run of the target, which has another pool.
+   */
   release(connection: TargetConnection, clean: boolean): void {
-    if (!this.running.delete(connection)) return;
+    if (!this.running.delete(connection)) {
+      connection.destroy();
+      return;
+    }
     const keep = clean && !connection.isClosed && !this.signal.aborted;
     if (!keep || this.total >= this.capacity) {
       connection.destroy();
--- a/src/proxy/node/service_router.ts
+++ b/src/proxy/node/service_router.ts
@@ -368,7 +368,6 @@
     const {connection, instance, onPrimary, clean, answered} = release;
     if (onPrimary) this.writesRunning--;
     this.targets.poolOf(instance)?.release(connection, clean);
-    if (!clean) connection.destroy();
     const {ejection} = this.targets;
     if (answered) {
       const took = now - release.startedAt;
@@ -526,6 +525,11 @@
   private onTick(now: number): void {
     this.noteLoss();
     this.arrivalQuestion.onTick(now);
+    const {directory, service} = this.around;
+    // Targets that announced themselves before the service was offered here.
+    for (const target of directory.targetsOf(service)) {
+      this.targets.onTarget(target);
+    }
     this.targets.maintain();
     this.commits.onTick(now);
     this.giveUpIfDone(now);
--- a/src/proxy/test/common/arrival.test.ts
+++ b/src/proxy/test/common/arrival.test.ts
@@ -1,27 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {instanceId} from '../../../base/common/ids';
-import {Role, type TargetStatus} from '../../../schema/generated/announcement';
+import {replicaStatus as status} from '../../../platform/announcement/test/common/status_fixture';
 import {ArrivalPositions} from '../../common/arrival';
 
-function status(term: number, offset: number): TargetStatus {
-  return {
-    service: 's',
-    instance: '',
-    site: '',
-    address: '',
-    replicationAddress: '',
-    incarnation: '1',
-    role: Role.ROLE_REPLICA,
-    term,
-    matchedTerm: term,
-    logTerm: term,
-    received: {term, offset},
-    appliedOffset: offset,
-    upstreamConnected: true,
-    leaving: false,
-  };
-}
-
 const [A, B] = [instanceId('a'), instanceId('b')];
 
 describe('the position of a session that brought none', () => {
