--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -3,7 +3,9 @@
 import {Fleet} from './fleet/fleet';
 import {runLoad} from '../src/load/node/load_run';
 
-const WINDOW_MS = 3_000;
+const WINDOW_MS = 5_000;
+/** Code is compiled as it warms up; that is no steady cost. */
+const WARM_UP_MS = 6_000;
 /** Services and proxies. */
 const SIZES = [
   [1, 1],
@@ -49,7 +51,7 @@
     members: 3,
   });
   try {
-    await sleep(1_500);
+    await sleep(WARM_UP_MS);
     const [control] = fleet.controls;
     const [proxy] = fleet.proxies;
     const ids = [control!.processId, proxy!.processId] as const;
