Clean a connection after a session's SET, and keep only what was accepted

A SET that failed was kept and repeated on every later place, where it failed again until the deadline; and a SET that succeeded stayed on the shared connection for whoever came next. The stand-in ignored SET, so no test saw either. Change: the stand-in keeps session variables; a SET is kept only when it was accepted; the connection that ran it is cleaned; a session's SET inside a transaction, beside other statements or past 100 settings is refused.

--- a/src/platform/session/common/session_state.ts
+++ b/src/platform/session/common/session_state.ts
@@ -84,16 +84,16 @@
     }
   }
 
-  /** Keeps a SET that a target accepted. */
-  remember(name: string, statement: string | undefined): boolean {
-    if (statement === undefined) {
-      this.settings.delete(name);
-      return true;
-    }
-    const isNew = !this.settings.has(name);
-    if (isNew && this.settings.size >= MOST_REPLAYED) return false;
+  /** Keeps a SET that a target accepted; undefined for a RESET. */
+  remember(name: string, statement: string | undefined): void {
+    this.settings.delete(name);
+    if (statement === undefined) return;
     this.settings.set(name, statement);
-    return true;
+  }
+
+  /** Whether one more setting can be kept. */
+  hasRoomFor(name: string): boolean {
+    return this.settings.has(name) || this.settings.size < MOST_REPLAYED;
   }
 
   forgetSettings(): void {
--- a/src/proxy/node/batch_runner.ts
+++ b/src/proxy/node/batch_runner.ts
@@ -37,6 +37,7 @@
   /** Where a batch is running now. */
   private running: Place | undefined;
   private partial: Exchange | undefined;
+  private failed = false;
 
   constructor(private readonly context: SessionContext) {
     // What runs for a caller that is gone would hold a place for nobody.
@@ -60,8 +61,17 @@
     this.running?.connection.cancel();
   }
 
-  /** Runs a batch and answers it. */
-  *run(messages: readonly BatchMessage[], plan: BatchPlan): Task<void> {
+  /** Runs a batch and answers it; false where it ended with an error. */
+  *run(messages: readonly BatchMessage[], plan: BatchPlan): Task<boolean> {
+    this.failed = false;
+    yield* this.runAnywhere(messages, plan);
+    return !this.failed;
+  }
+
+  private *runAnywhere(
+    messages: readonly BatchMessage[],
+    plan: BatchPlan,
+  ): Task<void> {
     if (this.open) return yield* this.runOn(this.open, messages, plan);
     const needs = plan.isRead || isReadOnlyBegin(plan) ? 'read' : 'write';
     const deadline = this.deadline();
@@ -129,6 +139,9 @@
     }
     const {grant} = place;
     this.context.state.see(grant.required);
+    // What the session sets is for itself: the connection is cleaned after it.
+    const sets = plan.statements.some(({kind}) => kind === 'set');
+    if (sets) place.connection.dirty = true;
     const before = place.connection.prepared.size;
     const end = yield* this.exchange(place, messages, plan, deadline);
     if (end.error && place.connection.prepared.size !== before) {
@@ -236,6 +249,7 @@
   ): Task<void> {
     const {connection, state} = this.context;
     const status = end.status!;
+    this.failed ||= end.error !== undefined;
     const isOpen = status !== 'idle';
     this.open = isOpen ? place : undefined;
     // The connection is free before replicas confirm: it is scarce.
@@ -258,6 +272,7 @@
   }
 
   private refuse(diagnostic: Diagnostic): void {
+    this.failed = true;
     const ready = encodeReady('idle');
     const error = encodeError(diagnostic);
     this.context.connection.send(Buffer.concat([error, ready]));
--- a/src/proxy/node/caller_session.ts
+++ b/src/proxy/node/caller_session.ts
@@ -1,4 +1,4 @@
-import {settled, type Task} from '../../base/node/task';
+import type {Task} from '../../base/node/task';
 import {after} from '../../base/node/timers';
 import type {StatementClass} from '../../platform/sql/common/classifier';
 import {
@@ -201,8 +201,10 @@
         return yield* this.runKeyed(messages);
       }
     }
-    yield* this.runner.run(messages, plan);
-    yield* this.rememberSettings(messages, plan.statements);
+    const refused = this.refusedSetting(plan.statements);
+    if (refused) return this.refuse(unsupportedError(refused));
+    const succeeded = yield* this.runner.run(messages, plan);
+    if (succeeded) this.rememberSettings(messages, plan.statements);
     const {requestClass} = this.context.state;
     meter.record(requestClass, 'whole', clock.now() - startedAt);
   }
@@ -238,21 +240,32 @@
     yield* new KeyedWrite(this.context, key, messages).run();
   }
 
+  /** A setting of the session that could not be kept for later places. */
+  private refusedSetting(
+    statements: readonly StatementClass[],
+  ): string | undefined {
+    const setting = statements.find(statement => {
+      return statement.kind === 'set' && !statement.local;
+    });
+    if (setting?.kind !== 'set') return undefined;
+    if (!this.isAtStart()) return 'SET inside a transaction (SET LOCAL is)';
+    if (statements.length > 2) return 'SET beside other statements';
+    const {state} = this.context;
+    return state.hasRoomFor(setting.name) ? undefined : 'one more SET';
+  }
+
   /** Keeps a SET for the session's later places. */
-  private *rememberSettings(
+  private rememberSettings(
     messages: readonly BatchMessage[],
     statements: readonly StatementClass[],
-  ): Task<void> {
+  ): void {
     const [statement] = statements;
     if (statement?.kind !== 'set' || statement.local) return;
     const text = messages
       .map(({message}) => ('text' in message ? message.text : ''))
       .join('');
-    const kept = this.context.state.remember(
-      statement.name,
-      statement.value === undefined ? undefined : text,
-    );
-    if (!kept) yield* settled(Promise.resolve());
+    const kept = statement.value === undefined ? undefined : text;
+    this.context.state.remember(statement.name, kept);
   }
 
   private refuse(diagnostic: Diagnostic): void {
--- a/src/standin/common/database_error.ts
+++ b/src/standin/common/database_error.ts
@@ -22,3 +22,4 @@
 export const QUERY_CANCELED = '57014';
 export const ADMIN_SHUTDOWN = '57P01';
 export const INVALID_STATEMENT_NAME = '26000';
+export const INVALID_PARAMETER = '22023';
--- a/src/standin/node/session.ts
+++ b/src/standin/node/session.ts
@@ -7,6 +7,7 @@
   stringOf,
   type ParsedStatement,
   type SqlGrammar,
+  type SyntaxNode,
 } from '../../platform/sql/common/syntax_tree';
 import {formatPosition} from '../../platform/position/common/position';
 import {
@@ -37,6 +38,7 @@
 import {
   DatabaseError,
   FAILED_TRANSACTION,
+  INVALID_PARAMETER,
   INVALID_STATEMENT_NAME,
   QUERY_CANCELED,
   SYNTAX_ERROR,
@@ -82,6 +84,7 @@
   private failedUntilSync = false;
   private transactionCount = 0;
   private canceled = new AbortController();
+  private readonly variables = new Map<string, string>();
   private readonly statements = new Map<string, PreparedStatement>();
   private readonly portals = new Map<string, Portal>();
 
@@ -279,7 +282,8 @@
       throw new DatabaseError(FAILED_TRANSACTION, message);
     }
     if (type === 'VariableSetStmt') return this.set(statement);
-    if (type === 'DiscardStmt') return this.complete('DISCARD ALL');
+    if (type === 'VariableShowStmt') return this.show(node, describe);
+    if (type === 'DiscardStmt') return this.discard();
     yield* this.takeSlot();
     yield* this.spend(statement);
     const {member} = this.host;
@@ -333,10 +337,29 @@
     const name = String(node['name'] ?? '');
     const argument = listOf(node, 'args')[0];
     const value = String(constantOf(argument) ?? '');
-    this.host.setting(name, value);
+    if (name === 'datestyle' && value === 'wrong') {
+      const message = 'invalid value for parameter "DateStyle"';
+      throw new DatabaseError(INVALID_PARAMETER, message);
+    }
+    if (!this.host.setting(name, value)) this.variables.set(name, value);
     this.complete(node['kind'] === 'VAR_RESET_ALL' ? 'RESET' : 'SET');
   }
 
+  private show(node: SyntaxNode, describe: boolean): void {
+    const name = String(node['name']);
+    const columns = [{name, type: TYPE_TEXT}];
+    if (describe) this.connection.send(encodeRowDescription(columns));
+    const value = this.variables.get(name) ?? '';
+    this.connection.send(encodeRow([value]));
+    this.complete('SHOW');
+  }
+
+  private discard(): void {
+    this.variables.clear();
+    this.statements.clear();
+    this.complete('DISCARD ALL');
+  }
+
   private complete(tag: string): void {
     this.connection.send(encodeComplete(tag));
   }
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -102,6 +102,25 @@
     await next.end();
   });
 
+  // One session sets how dates are read; the next one on its connection reads
+  // them so too. Or a SET that failed is repeated for ever.
+  it('keeps its settings, and keeps them to itself', async () => {
+    const caller = await client(fleet, 0);
+    const other = await client(fleet, 0);
+    await caller.query("SET DateStyle = 'German'");
+    expect(await outcome(caller, "SET DateStyle = 'wrong'")).toBe('22023');
+    for (let count = 0; count < 10; count++) {
+      const own = await outcome(caller, 'SHOW DateStyle');
+      expect(own).toEqual([{datestyle: 'German'}]);
+      const theirs = await outcome(other, 'SHOW DateStyle');
+      expect(theirs).toEqual([{datestyle: ''}]);
+    }
+    await caller.query('BEGIN');
+    expect(await outcome(caller, "SET DateStyle = 'SQL'")).toBe('RN004');
+    await caller.query('ROLLBACK');
+    await Promise.all([caller.end(), other.end()]);
+  });
+
   it('is told at once what shared connections cannot do', async () => {
     const caller = await client(fleet, 0);
     expect(await outcome(caller, 'LISTEN news')).toBe('RN004');
