End a batch that was refused at its Flush once, at its Sync

Cause: found by reading, then by a test (red: 'RSSSSSKZE', no end). After a refusal in the middle of a batch the Sync was skipped without ReadyForQuery, so the caller waited for ever; where a place was refused the end came at once and then again. Change: a refused part gives its error, the Sync gives the end. After: 19 tests of the path, bad input and the golden session green.

--- a/src/proxy/node/batch_runner.ts
+++ b/src/proxy/node/batch_runner.ts
@@ -84,15 +84,21 @@
     }
   }
 
-  /** Sends a part of a batch whose Sync has not come yet. */
-  *runPart(messages: readonly BatchMessage[], plan: BatchPlan): Task<void> {
+  /** Sends a part of a batch whose Sync has not come yet, or refuses it. */
+  *runPart(
+    messages: readonly BatchMessage[],
+    plan: BatchPlan,
+  ): Task<Diagnostic | undefined> {
     if (!this.open) {
-      const deadline = this.deadline();
       const needs = plan.isRead ? 'read' : 'write';
+      const deadline = this.deadline();
       const taken = yield* Place.take(this.context, needs, deadline);
-      if (taken.isErr) return this.refuse(notRunError(taken.error));
+      if (taken.isErr) return notRunError(taken.error);
       this.open = taken.value;
-      if (!(yield* this.open.prepare())) return yield* this.onLost(plan);
+      if (!(yield* this.open.prepare())) {
+        yield* this.endLost();
+        return lostError();
+      }
     }
     const {connection} = this.open;
     this.partial ??= new Exchange(
@@ -102,6 +108,7 @@
     );
     const encoder = new BatchEncoder(this.context.named, connection.prepared);
     this.partial.send(encoder.encode(messages), false);
+    return undefined;
   }
 
   /** The connection of an open transaction was lost while it was idle. */
--- a/src/proxy/node/caller_session.ts
+++ b/src/proxy/node/caller_session.ts
@@ -153,7 +153,12 @@
     this.batch = [];
     this.batchBytes = 0;
     this.skipToSync = false;
-    if (skipped) return;
+    if (skipped) {
+      // The error went out when it was found; the batch ends here.
+      const status = this.runner.inTransaction ? 'open' : 'idle';
+      this.context.connection.send(encodeReady(status));
+      return;
+    }
     const isEmpty = messages.length === 1 && !this.runner.isPartial;
     if (isEmpty && !this.runner.inTransaction) {
       this.context.connection.send(encodeReady('idle'));
@@ -168,13 +173,12 @@
     this.batch = [];
     const {named, classifier} = this.context;
     const plan = planBatch(messages, named, classifier);
-    if (plan.unsupported) {
-      const error = encodeError(unsupportedError(plan.unsupported));
-      this.context.connection.send(error);
-      this.skipToSync = true;
-      return;
-    }
-    yield* this.runner.runPart(messages, plan);
+    const refusal = plan.unsupported
+      ? unsupportedError(plan.unsupported)
+      : yield* this.runner.runPart(messages, plan);
+    if (!refusal) return;
+    this.context.connection.send(encodeError(refusal));
+    this.skipToSync = true;
   }
 
   private *runBatch(messages: readonly BatchMessage[]): Task<void> {
--- a/test/process/bad_input.test.ts
+++ b/test/process/bad_input.test.ts
@@ -2,6 +2,7 @@
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {serialize} from 'pg-protocol';
 import {Fleet} from '../../bench/fleet/fleet';
+import {FrameSplitter} from '../../src/platform/wire/common/frames';
 import {SeededRandom} from '../../src/base/common/random';
 import {client, outcome, SERVICE} from '../support';
 
@@ -76,6 +77,17 @@
     );
   });
 
+  // A driver flushes in the middle of a batch that is refused, and then waits
+  // for the end of its batch for ever, or sees two ends.
+  it('ends a refused batch once, at its Sync', async () => {
+    const parse = serialize.parse({text: 'LISTEN news'});
+    const parts = [startup, parse, serialize.flush(), serialize.sync()];
+    const frames = new FrameSplitter(100_000).push(await send(parts));
+    if ('type' in frames) throw new Error('not frames');
+    const letters = frames.map(({type}) => String.fromCharCode(type)).join('');
+    expect(letters).toMatch(/Z[^Z]*EZ$/);
+  });
+
   it('for a service or class that does not exist says so', async () => {
     const other = serialize.startup({user: 'u', database: 'x'} as never);
     expect((await send([other])).toString('latin1')).toContain('3D000');
