--- a/src/load/node/main.ts
+++ b/src/load/node/main.ts
@@ -1,5 +1,6 @@
 import {writeFileSync} from 'node:fs';
 import {command, multioption, array, number, option, run, string} from 'cmd-ts';
+import {textOption} from '../../base/node/arguments';
 import {EXIT_USAGE, fail, stopSignal, VERSION} from '../../base/node/program';
 import {parseLoadClass, type LoadClass} from '../common/plan';
 import {runLoad} from './load_run';
@@ -44,22 +45,17 @@
   return fail(EXIT_USAGE, [`--class ${text}: allowed: ${allowed}`]);
 }
 
-const text = (long: string, description: string, fallback?: string) =>
-  option({
-    long,
-    description,
-    type: string,
-    ...(fallback === undefined ? {} : {defaultValue: () => fallback}),
-  });
-
 const program = command({
   name: 'bulrushstage-load',
   version: VERSION,
   description:
     'Open-loop load from a seed; exits with 2 where a promise was broken.',
   args: {
-    proxies: text('proxies', 'addresses of proxies, host:port with commas'),
-    service: text('service', 'service to load'),
+    proxies: textOption(
+      'proxies',
+      'addresses of proxies, host:port with commas',
+    ),
+    service: textOption('service', 'service to load'),
     classes: multioption({
       long: 'class',
       type: array(string),
@@ -77,8 +73,8 @@
       defaultValue: () => 1,
       description: 'seed of the arrivals',
     }),
-    json: text('json', 'file for the report; else standard output', ''),
-    html: text('html', 'file for the report as a page', ''),
+    json: textOption('json', 'file for the report; else standard output', ''),
+    html: textOption('html', 'file for the report as a page', ''),
   },
   handler: main,
 });
--- a/src/proxy/node/main.ts
+++ b/src/proxy/node/main.ts
@@ -1,4 +1,5 @@
-import {command, flag, option, run, string} from 'cmd-ts';
+import {command, flag, run} from 'cmd-ts';
+import {textOption} from '../../base/node/arguments';
 import {parseAddress, type Address} from '../../base/common/address';
 import {siteId} from '../../base/common/ids';
 import {createServer, listen} from '../../base/node/grpc';
@@ -144,25 +145,17 @@
   return address;
 }
 
-const text = (long: string, description: string, fallback?: string) =>
-  option({
-    long,
-    description,
-    type: string,
-    ...(fallback === undefined ? {} : {defaultValue: () => fallback}),
-  });
-
 const program = command({
   name: 'bulrushstage-proxy',
   version: VERSION,
   description: 'Speaks PostgreSQL to callers and sends them to targets.',
   args: {
-    settings: text('settings', 'base file of the settings'),
-    overlay: text('overlay', 'overlay of the site', ''),
-    instance: text('instance', 'name of this instance'),
-    listen: text('listen', 'host:port for callers'),
-    announcements: text('announcements', 'host:port for targets'),
-    status: text('status', 'host:port of the status endpoint'),
+    settings: textOption('settings', 'base file of the settings'),
+    overlay: textOption('overlay', 'overlay of the site', ''),
+    instance: textOption('instance', 'name of this instance'),
+    listen: textOption('listen', 'host:port for callers'),
+    announcements: textOption('announcements', 'host:port for targets'),
+    status: textOption('status', 'host:port of the status endpoint'),
     jsonLogs: flag({long: 'json-logs', description: 'log lines as JSON'}),
     verbose: flag({long: 'verbose', description: 'log more'}),
   },
--- a/src/standin/node/main.ts
+++ b/src/standin/node/main.ts
@@ -1,4 +1,5 @@
-import {command, number, option, run, string, flag} from 'cmd-ts';
+import {command, flag, run} from 'cmd-ts';
+import {textOption, numberOption} from '../../base/node/arguments';
 import {parseAddress} from '../../base/common/address';
 import {createServer, listen} from '../../base/node/grpc';
 import {configureLogs, createLog} from '../../base/node/log';
@@ -111,34 +112,31 @@
   }
 }
 
-const text = (long: string, description: string, fallback?: string) =>
-  option({
-    long,
-    description,
-    type: string,
-    ...(fallback === undefined ? {} : {defaultValue: () => fallback}),
-  });
-
-const count = (long: string, description: string, fallback: number) =>
-  option({long, description, type: number, defaultValue: () => fallback});
-
 const program = command({
   name: 'bulrushstage-standin',
   version: VERSION,
   description: 'A stand-in database member for development and tests.',
   args: {
-    service: text('service', 'name of the group'),
-    instance: text('instance', 'name of this member'),
-    site: text('site', 'site it stands in'),
-    listen: text('listen', 'host:port for callers'),
-    replication: text('replication', 'host:port for replicas'),
-    announce: text('announce', 'host:port list to announce to', ''),
-    slots: count('slots', 'transactions at once', 2),
-    connections: count('connections', 'connections at once', 16),
-    connectionCostMs: count('connection-cost-ms', 'cost of opening one', 0),
-    statementCostMs: count('statement-cost-ms', 'cost of a statement', 0),
-    receiveDelayMs: count('receive-delay-ms', 'delay of replication', 0),
-    applyLagMs: count('apply-lag-ms', 'lag of applying', 0),
+    service: textOption('service', 'name of the group'),
+    instance: textOption('instance', 'name of this member'),
+    site: textOption('site', 'site it stands in'),
+    listen: textOption('listen', 'host:port for callers'),
+    replication: textOption('replication', 'host:port for replicas'),
+    announce: textOption('announce', 'host:port list to announce to', ''),
+    slots: numberOption('slots', 'transactions at once', 2),
+    connections: numberOption('connections', 'connections at once', 16),
+    connectionCostMs: numberOption(
+      'connection-cost-ms',
+      'cost of opening one',
+      0,
+    ),
+    statementCostMs: numberOption(
+      'statement-cost-ms',
+      'cost of a statement',
+      0,
+    ),
+    receiveDelayMs: numberOption('receive-delay-ms', 'delay of replication', 0),
+    applyLagMs: numberOption('apply-lag-ms', 'lag of applying', 0),
     jsonLogs: flag({long: 'json-logs', description: 'log lines as JSON'}),
   },
   handler: main,
