Take out what nothing uses; one pause for tasks

Read of the whole change. Dead: four exports without a user, a count that Commits keeps itself, ProxyServices.changing, and the event 'target lost', which nobody sends (the next batch finds the lost connection). The wait of a task stood twice, in batch_runner and keyed_write; it is in base/node/task now. Left: the tables of clients by address in control_calls, control_link and peer_transport, alike by shape but of different clients and owners.

--- a/src/base/node/task.ts
+++ b/src/base/node/task.ts
@@ -58,6 +58,11 @@
   return (yield csp.take(done)) as {value: T} | {error: Error};
 }
 
+/** Waits inside a task for a time, in milliseconds. */
+export function* pause(milliseconds: number): Task<void> {
+  yield* settled(new Promise(resolve => setTimeout(resolve, milliseconds)));
+}
+
 /** One answer that a task waits for; cheaper than a promise. */
 export class Reply<T> {
   private readonly channel = csp.chan(new MessageBuffer(1));
--- a/src/platform/confirmation/common/confirmations.ts
+++ b/src/platform/confirmation/common/confirmations.ts
@@ -71,10 +71,6 @@
     return oldest ? now - oldest.since : 0;
   }
 
-  get waiting(): number {
-    return this.waiters.length;
-  }
-
   private settleDue(): void {
     const due = this.waiters.filter(({position}) => this.isHeld(position));
     if (due.length === 0) return;
--- a/src/platform/wire/common/backend.ts
+++ b/src/platform/wire/common/backend.ts
@@ -39,7 +39,6 @@
 export const CLOSE_COMPLETE = encodeFrame('3');
 export const NO_DATA = encodeFrame('n');
 export const EMPTY_QUERY = encodeFrame('I');
-export const PORTAL_SUSPENDED = encodeFrame('s');
 
 const READY: Record<TransactionStatus, Buffer> = {
   idle: encodeFrame('Z', Buffer.from('I')),
--- a/src/platform/wire/node/frame_connection.ts
+++ b/src/platform/wire/node/frame_connection.ts
@@ -10,7 +10,7 @@
 const STARTUP_MS = 10_000;
 
 /** Something that happened around a connection while its task waits. */
-export type ConnectionEvent = 'stop' | 'target lost' | 'idle too long';
+export type ConnectionEvent = 'stop' | 'idle too long';
 
 /** What came in from the other side, or an event of this one. */
 export type Incoming =
--- a/src/proxy/node/batch_runner.ts
+++ b/src/proxy/node/batch_runner.ts
@@ -1,4 +1,4 @@
-import {settled, type Task} from '../../base/node/task';
+import {pause, type Task} from '../../base/node/task';
 import {formatPosition} from '../../platform/position/common/position';
 import {POSITION_VARIABLE} from '../../platform/session/common/session_state';
 import {
@@ -25,12 +25,6 @@
 const RETRY_MS = 15;
 const WARNING_OLDER = '01000';
 
-/** A transaction that is open on a place. */
-export interface OpenTransaction {
-  readonly place: Place;
-  readonly failed: boolean;
-}
-
 /** Runs the batches of one session on targets. */
 export class BatchRunner {
   private open: Place | undefined;
@@ -292,8 +286,4 @@
   return statements.slice(1).every(({kind}) => kind === 'read');
 }
 
-function* pause(milliseconds: number): Task<void> {
-  yield* settled(new Promise(resolve => setTimeout(resolve, milliseconds)));
-}
-
 function* none(): Task<void> {}
--- a/src/proxy/node/caller_session.ts
+++ b/src/proxy/node/caller_session.ts
@@ -15,7 +15,6 @@
 import {noteNames, planBatch, type BatchMessage} from '../common/batch';
 import {
   fatal,
-  lostError,
   NOT_RUN_SHUTTING_DOWN,
   unsupportedError,
 } from '../common/outcome_codes';
@@ -105,10 +104,6 @@
       this.stopping = true;
       return true;
     }
-    if (event === 'target lost') {
-      yield* this.runner.endLost();
-      return this.endWith({...lostError(), severity: 'FATAL'});
-    }
     const message = 'the transaction was idle while others waited';
     yield* this.runner.abandon();
     return this.endWith(fatal(IDLE_TRANSACTION, message));
--- a/src/proxy/node/exchange.ts
+++ b/src/proxy/node/exchange.ts
@@ -232,9 +232,3 @@
     return this.parts;
   }
 }
-
-/** A sink for answers that no caller is to see. */
-export const NO_SINK: AnswerSink = {
-  send: () => true,
-  caughtUp: () => Promise.resolve(),
-};
--- a/src/proxy/node/keyed_write.ts
+++ b/src/proxy/node/keyed_write.ts
@@ -1,5 +1,5 @@
 import type {RequestKey} from '../../base/common/ids';
-import {settled, type Task} from '../../base/node/task';
+import {pause, type Task} from '../../base/node/task';
 import {after} from '../../base/node/timers';
 import {formatPosition} from '../../platform/position/common/position';
 import {POSITION_VARIABLE} from '../../platform/session/common/session_state';
@@ -68,7 +68,7 @@
       const attempt = yield* this.attempt(taken.value, deadline);
       if (attempt.kind === 'failed') return this.fail(attempt.diagnostic);
       if (attempt.kind === 'answered') return this.answer(attempt.bytes);
-      yield* settled(new Promise(resolve => setTimeout(resolve, RETRY_MS)));
+      yield* pause(RETRY_MS);
     }
     this.fail(unknownError());
   }
--- a/src/proxy/node/proxy_services.ts
+++ b/src/proxy/node/proxy_services.ts
@@ -17,7 +17,6 @@
 import type {Settings} from '../../platform/settings/common/settings';
 import type {TargetStatus} from '../../schema/generated/announcement';
 import {
-  Phase,
   type HandBack,
   type LeaseGrant,
   type Suspicion,
@@ -128,15 +127,6 @@
   /** Proxies give no orders. */
   onDidAnswerOrder(): void {}
 
-  /** Services without a primary in force, for status and metrics. */
-  changing(): string[] {
-    return [...this.running]
-      .filter(([, {router}]) => {
-        return router.serviceRecord?.phase !== Phase.PHASE_STEADY;
-      })
-      .map(([service]) => service);
-  }
-
   private startService(service: ServiceName): void {
     const controller = childController(this.signal);
     const router = new ServiceRouter(
--- a/src/standin/common/database_error.ts
+++ b/src/standin/common/database_error.ts
@@ -20,6 +20,5 @@
 export const FEATURE_NOT_SUPPORTED = '0A000';
 export const TOO_MANY_CONNECTIONS = '53300';
 export const QUERY_CANCELED = '57014';
-export const ADMIN_SHUTDOWN = '57P01';
 export const INVALID_STATEMENT_NAME = '26000';
 export const INVALID_PARAMETER = '22023';
