--- a/bench/relay_cost.ts
+++ b/bench/relay_cost.ts
@@ -3,7 +3,7 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 import pg from 'pg';
 import {serialize} from 'pg-protocol';
-import {FrameSplitter, typeOf} from '../src/platform/wire/common/frames';
+import {FrameSplitter, typeOf} from '../src/services/wire/common/frames';
 import {cpuTimeOf} from './fleet/cpu_time';
 import {Fleet, type ProxyProcess, isListening, until} from './fleet/fleet';
 import {freePorts} from './fleet/ports';
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 
 /** Imports of a layer may only go to the layers named before it. */
 const PROGRAMS = ['proxy', 'control', 'ctl', 'standin', 'load'];
-const LAYERS = ['base', 'schema', 'platform'];
+const LAYERS = ['base', 'schema', 'services'];
 
 const forbid = folders =>
   folders.map(folder => ({
@@ -56,8 +56,8 @@
     rules: {'no-restricted-syntax': 'off'},
   },
   layerRule('src/base/**', [...LAYERS.slice(1), ...PROGRAMS]),
-  layerRule('src/schema/**', ['platform', ...PROGRAMS]),
-  layerRule('src/platform/**', PROGRAMS),
+  layerRule('src/schema/**', ['services', ...PROGRAMS]),
+  layerRule('src/services/**', PROGRAMS),
   ...PROGRAMS.map(program =>
     layerRule(
       `src/${program}/**`,
--- a/scripts/render_settings.mjs
+++ b/scripts/render_settings.mjs
@@ -29,7 +29,7 @@
   defaultValue: key.default,
 });
 
-/** The module that src/platform/settings reads its schema from. */
+/** The module that src/services/settings reads its schema from. */
 export function renderSettingsModule(schema) {
   const lines = [
     '// Generated from src/schema/settings.json by npm run generate.',
--- a/src/control/node/control_log.ts
+++ b/src/control/node/control_log.ts
@@ -1,6 +1,6 @@
 import type {Result} from '../../base/common/outcome';
-import type {Refusal} from '../../platform/consensus/common/consensus_types';
-import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
+import type {Refusal} from '../../services/consensus/common/consensus_types';
+import type {ConsensusNode} from '../../services/consensus/node/consensus_node';
 import {Command} from '../../schema/generated/control';
 
 type Body = NonNullable<Command['body']>;
--- a/src/control/node/control_state_machine.ts
+++ b/src/control/node/control_state_machine.ts
@@ -1,8 +1,8 @@
-import type {StateMachine} from '../../platform/consensus/node/consensus_node';
+import type {StateMachine} from '../../services/consensus/node/consensus_node';
 import {
   ControlMachine,
   emptyControlState,
-} from '../../platform/control_state/common/control_machine';
+} from '../../services/control_state/common/control_machine';
 import {Command, ControlState} from '../../schema/generated/control';
 
 /** The control state as the log's state machine, in protobuf. */
--- a/src/control/node/failover_driver.ts
+++ b/src/control/node/failover_driver.ts
@@ -6,17 +6,17 @@
   silenceOf,
   type TargetDirectory,
   type TargetObservation,
-} from '../../platform/announcement/common/target_directory';
-import type {AnnouncementObserver} from '../../platform/announcement/node/announcement_observer';
-import type {ControlMachine} from '../../platform/control_state/common/control_machine';
-import {decideFailover} from '../../platform/failover/common/failover';
+} from '../../services/announcement/common/target_directory';
+import type {AnnouncementObserver} from '../../services/announcement/node/announcement_observer';
+import type {ControlMachine} from '../../services/control_state/common/control_machine';
+import {decideFailover} from '../../services/failover/common/failover';
 import type {
   FailoverAction,
   FailoverView,
   TargetView,
-} from '../../platform/failover/common/failover_view';
-import type {LeaseRegistry} from '../../platform/lease/common/lease_registry';
-import type {Settings} from '../../platform/settings/common/settings';
+} from '../../services/failover/common/failover_view';
+import type {LeaseRegistry} from '../../services/lease/common/lease_registry';
+import type {Settings} from '../../services/settings/common/settings';
 import type {Order} from '../../schema/generated/announcement';
 import type {
   MemberRecord,
--- a/src/control/node/joining.ts
+++ b/src/control/node/joining.ts
@@ -1,8 +1,8 @@
 import {Metadata} from '@grpc/grpc-js';
 import {deadlineIn, LINK_CREDENTIALS, LINK_OPTIONS} from '../../base/node/grpc';
 import {every} from '../../base/node/timers';
-import type {Joiner} from '../../platform/membership/common/membership_plan';
-import type {ControlAddress} from '../../platform/settings/common/settings';
+import type {Joiner} from '../../services/membership/common/membership_plan';
+import type {ControlAddress} from '../../services/settings/common/settings';
 import {ConsensusClient} from '../../schema/generated/consensus';
 
 const ASK_MS = 500;
--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -1,16 +1,16 @@
 import type {Clock} from '../../base/common/clock';
 import {serviceName} from '../../base/common/ids';
 import {createLog} from '../../base/node/log';
-import type {TargetDirectory} from '../../platform/announcement/common/target_directory';
-import type {AnnouncementObserver} from '../../platform/announcement/node/announcement_observer';
-import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
-import type {ControlMachine} from '../../platform/control_state/common/control_machine';
-import {LeaseRegistry} from '../../platform/lease/common/lease_registry';
+import type {TargetDirectory} from '../../services/announcement/common/target_directory';
+import type {AnnouncementObserver} from '../../services/announcement/node/announcement_observer';
+import type {ConsensusNode} from '../../services/consensus/node/consensus_node';
+import type {ControlMachine} from '../../services/control_state/common/control_machine';
+import {LeaseRegistry} from '../../services/lease/common/lease_registry';
 import {
   planMembership,
   type Joiner,
-} from '../../platform/membership/common/membership_plan';
-import type {Settings} from '../../platform/settings/common/settings';
+} from '../../services/membership/common/membership_plan';
+import type {Settings} from '../../services/settings/common/settings';
 import {Phase} from '../../schema/generated/control';
 import type {TargetStatus} from '../../schema/generated/announcement';
 import {ControlLog} from './control_log';
--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -14,20 +14,20 @@
   VERSION,
 } from '../../base/node/program';
 import {every} from '../../base/node/timers';
-import {TargetDirectory} from '../../platform/announcement/common/target_directory';
-import {AnnouncementObserver} from '../../platform/announcement/node/announcement_observer';
-import {Consensus} from '../../platform/consensus/common/consensus';
+import {TargetDirectory} from '../../services/announcement/common/target_directory';
+import {AnnouncementObserver} from '../../services/announcement/node/announcement_observer';
+import {Consensus} from '../../services/consensus/common/consensus';
 import {
   bootstrapState,
   emptyState,
-} from '../../platform/consensus/common/initial_state';
-import {ConsensusNode} from '../../platform/consensus/node/consensus_node';
-import {LogStorage} from '../../platform/consensus/node/log_storage';
+} from '../../services/consensus/common/initial_state';
+import {ConsensusNode} from '../../services/consensus/node/consensus_node';
+import {LogStorage} from '../../services/consensus/node/log_storage';
 import {
   formatFault,
   type Settings,
-} from '../../platform/settings/common/settings';
-import {loadSettings} from '../../platform/settings/node/settings_files';
+} from '../../services/settings/common/settings';
+import {loadSettings} from '../../services/settings/node/settings_files';
 import {AnnouncementService} from '../../schema/generated/announcement';
 import {
   ConsensusService,
--- a/src/control/node/operator_service.ts
+++ b/src/control/node/operator_service.ts
@@ -1,6 +1,6 @@
 import type {sendUnaryData, ServerUnaryCall} from '@grpc/grpc-js';
-import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
-import type {ControlMachine} from '../../platform/control_state/common/control_machine';
+import type {ConsensusNode} from '../../services/consensus/node/consensus_node';
+import type {ControlMachine} from '../../services/control_state/common/control_machine';
 import type {
   ApplyRequest,
   ChangeOutcome,
--- a/src/control/node/peer_transport.ts
+++ b/src/control/node/peer_transport.ts
@@ -1,6 +1,6 @@
 import {Metadata} from '@grpc/grpc-js';
 import {deadlineIn, LINK_CREDENTIALS, LINK_OPTIONS} from '../../base/node/grpc';
-import type {ConsensusTransport} from '../../platform/consensus/node/consensus_node';
+import type {ConsensusTransport} from '../../services/consensus/node/consensus_node';
 import {
   ConsensusClient,
   type Configuration,
--- a/src/control/node/proxy_attachments.ts
+++ b/src/control/node/proxy_attachments.ts
@@ -1,12 +1,12 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Clock} from '../../base/common/clock';
 import type {Log} from '../../base/node/log';
-import type {ConsensusNode} from '../../platform/consensus/node/consensus_node';
-import type {ControlMachine} from '../../platform/control_state/common/control_machine';
+import type {ConsensusNode} from '../../services/consensus/node/consensus_node';
+import type {ControlMachine} from '../../services/control_state/common/control_machine';
 import {
   proxyName,
   type LeaseRegistry,
-} from '../../platform/lease/common/lease_registry';
+} from '../../services/lease/common/lease_registry';
 import {
   Phase,
   type ControlMessage,
--- a/src/control/node/settings_in_force.ts
+++ b/src/control/node/settings_in_force.ts
@@ -1,9 +1,9 @@
-import type {ControlMachine} from '../../platform/control_state/common/control_machine';
+import type {ControlMachine} from '../../services/control_state/common/control_machine';
 import {
   formatFault,
   parseSettings,
   type Settings,
-} from '../../platform/settings/common/settings';
+} from '../../services/settings/common/settings';
 
 /** The settings that control goes by: the accepted ones, or its own file's. */
 export class SettingsInForce {
--- a/src/ctl/node/main.ts
+++ b/src/ctl/node/main.ts
@@ -20,7 +20,7 @@
 import {
   formatFault,
   parseSettings,
-} from '../../platform/settings/common/settings';
+} from '../../services/settings/common/settings';
 import type {
   ChangeOutcome,
   OperatorReply,
--- a/src/load/node/load_client.ts
+++ b/src/load/node/load_client.ts
@@ -4,10 +4,10 @@
   type AnswerListener,
   type OpenFailure,
   type TargetLogin,
-} from '../../platform/pool/node/target_connection';
-import {decodeDiagnostic} from '../../platform/wire/common/backend';
-import {bodyOf, typeOf, type Frame} from '../../platform/wire/common/frames';
-import {BodyReader} from '../../platform/wire/common/reader';
+} from '../../services/pool/node/target_connection';
+import {decodeDiagnostic} from '../../services/wire/common/backend';
+import {bodyOf, typeOf, type Frame} from '../../services/wire/common/frames';
+import {BodyReader} from '../../services/wire/common/reader';
 import {serialize} from 'pg-protocol';
 
 const DATA_ROW = typeOf('D');
--- a/src/proxy/common/arrival.ts
+++ b/src/proxy/common/arrival.ts
@@ -4,7 +4,7 @@
   heldPosition,
   logEnd,
   type Position,
-} from '../../platform/position/common/position';
+} from '../../services/position/common/position';
 import type {TargetStatus} from '../../schema/generated/announcement';
 
 interface Answer {
--- a/src/proxy/common/batch.ts
+++ b/src/proxy/common/batch.ts
@@ -1,14 +1,14 @@
 import type {
   Classifier,
   StatementClass,
-} from '../../platform/sql/common/classifier';
-import {encodeFrame, type Frame} from '../../platform/wire/common/frames';
+} from '../../services/sql/common/classifier';
+import {encodeFrame, type Frame} from '../../services/wire/common/frames';
 import {
   encodeBind,
   encodeDescribeStatement,
   encodeParse,
   type FrontendMessage,
-} from '../../platform/wire/common/frontend';
+} from '../../services/wire/common/frontend';
 
 /** A prepared statement of a session. */
 export interface NamedStatement {
--- a/src/proxy/common/outcome_codes.ts
+++ b/src/proxy/common/outcome_codes.ts
@@ -1,4 +1,4 @@
-import type {Diagnostic} from '../../platform/wire/common/backend';
+import type {Diagnostic} from '../../services/wire/common/backend';
 import type {NotRun, NotRunReason} from './not_run';
 
 /**
--- a/src/proxy/node/batch_runner.ts
+++ b/src/proxy/node/batch_runner.ts
@@ -1,13 +1,13 @@
 import {pause, type Task} from '../../base/node/task';
-import {formatPosition} from '../../platform/position/common/position';
-import {POSITION_VARIABLE} from '../../platform/session/common/session_state';
+import {formatPosition} from '../../services/position/common/position';
+import {POSITION_VARIABLE} from '../../services/session/common/session_state';
 import {
   encodeError,
   encodeNotice,
   encodeParameter,
   encodeReady,
   type Diagnostic,
-} from '../../platform/wire/common/backend';
+} from '../../services/wire/common/backend';
 import {BatchEncoder, type BatchMessage, type BatchPlan} from '../common/batch';
 import {
   lostError,
--- a/src/proxy/node/caller_server.ts
+++ b/src/proxy/node/caller_server.ts
@@ -4,13 +4,13 @@
 import type {Log} from '../../base/node/log';
 import {startTask, type Task} from '../../base/node/task';
 import {after, childController, every} from '../../base/node/timers';
-import {Classifier} from '../../platform/sql/common/classifier';
-import type {SqlGrammar} from '../../platform/sql/common/syntax_tree';
+import {Classifier} from '../../services/sql/common/classifier';
+import type {SqlGrammar} from '../../services/sql/common/syntax_tree';
 import {
   parseStartupOptions,
   SessionState,
-} from '../../platform/session/common/session_state';
-import type {Settings} from '../../platform/settings/common/settings';
+} from '../../services/session/common/session_state';
+import type {Settings} from '../../services/settings/common/settings';
 import {
   AUTHENTICATION_OK,
   encodeError,
@@ -18,8 +18,8 @@
   encodeParameter,
   encodeReady,
   type Diagnostic,
-} from '../../platform/wire/common/backend';
-import {FrameConnection} from '../../platform/wire/node/frame_connection';
+} from '../../services/wire/common/backend';
+import {FrameConnection} from '../../services/wire/node/frame_connection';
 import {fatal, NOT_RUN_SHUTTING_DOWN} from '../common/outcome_codes';
 import {CallerSession} from './caller_session';
 import type {ProxyServices} from './proxy_services';
--- a/src/proxy/node/caller_session.ts
+++ b/src/proxy/node/caller_session.ts
@@ -1,17 +1,17 @@
 import type {Task} from '../../base/node/task';
 import {after} from '../../base/node/timers';
-import type {StatementClass} from '../../platform/sql/common/classifier';
+import type {StatementClass} from '../../services/sql/common/classifier';
 import {
   encodeError,
   encodeReady,
   type Diagnostic,
-} from '../../platform/wire/common/backend';
-import type {Frame} from '../../platform/wire/common/frames';
-import {decodeFrontend} from '../../platform/wire/common/frontend';
+} from '../../services/wire/common/backend';
+import type {Frame} from '../../services/wire/common/frames';
+import {decodeFrontend} from '../../services/wire/common/frontend';
 import type {
   ConnectionEvent,
   Incoming,
-} from '../../platform/wire/node/frame_connection';
+} from '../../services/wire/node/frame_connection';
 import {noteNames, planBatch, type BatchMessage} from '../common/batch';
 import {
   fatal,
--- a/src/proxy/node/dispatch_view.ts
+++ b/src/proxy/node/dispatch_view.ts
@@ -1,5 +1,5 @@
-import type {Lineage} from '../../platform/position/common/lineage';
-import type {Candidate} from '../../platform/routing/common/router';
+import type {Lineage} from '../../services/position/common/lineage';
+import type {Candidate} from '../../services/routing/common/router';
 import type {ServiceRecord} from '../../schema/generated/control';
 import type {ServiceTargets} from './service_targets';
 
--- a/src/proxy/node/exchange.ts
+++ b/src/proxy/node/exchange.ts
@@ -2,11 +2,11 @@
 import type {
   AnswerListener,
   TargetConnection,
-} from '../../platform/pool/node/target_connection';
+} from '../../services/pool/node/target_connection';
 import {
   parsePosition,
   type Position,
-} from '../../platform/position/common/position';
+} from '../../services/position/common/position';
 import {
   decodeComplete,
   decodeDiagnostic,
@@ -14,8 +14,8 @@
   decodeReady,
   type Diagnostic,
   type TransactionStatus,
-} from '../../platform/wire/common/backend';
-import {bodyOf, typeOf, type Frame} from '../../platform/wire/common/frames';
+} from '../../services/wire/common/backend';
+import {bodyOf, typeOf, type Frame} from '../../services/wire/common/frames';
 import type {OutgoingBatch} from '../common/batch';
 
 const COMPLETE = typeOf('C');
--- a/src/proxy/node/keyed_write.ts
+++ b/src/proxy/node/keyed_write.ts
@@ -1,14 +1,14 @@
 import type {RequestKey} from '../../base/common/ids';
 import {pause, type Task} from '../../base/node/task';
 import {after} from '../../base/node/timers';
-import {formatPosition} from '../../platform/position/common/position';
-import {POSITION_VARIABLE} from '../../platform/session/common/session_state';
+import {formatPosition} from '../../services/position/common/position';
+import {POSITION_VARIABLE} from '../../services/session/common/session_state';
 import {
   encodeError,
   encodeParameter,
   encodeReady,
   type Diagnostic,
-} from '../../platform/wire/common/backend';
+} from '../../services/wire/common/backend';
 import {BatchEncoder, type BatchMessage} from '../common/batch';
 import {notRunError, unknownError} from '../common/outcome_codes';
 import {Exchange, type AnswerSink, type ExchangeEnd} from './exchange';
--- a/src/proxy/node/local_statement.ts
+++ b/src/proxy/node/local_statement.ts
@@ -1,6 +1,6 @@
 import type {ClassName} from '../../base/common/ids';
-import type {StatementClass} from '../../platform/sql/common/classifier';
-import {SessionState} from '../../platform/session/common/session_state';
+import type {StatementClass} from '../../services/sql/common/classifier';
+import {SessionState} from '../../services/session/common/session_state';
 import {
   BIND_COMPLETE,
   CLOSE_COMPLETE,
@@ -14,7 +14,7 @@
   PARSE_COMPLETE,
   TYPE_TEXT,
   type Diagnostic,
-} from '../../platform/wire/common/backend';
+} from '../../services/wire/common/backend';
 import type {BatchMessage} from '../common/batch';
 
 /** The answer to a statement that the proxy carries out by itself. */
--- a/src/proxy/node/main.ts
+++ b/src/proxy/node/main.ts
@@ -16,16 +16,16 @@
 } from '../../base/node/program';
 import {toError} from '../../base/node/task';
 import {ownController} from '../../base/node/timers';
-import {PostgresGrammar} from '../../platform/sql/node/postgres_grammar';
+import {PostgresGrammar} from '../../services/sql/node/postgres_grammar';
 import {
   formatFault,
   parseSettings,
   type Settings,
-} from '../../platform/settings/common/settings';
+} from '../../services/settings/common/settings';
 import {
   loadSettings,
   readSource,
-} from '../../platform/settings/node/settings_files';
+} from '../../services/settings/node/settings_files';
 import {AnnouncementService} from '../../schema/generated/announcement';
 import {CallerServer} from './caller_server';
 import {ControlLink} from './control_link';
--- a/src/proxy/node/own_query.ts
+++ b/src/proxy/node/own_query.ts
@@ -1,8 +1,8 @@
 import {serialize} from 'pg-protocol';
 import type {Task} from '../../base/node/task';
-import type {TargetConnection} from '../../platform/pool/node/target_connection';
-import {bodyOf, FrameSplitter, typeOf} from '../../platform/wire/common/frames';
-import {BodyReader} from '../../platform/wire/common/reader';
+import type {TargetConnection} from '../../services/pool/node/target_connection';
+import {bodyOf, FrameSplitter, typeOf} from '../../services/wire/common/frames';
+import {BodyReader} from '../../services/wire/common/reader';
 import {Exchange, type AnswerSink, type ExchangeEnd} from './exchange';
 
 const DATA_ROW = typeOf('D');
--- a/src/proxy/node/place.ts
+++ b/src/proxy/node/place.ts
@@ -1,7 +1,7 @@
 import type {Result} from '../../base/common/outcome';
 import {Reply, type Task} from '../../base/node/task';
-import type {CommitOutcome} from '../../platform/confirmation/common/commits';
-import type {Position} from '../../platform/position/common/position';
+import type {CommitOutcome} from '../../services/confirmation/common/commits';
+import type {Position} from '../../services/position/common/position';
 import type {NotRun} from '../common/not_run';
 import type {Grant} from './request';
 import {runOwnQuery, succeeded} from './own_query';
--- a/src/proxy/node/proxy_services.ts
+++ b/src/proxy/node/proxy_services.ts
@@ -9,12 +9,12 @@
   TargetDirectory,
   type PositionSample,
   type TargetKey,
-} from '../../platform/announcement/common/target_directory';
+} from '../../services/announcement/common/target_directory';
 import {
   AnnouncementObserver,
   type TargetListener,
-} from '../../platform/announcement/node/announcement_observer';
-import type {Settings} from '../../platform/settings/common/settings';
+} from '../../services/announcement/node/announcement_observer';
+import type {Settings} from '../../services/settings/common/settings';
 import type {TargetStatus} from '../../schema/generated/announcement';
 import {
   type HandBack,
--- a/src/proxy/node/request.ts
+++ b/src/proxy/node/request.ts
@@ -1,10 +1,10 @@
 import type {ClassName, InstanceId, ServiceName} from '../../base/common/ids';
 import type {Result} from '../../base/common/outcome';
-import type {Waiting} from '../../platform/admission/common/fair_queue';
+import type {Waiting} from '../../services/admission/common/fair_queue';
 import type {NotRun} from '../common/not_run';
-import type {TargetConnection} from '../../platform/pool/node/target_connection';
-import type {Position} from '../../platform/position/common/position';
-import type {RouteReason} from '../../platform/routing/common/router';
+import type {TargetConnection} from '../../services/pool/node/target_connection';
+import type {Position} from '../../services/position/common/position';
+import type {RouteReason} from '../../services/routing/common/router';
 
 /** A place on a target for one transaction. */
 export interface Grant {
--- a/src/proxy/node/service_router.ts
+++ b/src/proxy/node/service_router.ts
@@ -8,7 +8,7 @@
 import {err, ok} from '../../base/common/outcome';
 import {Mailbox, startTask, type Task} from '../../base/node/task';
 import {after, every} from '../../base/node/timers';
-import {FairQueue} from '../../platform/admission/common/fair_queue';
+import {FairQueue} from '../../services/admission/common/fair_queue';
 import {
   CLOSED_GRACE_MS,
   isConnected,
@@ -16,26 +16,26 @@
   type PositionSample,
   type TargetDirectory,
   type TargetKey,
-} from '../../platform/announcement/common/target_directory';
+} from '../../services/announcement/common/target_directory';
 import {
   Commits,
   type CommitOutcome,
-} from '../../platform/confirmation/common/commits';
-import {TermLease} from '../../platform/lease/common/term_lease';
-import type {TargetConnection} from '../../platform/pool/node/target_connection';
-import {Lineage} from '../../platform/position/common/lineage';
-import type {Position} from '../../platform/position/common/position';
+} from '../../services/confirmation/common/commits';
+import {TermLease} from '../../services/lease/common/term_lease';
+import type {TargetConnection} from '../../services/pool/node/target_connection';
+import {Lineage} from '../../services/position/common/lineage';
+import type {Position} from '../../services/position/common/position';
 import {
   routeRead,
   type Candidate,
   type Distance,
   type RouteDecision,
-} from '../../platform/routing/common/router';
-import {SampleHistory} from '../../platform/routing/common/sample_history';
+} from '../../services/routing/common/router';
+import {SampleHistory} from '../../services/routing/common/sample_history';
 import type {
   ServiceSettings,
   SystemSettings,
-} from '../../platform/settings/common/settings';
+} from '../../services/settings/common/settings';
 import {Role, type TargetStatus} from '../../schema/generated/announcement';
 import {
   Phase,
--- a/src/proxy/node/service_targets.ts
+++ b/src/proxy/node/service_targets.ts
@@ -12,16 +12,16 @@
   silenceOf,
   type TargetDirectory,
   type TargetObservation,
-} from '../../platform/announcement/common/target_directory';
-import {TargetPool} from '../../platform/pool/node/target_pool';
-import type {Candidate, Distance} from '../../platform/routing/common/router';
-import {OutlierEjection} from '../../platform/routing/common/outlier_ejection';
-import type {Lineage} from '../../platform/position/common/lineage';
-import type {SampleHistory} from '../../platform/routing/common/sample_history';
+} from '../../services/announcement/common/target_directory';
+import {TargetPool} from '../../services/pool/node/target_pool';
+import type {Candidate, Distance} from '../../services/routing/common/router';
+import {OutlierEjection} from '../../services/routing/common/outlier_ejection';
+import type {Lineage} from '../../services/position/common/lineage';
+import type {SampleHistory} from '../../services/routing/common/sample_history';
 import type {
   ServiceSettings,
   SystemSettings,
-} from '../../platform/settings/common/settings';
+} from '../../services/settings/common/settings';
 import {Role} from '../../schema/generated/announcement';
 import {Phase, type ServiceRecord} from '../../schema/generated/control';
 
--- a/src/proxy/node/session_context.ts
+++ b/src/proxy/node/session_context.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '../../base/common/clock';
 import type {CallerName, ClassName, ServiceName} from '../../base/common/ids';
-import type {Classifier} from '../../platform/sql/common/classifier';
-import type {SessionState} from '../../platform/session/common/session_state';
-import type {ClassSettings} from '../../platform/settings/common/settings';
-import type {FrameConnection} from '../../platform/wire/node/frame_connection';
+import type {Classifier} from '../../services/sql/common/classifier';
+import type {SessionState} from '../../services/session/common/session_state';
+import type {ClassSettings} from '../../services/settings/common/settings';
+import type {FrameConnection} from '../../services/wire/node/frame_connection';
 import type {NamedStatements} from '../common/batch';
 import type {PlaceRequest} from './request';
 import type {SessionMeter} from './request_meter';
--- a/src/proxy/test/common/arrival.test.ts
+++ b/src/proxy/test/common/arrival.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {instanceId} from '../../../base/common/ids';
-import {replicaStatus as status} from '../../../platform/announcement/test/common/status_fixture';
+import {replicaStatus as status} from '../../../services/announcement/test/common/status_fixture';
 import {ArrivalPositions} from '../../common/arrival';
 
 const [A, B] = [instanceId('a'), instanceId('b')];
--- a/src/standin/common/expressions.ts
+++ b/src/standin/common/expressions.ts
@@ -4,7 +4,7 @@
   openNode,
   stringOf,
   type SyntaxNode,
-} from '../../platform/sql/common/syntax_tree';
+} from '../../services/sql/common/syntax_tree';
 import {
   DatabaseError,
   FEATURE_NOT_SUPPORTED,
--- a/src/standin/common/group_log.ts
+++ b/src/standin/common/group_log.ts
@@ -1,4 +1,4 @@
-import type {Position} from '../../platform/position/common/position';
+import type {Position} from '../../services/position/common/position';
 import type {TermMark} from '../../schema/generated/replication';
 import type {RowOperation} from './tables';
 
--- a/src/standin/common/select.ts
+++ b/src/standin/common/select.ts
@@ -4,13 +4,13 @@
   TYPE_FLOAT8,
   TYPE_INT8,
   TYPE_TEXT,
-} from '../../platform/wire/common/backend';
+} from '../../services/wire/common/backend';
 import {
   listOf,
   openNode,
   stringOf,
   type SyntaxNode,
-} from '../../platform/sql/common/syntax_tree';
+} from '../../services/sql/common/syntax_tree';
 import {
   columnNameOf,
   compareValues,
--- a/src/standin/common/statements.ts
+++ b/src/standin/common/statements.ts
@@ -1,11 +1,11 @@
-import type {Column} from '../../platform/wire/common/backend';
+import type {Column} from '../../services/wire/common/backend';
 import {
   listOf,
   openNode,
   stringOf,
   type ParsedStatement,
   type SyntaxNode,
-} from '../../platform/sql/common/syntax_tree';
+} from '../../services/sql/common/syntax_tree';
 import {
   DatabaseError,
   DUPLICATE_TABLE,
--- a/src/standin/node/database_server.ts
+++ b/src/standin/node/database_server.ts
@@ -2,8 +2,8 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {settled, startTask, type Task} from '../../base/node/task';
-import {encodeError} from '../../platform/wire/common/backend';
-import {FrameConnection} from '../../platform/wire/node/frame_connection';
+import {encodeError} from '../../services/wire/common/backend';
+import {FrameConnection} from '../../services/wire/node/frame_connection';
 import {TOO_MANY_CONNECTIONS} from '../common/database_error';
 import {Session, type SessionHost} from './session';
 
--- a/src/standin/node/group_member.ts
+++ b/src/standin/node/group_member.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '../../base/common/clock';
 import type {IncarnationId} from '../../base/common/ids';
-import type {Position} from '../../platform/position/common/position';
-import type {AnnouncedTarget} from '../../platform/announcement/node/announcer';
+import type {Position} from '../../services/position/common/position';
+import type {AnnouncedTarget} from '../../services/announcement/node/announcer';
 import {
   Role,
   type Order,
--- a/src/standin/node/main.ts
+++ b/src/standin/node/main.ts
@@ -13,8 +13,8 @@
   VERSION,
 } from '../../base/node/program';
 import {every} from '../../base/node/timers';
-import {Announcer} from '../../platform/announcement/node/announcer';
-import {PostgresGrammar} from '../../platform/sql/node/postgres_grammar';
+import {Announcer} from '../../services/announcement/node/announcer';
+import {PostgresGrammar} from '../../services/sql/node/postgres_grammar';
 import {ReplicationService as ReplicationDefinition} from '../../schema/generated/replication';
 import {DatabaseServer} from './database_server';
 import {GroupMember, type MemberIdentity} from './group_member';
--- a/src/standin/node/member_tables.ts
+++ b/src/standin/node/member_tables.ts
@@ -1,5 +1,5 @@
 import {Role} from '../../schema/generated/announcement';
-import {formatPosition, ORIGIN} from '../../platform/position/common/position';
+import {formatPosition, ORIGIN} from '../../services/position/common/position';
 import type {Source} from '../common/select';
 import type {TableColumn} from '../common/tables';
 import type {GroupMember} from './group_member';
--- a/src/standin/node/session.ts
+++ b/src/standin/node/session.ts
@@ -8,8 +8,8 @@
   type ParsedStatement,
   type SqlGrammar,
   type SyntaxNode,
-} from '../../platform/sql/common/syntax_tree';
-import {formatPosition} from '../../platform/position/common/position';
+} from '../../services/sql/common/syntax_tree';
+import {formatPosition} from '../../services/position/common/position';
 import {
   AUTHENTICATION_OK,
   BIND_COMPLETE,
@@ -27,14 +27,14 @@
   PARSE_COMPLETE,
   TYPE_TEXT,
   type TransactionStatus,
-} from '../../platform/wire/common/backend';
-import type {FrontendMessage} from '../../platform/wire/common/frontend';
-import {decodeFrontend} from '../../platform/wire/common/frontend';
-import {BodyReader} from '../../platform/wire/common/reader';
+} from '../../services/wire/common/backend';
+import type {FrontendMessage} from '../../services/wire/common/frontend';
+import {decodeFrontend} from '../../services/wire/common/frontend';
+import {BodyReader} from '../../services/wire/common/reader';
 import type {
   FrameConnection,
   Incoming,
-} from '../../platform/wire/node/frame_connection';
+} from '../../services/wire/node/frame_connection';
 import {
   DatabaseError,
   FAILED_TRANSACTION,
--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -1,8 +1,8 @@
 import {readdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {describe, expect, it} from 'vitest';
-import {formatFault, siteOf} from '../src/platform/settings/common/settings';
-import {loadSettings} from '../src/platform/settings/node/settings_files';
+import {formatFault, siteOf} from '../src/services/settings/common/settings';
+import {loadSettings} from '../src/services/settings/node/settings_files';
 
 describe.each(['derwent', 'volta'])('the deployment of %s', user => {
   const folder = join('config', user);
--- a/test/golden/transcript.ts
+++ b/test/golden/transcript.ts
@@ -5,13 +5,13 @@
   decodeDiagnostic,
   decodeParameter,
   decodeReady,
-} from '../../src/platform/wire/common/backend';
+} from '../../src/services/wire/common/backend';
 import {
   bodyOf,
   FrameSplitter,
   type Frame,
-} from '../../src/platform/wire/common/frames';
-import {BodyReader} from '../../src/platform/wire/common/reader';
+} from '../../src/services/wire/common/frames';
+import {BodyReader} from '../../src/services/wire/common/reader';
 
 /** A caller that writes down every frame it sees. */
 export class Transcript {
--- a/test/process/bad_input.test.ts
+++ b/test/process/bad_input.test.ts
@@ -2,7 +2,7 @@
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {serialize} from 'pg-protocol';
 import {Fleet} from '../../bench/fleet/fleet';
-import {FrameSplitter} from '../../src/platform/wire/common/frames';
+import {FrameSplitter} from '../../src/services/wire/common/frames';
 import {SeededRandom} from '../../src/base/common/random';
 import {client, outcome, SERVICE} from '../support';
 
