Let the control log found a group from one list, and replace lost voters

Cause: nobody lists the control instances of the users' platform, and all start at once; a single bootstrap instance would be one that has to be first.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -16,10 +16,10 @@
   ConsensusRole,
   Effect,
   PersistedState,
-  Refusal,
   Ticket,
 } from './consensus_types';
 import {Election} from './election';
+import {EffectList} from './effect_list';
 import {EntryLog} from './entry_log';
 import {PendingTickets} from './pending_tickets';
 import {
@@ -54,7 +54,7 @@
   private commit: number;
   private applied: number;
   private synced: number;
-  private effects: Effect[] = [];
+  private readonly effects: EffectList;
   private now = 0;
 
   private leaderHeardAt = -Infinity;
@@ -71,6 +71,7 @@
     private readonly options: ConsensusOptions,
     random: SeededRandom,
   ) {
+    this.effects = new EffectList(id);
     this.election = new Election(options.electionMs, random);
     this.log = new EntryLog(persisted.snapshot, persisted.entries);
     this.term = persisted.hardState.term;
@@ -144,13 +145,17 @@
     return this.peers.get(id)?.matchIndex ?? 0;
   }
 
+  /** For how long a leader has not heard a peer, in milliseconds. */
+  silenceOf(id: string, now: number): number {
+    return this.peers.silenceOf(id, now);
+  }
+
   /** Takes one event at a time of the monotonic clock, in milliseconds. */
   step(event: ConsensusEvent, now: number): Effect[] {
     this.election.startTimer(now);
     this.now = now;
-    this.effects = [];
     this.handle(event);
-    return this.effects;
+    return this.effects.takeAll();
   }
 
   private handle(event: ConsensusEvent): void {
@@ -224,8 +229,8 @@
   }
 
   private winElection(): void {
-    if (this.election.isPre) return this.startElection(false);
-    this.becomeLeader();
+    if (this.election.isPre) this.startElection(false);
+    else this.becomeLeader();
   }
 
   private onVoteRequest(message: ConsensusMessage, ask: VoteRequest): void {
@@ -296,21 +301,19 @@
       this.saveHardState();
     }
     this.currentLeader = leader;
-    if (this.currentRole === 'leader') this.refuseAll('leadership lost');
+    if (this.currentRole === 'leader') {
+      this.effects.refuseAll(this.pending.takeAll(), 'leadership lost');
+    }
     if (this.currentRole !== 'follower') this.election.resetTimer(this.now);
     this.setRole('follower');
   }
 
   private setRole(role: ConsensusRole): void {
-    if (role === this.currentRole) return;
+    if (role === this.role) return;
     this.currentRole = role;
     this.effects.push({kind: 'roleChanged', role});
   }
 
-  private refuseAll(reason: Refusal): void {
-    for (const ticket of this.pending.takeAll()) this.refuse(ticket, reason);
-  }
-
   private onMessage(message: ConsensusMessage): void {
     const body = message.body;
     // Guard against answering for a lost folder's id at the same address.
@@ -391,8 +394,7 @@
     this.commit = snapshot.index;
     this.applied = snapshot.index;
     this.synced = this.log.lastIndex;
-    const kept = this.log.from(snapshot.index + 1, Infinity);
-    this.effects.push({kind: 'installSnapshot', snapshot, kept});
+    this.saveSnapshot(snapshot);
     this.sendAppendReply(from, true, snapshot.index, ask.round);
   }
 
@@ -418,7 +420,7 @@
     payload: NonNullable<LogEntry['payload']>,
   ): void {
     if (this.currentRole !== 'leader') {
-      return this.refuse(ticket, 'not leader');
+      return this.effects.refuse(ticket, 'not leader');
     }
     const index = this.appendOwn(payload);
     this.pending.addProposal({ticket, index, term: this.term});
@@ -426,12 +428,12 @@
   }
 
   private onChangeConfiguration(ticket: Ticket, next: Configuration): void {
-    if (!this.leaderReady) return this.refuse(ticket, 'not leader');
+    if (!this.leaderReady) return this.effects.refuse(ticket, 'not leader');
     // A second change before the first is committed, or one that moves two
     // voters, could give two majorities that do not meet.
     const single = isSingleChange(this.configuration.peers, next.peers);
     if (!this.configurationCommitted || !single) {
-      return this.refuse(ticket, 'change in progress');
+      return this.effects.refuse(ticket, 'change in progress');
     }
     this.onPropose(ticket, {$case: 'configuration', value: next});
     for (const {id} of othersThan(this.configuration.peers, this.id)) {
@@ -440,17 +442,13 @@
   }
 
   private onConfirm(ticket: Ticket): void {
-    if (!this.leaderReady) return this.refuse(ticket, 'not leader');
+    if (!this.leaderReady) return this.effects.refuse(ticket, 'not leader');
     const isFirst = !this.pending.hasConfirmations;
     const round = this.round + 1;
     this.pending.addConfirmation({ticket, round, index: this.commit});
     if (isFirst) this.startRound();
   }
 
-  private refuse(ticket: Ticket, reason: Refusal): void {
-    this.effects.push({kind: 'refused', ticket, reason});
-  }
-
   private startRound(): void {
     this.round++;
     this.nextHeartbeat = this.now + this.options.heartbeatMs;
@@ -543,7 +541,7 @@
     if (proposal.term === term) {
       this.effects.push({kind: 'committed', ticket, index});
     } else {
-      this.refuse(ticket, 'leadership lost');
+      this.effects.refuse(ticket, 'leadership lost');
     }
   }
 
@@ -556,21 +554,20 @@
 
   private onCompacted(snapshot: Snapshot): void {
     this.log.compact(snapshot);
+    this.saveSnapshot(snapshot);
+  }
+
+  private saveSnapshot(snapshot: Snapshot): void {
     const kept = this.log.from(snapshot.index + 1, Infinity);
     this.effects.push({kind: 'installSnapshot', snapshot, kept});
   }
 
   private saveHardState(): void {
-    this.effects.push({
-      kind: 'saveHardState',
-      state: {term: this.term, votedFor: this.votedFor},
-    });
+    const {term, votedFor} = this;
+    this.effects.saveHardState({term, votedFor});
   }
 
   private send(to: string, body: Body, term = this.term): void {
-    this.effects.push({
-      kind: 'send',
-      message: {from: this.id, to, term, body, fromAddress: ''},
-    });
+    this.effects.send(to, body, term);
   }
 }
--- a/src/services/consensus/common/initial_state.ts
+++ b/src/services/consensus/common/initial_state.ts
@@ -23,3 +23,24 @@
   };
   return {hardState: {term: 0, votedFor: ''}, snapshot, entries: []};
 }
+
+/** The id of an instance that belongs to the first members of a system. */
+export function founderId(address: string): string {
+  return `${address}#founder`;
+}
+
+/**
+ * What all first members of a system begin with. Each makes it by itself, so
+ * all have to know the same list; the bytes are the same then.
+ */
+export function foundingSnapshot(addresses: readonly string[]): Snapshot {
+  const peers = [...addresses].sort().map(address => {
+    return {id: founderId(address), address, voter: true};
+  });
+  return {
+    index: 1,
+    term: 1,
+    configuration: {peers},
+    state: Buffer.alloc(0),
+  };
+}
--- a/src/services/consensus/common/progress.ts
+++ b/src/services/consensus/common/progress.ts
@@ -36,6 +36,12 @@
     this.peers.clear();
   }
 
+  /** For how long a peer has not answered, in milliseconds. */
+  silenceOf(id: string, now: number): number {
+    const peer = this.peers.get(id);
+    return peer ? now - peer.heardAt : 0;
+  }
+
   /** The peers that answered at or after a time. */
   heardSince(limit: number): Set<string> {
     const heard = [...this.peers].filter(([, peer]) => peer.heardAt >= limit);
--- a/src/services/consensus/node/log_storage.ts
+++ b/src/services/consensus/node/log_storage.ts
@@ -10,6 +10,7 @@
   type LogEntry,
 } from '../../../schema/generated/consensus';
 import type {PersistedState} from '../common/consensus_types';
+import {founderId} from '../common/initial_state';
 import {frame, scanFrames} from './frames';
 
 const IDENTITY_FILE = 'identity';
@@ -46,15 +47,21 @@
     private file: FileHandle,
   ) {}
 
-  /** Opens a data folder, making it where it is missing. */
+  /**
+   * Opens a data folder, making it where it is missing. An empty one begins
+   * with the founding snapshot, if there is one, under the founder's id.
+   */
   static async open(
     folder: string,
     instance: string,
+    founding?: Snapshot,
   ): Promise<Result<OpenedStorage, StorageFailure>> {
     try {
       await mkdir(folder, {recursive: true});
       const known = await readIfThere(join(folder, IDENTITY_FILE));
-      if (!known) return ok(await LogStorage.create(folder, instance));
+      if (!known) {
+        return ok(await LogStorage.create(folder, instance, founding));
+      }
       return await LogStorage.recover(folder, known.toString().trim());
     } catch (thrown) {
       return err({kind: 'unreadable', detail: toError(thrown).message});
@@ -64,13 +71,22 @@
   private static async create(
     folder: string,
     instance: string,
+    founding: Snapshot | undefined,
   ): Promise<OpenedStorage> {
-    const id = `${instance}#${randomBytes(4).toString('hex')}`;
+    const fresh = `${instance}#${randomBytes(4).toString('hex')}`;
+    const id = founding ? founderId(instance) : fresh;
     const log = join(folder, LOG_FILE);
     await replaceFile(folder, LOG_FILE, Buffer.alloc(0));
+    if (founding) {
+      const bytes = Snapshot.encode(founding).finish();
+      await replaceFile(folder, SNAPSHOT_FILE, frame(bytes));
+    }
+    // The identity last: with it the folder is whole.
     await replaceFile(folder, IDENTITY_FILE, Buffer.from(`${id}\n`));
     const storage = new LogStorage(folder, await open(log, 'a'));
-    return {storage, id, persisted: undefined};
+    const hardState = {term: founding?.term ?? 0, votedFor: ''};
+    const persisted = founding && {hardState, snapshot: founding, entries: []};
+    return {storage, id, persisted};
   }
 
   private static async recover(
--- a/src/services/membership/common/membership_plan.ts
+++ b/src/services/membership/common/membership_plan.ts
@@ -36,7 +36,7 @@
     const next = planJoiner(peers, joiner);
     if (next) return {peers: next};
   }
-  const learner = peers.find(peer => isReady(view, peer));
+  const learner = peers.find(peer => isCaughtUp(view, peer));
   if (!learner) return undefined;
   const replaced = peers.find(peer => isReplacedBy(peer, learner));
   if (replaced) return {peers: peers.filter(peer => peer !== replaced)};
@@ -52,7 +52,8 @@
   return id.split('#')[0]!;
 }
 
-function planJoiner(
+/** The peers with a joiner taken in as a learner; undefined if it is known. */
+export function planJoiner(
   peers: readonly Peer[],
   {id, address}: Joiner,
 ): Peer[] | undefined {
@@ -67,7 +68,11 @@
   return [...kept, {id, address, voter: false}];
 }
 
-function isReady(view: MembershipView, peer: Peer): boolean {
+/** Whether a learner holds nearly all that is committed. */
+export function isCaughtUp(
+  view: Pick<MembershipView, 'commitIndex' | 'matchIndexOf'>,
+  peer: Peer,
+): boolean {
   if (peer.voter) return false;
   const match = view.matchIndexOf(peer.id);
   const behind = view.commitIndex - match;
