--- /dev/null
+++ b/src/services/catalog/common/catalog.ts
@@ -0,0 +1,71 @@
+import {err, ok, type Result} from '../../../base/common/outcome';
+import type {Catalog, DatabaseRoute} from '../../../schema/generated/fleet';
+
+/** Why a catalog cannot be taken. */
+export interface CatalogFault {
+  readonly reason: string;
+}
+
+/** Reads what an operator handed in. */
+export interface CatalogReader {
+  /**
+   * The typed catalog and the canonical text of the source, by which two
+   * sources are compared.
+   */
+  read(source: string): Result<ReadCatalog, CatalogFault>;
+}
+
+/** A catalog with the text that it was read from. */
+export interface ReadCatalog {
+  readonly catalog: Catalog;
+  readonly canonical: string;
+}
+
+/** Checks what must hold between the parts of a catalog. */
+export function checkCatalog(catalog: Catalog): Result<Catalog, CatalogFault> {
+  const services = new Set<string>();
+  for (const {service} of catalog.services) {
+    if (service === '') return fault('a service without a name');
+    if (services.has(service)) return fault(`service ${service} stands twice`);
+    services.add(service);
+  }
+  const databases = new Set<string>();
+  for (const route of catalog.routes) {
+    const {database, name} = route;
+    if (database === '') return fault(`route ${name} without a database`);
+    if (databases.has(database)) {
+      return fault(`two routes for the database ${database}`);
+    }
+    databases.add(database);
+    if (!services.has(route.service)) {
+      return fault(`route ${name} names the unknown service ${route.service}`);
+    }
+    if (route.statementMs <= 0) {
+      return fault(`route ${name} gives statements no time`);
+    }
+  }
+  return ok(catalog);
+}
+
+function fault(reason: string): Result<never, CatalogFault> {
+  return err({reason});
+}
+
+/** A catalog that is looked up by database name. */
+export class CatalogIndex {
+  private readonly byDatabase: ReadonlyMap<string, DatabaseRoute>;
+
+  constructor(readonly catalog: Catalog) {
+    this.byDatabase = new Map(
+      catalog.routes.map(route => [route.database, route]),
+    );
+  }
+
+  get version(): number {
+    return this.catalog.version;
+  }
+
+  route(database: string): DatabaseRoute | undefined {
+    return this.byDatabase.get(database);
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/common/choose_member.ts
@@ -0,0 +1,77 @@
+import {comparePositions, type Position} from '../../position/common/position';
+
+/** What a choice needs to know of one member. */
+export interface MemberView {
+  readonly instance: string;
+  readonly isPrimary: boolean;
+  readonly draining: boolean;
+  /** Fails or is silent at present. */
+  readonly avoided: boolean;
+  /** Transactions of this instance that are on the member now. */
+  readonly running: number;
+  readonly slots: number;
+  /** Smoothed time of an answer with its way, in milliseconds. */
+  readonly latencyMs: number;
+  /** Whether a connection is free, or one may be opened. */
+  readonly hasRoom: boolean;
+  /** What the member's log held when it last answered. */
+  readonly held: Position | undefined;
+  readonly sameRegion: boolean;
+}
+
+/** What a read may accept. */
+export interface ReadNeed {
+  /** Undefined where only the primary can tell what is new enough. */
+  readonly floor: Position | undefined;
+  /** Members that did not serve this request before. */
+  readonly passed: ReadonlySet<string>;
+}
+
+/**
+ * A replica answers in 4 to 170 ms here and a way between regions takes 24 to
+ * 40 ms both ways; what a read from another region costs in bytes is weighed
+ * as so much more time.
+ */
+const FAR_PENALTY_MS = 25;
+/** Reads leave the primary's slots to writes while a replica is as quick. */
+const PRIMARY_PENALTY_MS = 15;
+/** A replica that may have to say that it lacks the position. */
+const BEHIND_PENALTY_MS = 40;
+
+/**
+ * The member with the least expected time for a read, or undefined where none
+ * that may serve it has room.
+ */
+export function chooseForRead(
+  members: readonly MemberView[],
+  need: ReadNeed,
+): MemberView | undefined {
+  let best: MemberView | undefined;
+  let least = Infinity;
+  for (const member of members) {
+    if (!mayRead(member, need)) continue;
+    const cost = costOf(member, need.floor);
+    if (cost >= least) continue;
+    best = member;
+    least = cost;
+  }
+  return best;
+}
+
+function mayRead(member: MemberView, {floor, passed}: ReadNeed): boolean {
+  if (!member.hasRoom || member.draining || member.avoided) return false;
+  if (passed.has(member.instance)) return false;
+  return member.isPrimary || floor !== undefined;
+}
+
+function costOf(member: MemberView, floor: Position | undefined): number {
+  const load = (member.running + 1) / Math.max(1, member.slots);
+  const far = member.sameRegion ? 0 : FAR_PENALTY_MS;
+  const lead = member.isPrimary ? PRIMARY_PENALTY_MS : 0;
+  const lags =
+    floor !== undefined &&
+    member.held !== undefined &&
+    comparePositions(member.held, floor) < 0;
+  const behind = lags && !member.isPrimary ? BEHIND_PENALTY_MS : 0;
+  return member.latencyMs * Math.max(1, load) + far + lead + behind;
+}
--- /dev/null
+++ b/src/services/dispatch/common/place_request.ts
@@ -0,0 +1,39 @@
+import type {CallerName} from '../../../base/common/ids';
+import type {Result} from '../../../base/common/outcome';
+import type {Waiting} from '../../admission/common/fair_queue';
+import type {Position} from '../../position/common/position';
+
+/** What a transaction needs a member for. */
+export type PlaceNeed =
+  /** A write, or a read that must see every acknowledged commit. */
+  | {readonly kind: 'primary'}
+  /** A read that must see every commit acknowledged before a time. */
+  | {
+      readonly kind: 'read';
+      /** On the clock of the dispatcher, in milliseconds. */
+      readonly coversTime: number;
+      /** The session's own newest commit. */
+      readonly own: Position | undefined;
+    };
+
+/** A transaction that waits for a connection to a member. */
+export interface PlaceRequest<G> extends Waiting {
+  readonly caller: CallerName;
+  readonly need: PlaceNeed;
+  /** Session values, to prefer a connection that has them. */
+  readonly values: ReadonlyMap<string, string>;
+  /** Members that did not serve this request before. */
+  readonly passed: ReadonlySet<string>;
+  /** Continues or repeats an operation: goes before new ones. */
+  readonly since: number;
+  settle(outcome: Result<G, PlaceRefusal>): void;
+}
+
+/** Why no place was given; nothing has run. */
+export interface PlaceRefusal {
+  readonly reason: 'overloaded' | 'no primary' | 'no member' | 'stopping';
+  /** When to come back, in milliseconds. */
+  readonly retryAfterMs: number;
+  /** The inputs that decided, for the log. */
+  readonly detail: string;
+}
--- /dev/null
+++ b/src/services/dispatch/node/member_pool.ts
@@ -0,0 +1,198 @@
+import type {Clock} from '../../../base/common/clock';
+import type {Member} from '../../../schema/generated/fleet';
+import type {Position} from '../../position/common/position';
+import type {
+  ConnectFailure,
+  TargetConnector,
+  TargetLink,
+} from '../../target_link/common/target_link';
+
+/** An opening that takes longer than this has failed, in milliseconds. */
+const CONNECT_MS = 1_000;
+/** An idle connection is closed after this long, to leave it to others. */
+const IDLE_CLOSE_MS = 4_000;
+/** After a member said that it is full, none is opened for so long. */
+const FULL_PAUSE_MS = 250;
+/** First pause after an opening failed; doubles up to the most. */
+const FIRST_PAUSE_MS = 100;
+const MOST_PAUSE_MS = 1_000;
+/** Weight of a new answer in the smoothed latency. */
+const LATENCY_WEIGHT = 0.15;
+/** What an answer is taken to need before any was measured. */
+const FIRST_LATENCY_MS = 20;
+
+/** A connection with what earlier sessions left on it. */
+export interface PooledLink {
+  readonly link: TargetLink;
+  readonly instance: string;
+  /** Session values that are set on it. */
+  readonly values: Map<string, string>;
+  /** Names of statements prepared on it, by what they do. */
+  readonly prepared: Map<string, string>;
+  idleSince: number;
+}
+
+/** What a pool tells its owner. */
+export interface PoolListener {
+  /** A connection became free, or an opening ended. */
+  onDidChange(): void;
+  onDidOpen(instance: string, position: Position | undefined): void;
+  onDidFailToOpen(instance: string, failure: ConnectFailure): void;
+}
+
+/** The connections of this instance to one member. */
+export class MemberPool {
+  private idle: PooledLink[] = [];
+  private readonly all = new Set<PooledLink>();
+  private opening = 0;
+  private pausedUntil = 0;
+  private pauseMs = FIRST_PAUSE_MS;
+  private latency = FIRST_LATENCY_MS;
+  private failingSince: number | undefined;
+  /** What the member's log held when it last answered. */
+  held: Position | undefined;
+
+  constructor(
+    public member: Member,
+    private readonly connector: TargetConnector,
+    private readonly listener: PoolListener,
+    private readonly clock: Clock,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  get running(): number {
+    return this.all.size - this.idle.length;
+  }
+
+  get latencyMs(): number {
+    return this.latency;
+  }
+
+  /** Connections that are open or being opened. */
+  get size(): number {
+    return this.all.size + this.opening;
+  }
+
+  /** Whether the last tries to reach the member all failed. */
+  get isFailing(): boolean {
+    return this.failingSince !== undefined;
+  }
+
+  hasIdle(): boolean {
+    return this.idle.length > 0;
+  }
+
+  mayOpen(limit: number): boolean {
+    if (this.size >= limit) return false;
+    return this.clock.now() >= this.pausedUntil;
+  }
+
+  /** Takes a free connection, one with these session values if there is. */
+  checkout(values: ReadonlyMap<string, string>): PooledLink | undefined {
+    const fitting = this.idle.findLastIndex(item => {
+      return hasSameValues(item.values, values);
+    });
+    const at = fitting >= 0 ? fitting : this.idle.length - 1;
+    const [found] = at < 0 ? [] : this.idle.splice(at, 1);
+    return found;
+  }
+
+  /** Takes a connection back; one that is not clean is closed. */
+  release(pooled: PooledLink, clean: boolean): void {
+    if (!this.all.has(pooled)) return;
+    if (!clean || pooled.link.isClosed) {
+      this.drop(pooled);
+      return;
+    }
+    pooled.idleSince = this.clock.now();
+    this.idle.push(pooled);
+  }
+
+  /** Takes note of an answer and the time that it took. */
+  onAnswer(tookMs: number, position: Position | undefined): void {
+    this.latency += (tookMs - this.latency) * LATENCY_WEIGHT;
+    this.failingSince = undefined;
+    if (position) this.held = position;
+  }
+
+  /** Takes note that the member did not answer in time. */
+  onSilence(): void {
+    this.failingSince ??= this.clock.now();
+    // Guard: connections can go silent for good while new ones work; those
+    // that rested beside a silent one would each cost a request its time.
+    for (const pooled of this.idle.splice(0)) this.drop(pooled);
+  }
+
+  open(): void {
+    this.opening++;
+    const {service, instance, address} = this.member;
+    const target = {service, instance, address};
+    void this.connector
+      .connect(target, CONNECT_MS, this.signal)
+      .then(outcome => {
+        this.opening--;
+        if (outcome.isErr) this.onFailedOpening(outcome.error);
+        else this.onOpened(outcome.value);
+        this.listener.onDidChange();
+      });
+  }
+
+  /** Closes idle connections that nobody used for a while. */
+  maintain(): void {
+    const limit = this.clock.now() - IDLE_CLOSE_MS;
+    const old = this.idle.filter(({idleSince}) => idleSince < limit);
+    for (const pooled of old) this.drop(pooled);
+  }
+
+  closeAll(): void {
+    for (const pooled of [...this.all]) this.drop(pooled);
+  }
+
+  private onOpened(link: TargetLink): void {
+    if (this.signal.aborted) return link.close();
+    const {instance} = this.member;
+    const pooled: PooledLink = {
+      link,
+      instance,
+      values: new Map(),
+      prepared: new Map(),
+      idleSince: this.clock.now(),
+    };
+    this.pauseMs = FIRST_PAUSE_MS;
+    this.failingSince = undefined;
+    this.held = link.openedAt ?? this.held;
+    this.all.add(pooled);
+    this.idle.push(pooled);
+    link.onDidClose(() => {
+      this.drop(pooled);
+      this.listener.onDidChange();
+    });
+    this.listener.onDidOpen(instance, link.openedAt);
+  }
+
+  private onFailedOpening(failure: ConnectFailure): void {
+    const now = this.clock.now();
+    if (failure === 'too many connections') {
+      this.pausedUntil = now + FULL_PAUSE_MS;
+    } else {
+      this.failingSince ??= now;
+      this.pausedUntil = now + this.pauseMs;
+      this.pauseMs = Math.min(this.pauseMs * 2, MOST_PAUSE_MS);
+    }
+    this.listener.onDidFailToOpen(this.member.instance, failure);
+  }
+
+  private drop(pooled: PooledLink): void {
+    if (!this.all.delete(pooled)) return;
+    this.idle = this.idle.filter(item => item !== pooled);
+    pooled.link.close();
+  }
+}
+
+function hasSameValues(
+  a: ReadonlyMap<string, string>,
+  b: ReadonlyMap<string, string>,
+): boolean {
+  if (a.size !== b.size) return false;
+  return [...a].every(([name, value]) => b.get(name) === value);
+}
--- /dev/null
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -0,0 +1,480 @@
+import type {Clock} from '../../../base/common/clock';
+import {err, ok} from '../../../base/common/outcome';
+import type {Log} from '../../../base/node/log';
+import {Mailbox, startTask, type Task} from '../../../base/node/task';
+import {every} from '../../../base/node/timers';
+import {
+  ClaimedRole,
+  type Member,
+  type ServiceEntry,
+} from '../../../schema/generated/fleet';
+import {FairQueue} from '../../admission/common/fair_queue';
+import {PositionSamples} from '../../freshness/common/position_samples';
+import {laterPosition, type Position} from '../../position/common/position';
+import type {TargetConnector} from '../../target_link/common/target_link';
+import {chooseForRead, type MemberView} from '../common/choose_member';
+import type {PlaceRefusal, PlaceRequest} from '../common/place_request';
+import {MemberPool, type PooledLink} from './member_pool';
+
+/** A connection for one transaction. */
+export interface Grant {
+  readonly pooled: PooledLink;
+  readonly isPrimary: boolean;
+  /** What the member's log must hold; undefined: proof of lead is needed. */
+  readonly after: Position | undefined;
+}
+
+/** A connection that comes back. */
+export interface Return {
+  readonly pooled: PooledLink;
+  /** Outside a transaction, with nothing of the session running. */
+  readonly clean: boolean;
+}
+
+/** What the last statement on a connection told of its member. */
+export interface Observation {
+  readonly instance: string;
+  readonly askedAt: number;
+  readonly answeredAt: number;
+  readonly position: Position | undefined;
+  readonly kind:
+    | 'answered'
+    /** Answered, and proved to lead after `askedAt`. */
+    | 'leads'
+    | 'not primary'
+    | 'silent';
+}
+
+/** What the dispatcher is told. */
+export type DispatcherMessage =
+  | {readonly kind: 'request'; readonly request: PlaceRequest<Grant>}
+  | {readonly kind: 'return'; readonly returned: Return}
+  | {readonly kind: 'observed'; readonly observation: Observation}
+  | {
+      readonly kind: 'members';
+      readonly members: readonly Member[];
+      readonly proxies: number;
+    }
+  | {readonly kind: 'definition'; readonly definition: ServiceEntry}
+  | {readonly kind: 'changed'}
+  | {readonly kind: 'tick'};
+
+/** What a dispatcher is built on. */
+export interface DispatcherSurroundings {
+  readonly service: string;
+  readonly region: string;
+  regionOf(site: string): string;
+  readonly connector: TargetConnector;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Trouble with the primary began (a text) or ended (''). */
+  onDidJudgePrimary(instance: string, trouble: string): void;
+}
+
+const TICK_MS = 50;
+/** Connections of a member that are left to control and to handovers. */
+const RESERVED_CONNECTIONS = 2;
+/** More connections than the equal share, where others rest. */
+const SHARE_FACTOR = 2;
+/** Without a sample this new, the primary is asked for one, in ms. */
+const SAMPLE_EVERY_MS = 400;
+/** Samples are asked for only while reads came in so lately, in ms. */
+const READ_INTEREST_MS = 2_000;
+/** The most requests that wait here; what is more has no chance. */
+const QUEUE_LIMIT = 256;
+/** How long a request may wait for a primary that is lost, in ms. */
+const PRIMARY_PATIENCE_MS = 150;
+/** A promotion takes about this long: when callers should come back. */
+const PROMOTION_MS = 1_200;
+/** How long a request may wait for a connection, as a part of its time. */
+const WAIT_PART = 0.5;
+const LEAST_RETRY_MS = 40;
+/** A place is held for about this long before any was measured, in ms. */
+const FIRST_HOLD_MS = 60;
+const HOLD_WEIGHT = 0.05;
+/** How long a probe of the primary may take, in milliseconds. */
+const PROBE_MS = 700;
+
+/** The task that owns the connections to the members of one service. */
+export class ServiceDispatcher {
+  private readonly mailbox = new Mailbox<DispatcherMessage>();
+  private readonly queue = new FairQueue<PlaceRequest<Grant>>();
+  private readonly pools = new Map<string, MemberPool>();
+  private readonly takenAt = new Map<PooledLink, number>();
+  private readonly samples = new PositionSamples();
+  private definition: ServiceEntry;
+  private proxies = 1;
+  private primary = '';
+  private primaryTerm = 0;
+  private deposed = new Set<string>();
+  private lastRead = -Infinity;
+  private holdMs = FIRST_HOLD_MS;
+  private probing = false;
+  private judged = '';
+  private changedQueued = false;
+  private signal = new AbortController().signal;
+
+  constructor(private readonly around: DispatcherSurroundings) {
+    const {service} = around;
+    this.definition = {service, connections: 8, confirmations: 0};
+  }
+
+  start(signal: AbortSignal): Promise<void> {
+    this.signal = signal;
+    every(signal, TICK_MS, () => this.mailbox.post({kind: 'tick'}));
+    signal.addEventListener('abort', () => this.mailbox.close(), {once: true});
+    return startTask(`dispatcher ${this.around.service}`, () => this.run());
+  }
+
+  /** False where the mailbox is full. */
+  post(message: DispatcherMessage): boolean {
+    return this.mailbox.post(message);
+  }
+
+  private *run(): Task<void> {
+    for (;;) {
+      const message = yield* this.mailbox.receive();
+      if (!message) break;
+      this.handle(message);
+    }
+    for (const pool of this.pools.values()) pool.closeAll();
+  }
+
+  private handle(message: DispatcherMessage): void {
+    switch (message.kind) {
+      case 'request':
+        return this.onRequest(message.request);
+      case 'return':
+        return this.onReturn(message.returned);
+      case 'observed':
+        return this.onObserved(message.observation);
+      case 'members':
+        return this.onMembers(message.members, message.proxies);
+      case 'definition':
+        this.definition = message.definition;
+        return;
+      case 'changed':
+        this.changedQueued = false;
+        return this.dispatch();
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  // ---- Requests ----
+
+  private onRequest(request: PlaceRequest<Grant>): void {
+    if (request.need.kind === 'read') this.lastRead = this.now();
+    const refusal = this.refusalOf(request);
+    if (refusal) return request.settle(err(refusal));
+    this.queue.add(request);
+    this.dispatch();
+  }
+
+  /** What cannot be met in time is refused at once. */
+  private refusalOf(request: PlaceRequest<Grant>): PlaceRefusal | undefined {
+    const now = this.now();
+    const links = Math.max(1, this.limit * Math.max(1, this.pools.size));
+    const ahead = this.queue.aheadOf(request);
+    const expectedMs = (ahead * this.holdMs) / links;
+    const room = (request.deadline - now) * WAIT_PART;
+    if (this.queue.size < QUEUE_LIMIT && expectedMs <= room) return undefined;
+    return this.refuse('overloaded', expectedMs, `ahead=${ahead}`);
+  }
+
+  private refuse(
+    reason: PlaceRefusal['reason'],
+    afterMs: number,
+    detail: string,
+  ): PlaceRefusal {
+    const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(afterMs));
+    return {reason, retryAfterMs, detail};
+  }
+
+  private dispatch(): void {
+    if (this.queue.size === 0) return;
+    this.queue.serve(request => {
+      const grant = this.place(request);
+      if (!grant) return 'later';
+      request.settle(ok(grant));
+      return 'taken';
+    });
+  }
+
+  private place(request: PlaceRequest<Grant>): Grant | undefined {
+    const {need} = request;
+    if (need.kind === 'primary') return this.placeOnPrimary(request);
+    const covering = this.samples.covering(need.coversTime);
+    const {own} = need;
+    const floor = covering && own ? laterPosition(covering, own) : covering;
+    if (!floor) this.probePrimary();
+    const views = this.views();
+    const {passed} = request;
+    const chosen =
+      chooseForRead(views, {floor, passed}) ??
+      chooseForRead(views, {floor, passed: NO_MEMBERS});
+    if (!chosen) return undefined;
+    return this.take(chosen.instance, request, floor);
+  }
+
+  private placeOnPrimary(request: PlaceRequest<Grant>): Grant | undefined {
+    const pool = this.pools.get(this.primary);
+    if (!pool || this.deposed.has(this.primary)) return undefined;
+    return this.take(this.primary, request, undefined);
+  }
+
+  private take(
+    instance: string,
+    request: PlaceRequest<Grant>,
+    after: Position | undefined,
+  ): Grant | undefined {
+    const pool = this.pools.get(instance);
+    if (!pool) return undefined;
+    const pooled = pool.checkout(request.values);
+    if (!pooled) {
+      if (pool.mayOpen(this.limit)) pool.open();
+      return undefined;
+    }
+    this.takenAt.set(pooled, this.now());
+    return {pooled, isPrimary: instance === this.primary, after};
+  }
+
+  private views(): MemberView[] {
+    return [...this.pools.values()].map(pool => {
+      const {member} = pool;
+      return {
+        instance: member.instance,
+        isPrimary: member.instance === this.primary,
+        draining: member.draining,
+        avoided: pool.isFailing && !pool.hasIdle(),
+        running: pool.running,
+        slots: member.slots,
+        latencyMs: pool.latencyMs,
+        hasRoom: pool.hasIdle() || pool.mayOpen(this.limit),
+        held: pool.held,
+        sameRegion: this.around.regionOf(member.site) === this.around.region,
+      };
+    });
+  }
+
+  /** Connections that this instance may have to one member. */
+  private get limit(): number {
+    const {connections} = this.definition;
+    const shared = Math.max(1, connections - RESERVED_CONNECTIONS);
+    const equal = Math.floor(shared / Math.max(1, this.proxies));
+    return Math.max(1, Math.min(shared, equal * SHARE_FACTOR));
+  }
+
+  private onReturn({pooled, clean}: Return): void {
+    const takenAt = this.takenAt.get(pooled);
+    this.takenAt.delete(pooled);
+    if (takenAt !== undefined) {
+      this.holdMs += (this.now() - takenAt - this.holdMs) * HOLD_WEIGHT;
+    }
+    const pool = this.pools.get(pooled.instance);
+    if (pool) pool.release(pooled, clean);
+    else pooled.link.close();
+    this.dispatch();
+  }
+
+  // ---- Members ----
+
+  private onObserved(observation: Observation): void {
+    const {instance, askedAt, answeredAt, position, kind} = observation;
+    const pool = this.pools.get(instance);
+    if (!pool) return;
+    if (kind === 'silent') {
+      pool.onSilence();
+      return this.judgePrimary();
+    }
+    pool.onAnswer(answeredAt - askedAt, position);
+    if (kind === 'leads' && position) {
+      this.believe(instance, position.term, 'its own answer');
+      if (instance === this.primary) this.samples.add(askedAt, position);
+    }
+    if (kind === 'not primary') this.depose(instance);
+    this.dispatch();
+  }
+
+  private believe(instance: string, term: number, source: string): void {
+    if (term < this.primaryTerm) return;
+    this.deposed.delete(instance);
+    if (instance === this.primary && term === this.primaryTerm) return;
+    const isNew = instance !== this.primary;
+    this.primary = instance;
+    this.primaryTerm = term;
+    const {service, log} = this.around;
+    if (isNew) log.info('Takes a primary.', {service, instance, term, source});
+    this.judgePrimary();
+  }
+
+  private depose(instance: string): void {
+    if (this.deposed.has(instance)) return;
+    this.deposed.add(instance);
+    const {service, log} = this.around;
+    log.info('A member says that it does not lead.', {service, instance});
+    this.lookForPrimary();
+  }
+
+  /** Takes the member that says it leads, unless it said otherwise itself. */
+  private lookForPrimary(): void {
+    const isSettled =
+      this.pools.has(this.primary) && !this.deposed.has(this.primary);
+    if (isSettled) return;
+    for (const {member} of this.pools.values()) {
+      const {instance} = member;
+      const claims = member.role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
+      if (!claims || this.deposed.has(instance)) continue;
+      return this.believe(instance, this.primaryTerm, 'its announcement');
+    }
+  }
+
+  private onMembers(members: readonly Member[], proxies: number): void {
+    this.proxies = proxies;
+    const own = members.filter(({service}) => service === this.around.service);
+    for (const member of own) this.onMember(member);
+    for (const [instance, pool] of this.pools) {
+      if (own.some(member => member.instance === instance)) continue;
+      pool.closeAll();
+      this.pools.delete(instance);
+      const {service, log} = this.around;
+      log.info('Forgets a member.', {service, instance});
+    }
+    this.lookForPrimary();
+    this.dispatch();
+  }
+
+  private onMember(member: Member): void {
+    const known = this.pools.get(member.instance);
+    const {service, log, connector, clock} = this.around;
+    if (known && known.member.address === member.address) {
+      const began = member.role !== known.member.role;
+      known.member = member;
+      const claims = member.role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
+      if (began && claims) {
+        this.deposed.delete(member.instance);
+        this.believe(member.instance, this.primaryTerm, 'its announcement');
+      }
+      return;
+    }
+    known?.closeAll();
+    const {instance, address, draining} = member;
+    log.info('Learns of a member.', {service, instance, address, draining});
+    const listener = {
+      onDidChange: () => this.noteChange(),
+      onDidOpen: () => this.judgePrimary(),
+      onDidFailToOpen: () => this.judgePrimary(),
+    };
+    const pool = new MemberPool(
+      member,
+      connector,
+      listener,
+      clock,
+      this.signal,
+    );
+    this.pools.set(instance, pool);
+    pool.open();
+  }
+
+  private noteChange(): void {
+    if (this.changedQueued) return;
+    this.changedQueued = this.mailbox.post({kind: 'changed'});
+  }
+
+  /** Says when trouble with the primary begins and ends. */
+  private judgePrimary(): void {
+    const pool = this.pools.get(this.primary);
+    const trouble = pool?.isFailing ? 'unreachable' : '';
+    const judgement = `${this.primary} ${trouble}`;
+    if (judgement === this.judged) return;
+    this.judged = judgement;
+    this.around.onDidJudgePrimary(this.primary, trouble);
+  }
+
+  // ---- Time ----
+
+  private onTick(): void {
+    const now = this.now();
+    for (const pool of this.pools.values()) {
+      pool.maintain();
+      if (pool.size === 0 && pool.mayOpen(1)) pool.open();
+    }
+    this.giveUp(now);
+    const wanted = now - this.lastRead < READ_INTEREST_MS;
+    const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
+    if (wanted && isOld) this.probePrimary();
+    this.dispatch();
+  }
+
+  /** Gives up what waited as long as makes sense for its caller. */
+  private giveUp(now: number): void {
+    const pool = this.pools.get(this.primary);
+    const hasPrimary =
+      pool !== undefined && !this.deposed.has(this.primary) && !pool.isFailing;
+    const late: [PlaceRequest<Grant>, PlaceRefusal][] = [];
+    this.queue.serve(request => {
+      const waited = now - request.since;
+      const isPrimaryLost = request.need.kind === 'primary' && !hasPrimary;
+      const room = (request.deadline - request.since) * WAIT_PART;
+      const detail = `waited=${Math.round(waited)} primary=${this.primary}`;
+      if (isPrimaryLost && waited >= PRIMARY_PATIENCE_MS) {
+        late.push([request, this.refuse('no primary', PROMOTION_MS, detail)]);
+      } else if (waited >= room) {
+        late.push([request, this.refuse('no member', this.holdMs, detail)]);
+      }
+      return 'later';
+    });
+    for (const [request, refusal] of late) {
+      this.queue.remove(request);
+      request.settle(err(refusal));
+    }
+  }
+
+  /**
+   * Asks the primary for its position where no request did lately. A begin is
+   * refused by a member that does not lead and takes no slot.
+   */
+  private probePrimary(): void {
+    const pool = this.pools.get(this.primary);
+    if (this.probing || !pool || this.deposed.has(this.primary)) return;
+    const pooled = pool.checkout(NO_VALUES);
+    if (!pooled) {
+      if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
+      return;
+    }
+    this.probing = true;
+    const askedAt = this.now();
+    const {instance} = pooled;
+    const [begun, ended] = pooled.link.send([
+      {requestId: undefined, statement: {kind: 'begin', readOnly: false}},
+      {requestId: undefined, statement: {kind: 'rollback'}},
+    ]);
+    const timer = setTimeout(() => pooled.link.close(), PROBE_MS);
+    void Promise.all([begun, ended]).then(([first, last]) => {
+      clearTimeout(timer);
+      this.probing = false;
+      const answeredAt = this.now();
+      const position = first?.kind === 'answer' ? first.position : undefined;
+      const kind = probeOutcome(first);
+      const observation = {instance, askedAt, answeredAt, position, kind};
+      this.mailbox.post({kind: 'observed', observation});
+      const clean = last?.kind === 'answer' && last.state === 'idle';
+      this.mailbox.post({kind: 'return', returned: {pooled, clean}});
+    });
+  }
+
+  private now(): number {
+    return this.around.clock.now();
+  }
+}
+
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+const NO_MEMBERS: ReadonlySet<string> = new Set();
+
+type ProbeReply = Awaited<ReturnType<PooledLink['link']['send']>[number]>;
+
+function probeOutcome(reply: ProbeReply | undefined): Observation['kind'] {
+  if (reply?.kind !== 'answer') return 'silent';
+  if (reply.result.kind === 'done') return 'leads';
+  return reply.result.failure === 'not primary' ? 'not primary' : 'answered';
+}
--- /dev/null
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -0,0 +1,77 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Parts of a request's time. */
+export type GatewayPhase = 'queue' | 'whole';
+
+const PHASES: readonly GatewayPhase[] = ['queue', 'whole'];
+/** More routes than this share one series, so that memory stays bounded. */
+const MOST_SERIES = 64;
+const OTHER_ROUTES = 'other';
+const MOST_MICROSECONDS = 60_000_000;
+const QUANTILES = [0.5, 0.9, 0.99];
+
+/** Counters and latency histograms of requests, for each route. */
+export class GatewayMeter {
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly counts = new Map<string, number>();
+  private readonly routes = new Set<string>();
+
+  /** Notes the time that a part of a request took, in milliseconds. */
+  record(route: string, phase: GatewayPhase, milliseconds: number): void {
+    const micros = Math.round(milliseconds * 1_000);
+    const value = Math.min(Math.max(0, micros), MOST_MICROSECONDS);
+    this.histogram(this.seriesOf(route), phase).recordValue(value);
+  }
+
+  count(route: string, outcome: string): void {
+    const key = `route="${this.seriesOf(route)}",outcome="${outcome}"`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+  }
+
+  /** The series as text, in the usual format. */
+  render(): string {
+    const lines = ['# TYPE bulrushstage_requests_total counter'];
+    for (const [labels, value] of this.counts) {
+      lines.push(`bulrushstage_requests_total{${labels}} ${value}`);
+    }
+    lines.push('# TYPE bulrushstage_request_seconds summary');
+    for (const route of this.routes) {
+      for (const phase of PHASES) lines.push(...this.summary(route, phase));
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  private summary(route: string, phase: GatewayPhase): string[] {
+    const histogram = this.histograms.get(`${route} ${phase}`);
+    if (!histogram) return [];
+    const labels = `route="${route}",part="${phase}"`;
+    const name = 'bulrushstage_request_seconds';
+    const values = QUANTILES.map(quantile => {
+      const seconds = histogram.getValueAtPercentile(quantile * 100) / 1e6;
+      return `${name}{${labels},quantile="${quantile}"} ${seconds}`;
+    });
+    return [...values, `${name}_count{${labels}} ${histogram.totalCount}`];
+  }
+
+  private seriesOf(route: string): string {
+    if (this.routes.has(route)) return route;
+    const name = this.routes.size >= MOST_SERIES ? OTHER_ROUTES : route;
+    this.routes.add(name);
+    return name;
+  }
+
+  private histogram(route: string, phase: GatewayPhase): Histogram {
+    const key = `${route} ${phase}`;
+    const known = this.histograms.get(key);
+    if (known) return known;
+    const histogram = build({
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: MOST_MICROSECONDS,
+      numberOfSignificantValueDigits: 2,
+      bitBucketSize: 32,
+      autoResize: true,
+    });
+    this.histograms.set(key, histogram);
+    return histogram;
+  }
+}
--- /dev/null
+++ b/src/services/gateway/node/gateway_session.ts
@@ -0,0 +1,236 @@
+import {after} from '../../../base/node/timers';
+import {Mailbox, startTask, type Task} from '../../../base/node/task';
+import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import {
+  DONE_HERE,
+  failure,
+  type Statement,
+  type StatementResult,
+} from '../../statement/common/statement';
+import type {CallerChannel, CallerRequest} from '../common/caller_channel';
+import {BEGUN, OpenTransaction, type TransactionStep} from './open_transaction';
+import type {SessionContext} from './session_context';
+import {runSingle} from './single_statement';
+
+/** What a session is told. */
+export type SessionMessage =
+  | {
+      readonly kind: 'request';
+      readonly request: CallerRequest;
+      readonly receivedAt: number;
+    }
+  /** The transaction rested too long. */
+  | {readonly kind: 'rested'; readonly transaction: OpenTransaction}
+  /** End as soon as nothing of the session is under way. */
+  | {readonly kind: 'drain'}
+  /** End the open transaction too. */
+  | {readonly kind: 'cut'};
+
+/** Requests that a caller may send ahead of their answers. */
+const MOST_AHEAD = 64;
+
+/** The task of one caller's session. */
+export class GatewaySession {
+  private readonly mailbox = new Mailbox<SessionMessage>(MOST_AHEAD);
+  private transaction: OpenTransaction | undefined;
+  private cancelRest = () => {};
+  private draining = false;
+
+  constructor(
+    private readonly context: SessionContext,
+    private readonly channel: CallerChannel,
+    private readonly restLimitMs: () => number,
+  ) {}
+
+  /** Runs until the caller is gone or the session was told to end. */
+  start(): Promise<void> {
+    const {signal} = this.context;
+    signal.addEventListener('abort', () => this.mailbox.close(), {once: true});
+    return startTask('session', () => this.run());
+  }
+
+  /** False where the caller sends further ahead than it may. */
+  post(message: SessionMessage): boolean {
+    return this.mailbox.post(message);
+  }
+
+  get isInTransaction(): boolean {
+    return this.transaction !== undefined;
+  }
+
+  private *run(): Task<void> {
+    for (;;) {
+      const message = yield* this.mailbox.receive();
+      if (!message) break;
+      yield* this.handle(message);
+      if (this.draining && !this.transaction) this.channel.close();
+    }
+    this.cancelRest();
+    // The caller left: what it did not commit is not kept.
+    this.transaction?.giveUp('the caller left');
+  }
+
+  private *handle(message: SessionMessage): Task<void> {
+    switch (message.kind) {
+      case 'request':
+        return yield* this.onRequest(message.request, message.receivedAt);
+      case 'rested':
+        if (message.transaction !== this.transaction) return;
+        return this.transaction.giveUp('it rested too long');
+      case 'drain':
+        this.draining = true;
+        return;
+      case 'cut':
+        this.draining = true;
+        this.transaction?.giveUp('this instance stops');
+        return;
+    }
+  }
+
+  private *onRequest(
+    {requestId, statement}: CallerRequest,
+    since: number,
+  ): Task<void> {
+    this.cancelRest();
+    const {result, state} = yield* this.stepOf(requestId, statement, since);
+    if (state !== 'idle') this.watchRest();
+    const position = this.context.memory.ownPosition;
+    this.channel.answer({result, state, position});
+    const route = this.context.route();
+    if (!route) return;
+    const tookMs = this.context.clock.now() - since;
+    this.context.journal.onAnswered(route, result, tookMs);
+  }
+
+  private *stepOf(
+    requestId: string,
+    statement: Statement | undefined,
+    since: number,
+  ): Task<TransactionStep> {
+    if (!statement) return this.here(failure('bad message', 'no statement'));
+    const {transaction} = this;
+    if (transaction) {
+      return yield* this.inTransaction(transaction, requestId, statement);
+    }
+    const route = this.context.route();
+    if (!route) {
+      return this.here(failure('unknown database', 'the route was dropped'));
+    }
+    switch (statement.kind) {
+      case 'begin':
+        this.transaction = new OpenTransaction(
+          this.context,
+          route,
+          statement.readOnly,
+          since,
+        );
+        return BEGUN;
+      case 'commit':
+      case 'rollback':
+        return this.here(failure('bad message', 'no transaction is open'));
+      default:
+        return this.here(
+          yield* this.runAlone(requestId, statement, route, since),
+        );
+    }
+  }
+
+  private *runAlone(
+    requestId: string,
+    statement: Exclude<Statement, {kind: 'begin' | 'commit' | 'rollback'}>,
+    route: DatabaseRoute,
+    since: number,
+  ): Task<StatementResult> {
+    const local = this.runHere(statement);
+    if (local) return local;
+    const work = statement as Statement & {kind: 'read' | 'write' | 'execute'};
+    const isWrite = this.isWrite(work);
+    if (isWrite === undefined) return unknownName(work);
+    const request = {requestId, statement: work, isWrite, route, since};
+    return yield* runSingle(this.context, request);
+  }
+
+  private *inTransaction(
+    transaction: OpenTransaction,
+    requestId: string,
+    statement: Statement,
+  ): Task<TransactionStep> {
+    switch (statement.kind) {
+      case 'begin':
+        return {
+          result: failure('bad message', 'a transaction is open'),
+          state: 'open',
+        };
+      case 'commit': {
+        const step = yield* transaction.commit(requestId);
+        this.transaction = undefined;
+        return step;
+      }
+      case 'rollback':
+        yield* transaction.rollback();
+        this.transaction = undefined;
+        return {result: DONE_HERE, state: 'idle'};
+      default: {
+        const local = this.runHere(statement);
+        if (local) return {result: local, state: transaction.state};
+        const work = statement as Statement & {
+          kind: 'read' | 'write' | 'execute';
+        };
+        const isWrite = this.isWrite(work);
+        if (isWrite === undefined) {
+          return {result: unknownName(work), state: transaction.state};
+        }
+        return yield* transaction.run(requestId, work, isWrite);
+      }
+    }
+  }
+
+  /** Statements that need no member; undefined for the others. */
+  private runHere(statement: Statement): StatementResult | undefined {
+    const {memory} = this.context;
+    switch (statement.kind) {
+      case 'set':
+        return memory.setValue(statement.name, statement.value)
+          ? DONE_HERE
+          : failure('busy', 'too many values');
+      case 'prepare': {
+        const {name, action, shape} = statement;
+        return memory.prepare(name, {action, shape})
+          ? DONE_HERE
+          : failure('busy', 'too many prepared statements');
+      }
+      case 'deallocate':
+        return memory.deallocate(statement.name)
+          ? DONE_HERE
+          : failure('unknown name', `no statement ${statement.name}`);
+      default:
+        return undefined;
+    }
+  }
+
+  private isWrite(
+    statement: Statement & {kind: 'read' | 'write' | 'execute'},
+  ): boolean | undefined {
+    if (statement.kind !== 'execute') return statement.kind === 'write';
+    const known = this.context.memory.lookUp(statement.name);
+    return known && known.action === 'write';
+  }
+
+  private here(result: StatementResult): TransactionStep {
+    return {result, state: this.transaction ? 'open' : 'idle'};
+  }
+
+  private watchRest(): void {
+    const {transaction} = this;
+    const limit = this.restLimitMs();
+    if (!transaction || limit <= 0) return;
+    this.cancelRest = after(this.context.signal, limit, () => {
+      this.mailbox.post({kind: 'rested', transaction});
+    });
+  }
+}
+
+function unknownName(statement: Statement): StatementResult {
+  const name = statement.kind === 'execute' ? statement.name : '';
+  return failure('unknown name', `no statement ${name}`);
+}
--- /dev/null
+++ b/src/services/gateway/node/request_journal.ts
@@ -0,0 +1,61 @@
+import type {Log} from '../../../base/node/log';
+import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import type {PlaceRefusal} from '../../dispatch/common/place_request';
+import type {StatementResult} from '../../statement/common/statement';
+import type {GatewayMeter} from './gateway_meter';
+
+/** What a request was tried on. */
+export interface Attempt {
+  readonly instance: string;
+  readonly tookMs: number;
+  readonly detail: string;
+}
+
+/**
+ * Logs and counts what is decided about requests. Those that go well are only
+ * counted; each line names the request, the inputs and the outcome.
+ */
+export class RequestJournal {
+  constructor(
+    private readonly log: Log,
+    private readonly meter: GatewayMeter,
+  ) {}
+
+  onPlaced(route: DatabaseRoute, waitedMs: number): void {
+    this.meter.record(route.name, 'queue', waitedMs);
+  }
+
+  onAnswered(route: DatabaseRoute, result: StatementResult, tookMs: number) {
+    this.meter.record(route.name, 'whole', tookMs);
+    this.meter.count(route.name, outcomeOf(result));
+  }
+
+  onRefused(
+    request: string,
+    route: DatabaseRoute,
+    refusal: PlaceRefusal,
+    waitedMs: number,
+  ): void {
+    const {reason, retryAfterMs, detail} = refusal;
+    const waited = Math.round(waitedMs);
+    const {service, name} = route;
+    const fields = {request, service, route: name, reason, detail};
+    this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
+  }
+
+  onRepeated(request: string, service: string, attempt: Attempt): void {
+    this.log.info('Tries again.', {request, service, ...rounded(attempt)});
+  }
+
+  onFailed(request: string, service: string, attempt: Attempt): void {
+    this.log.info('Failed.', {request, service, ...rounded(attempt)});
+  }
+}
+
+function rounded({instance, tookMs, detail}: Attempt) {
+  return {instance, took: Math.round(tookMs), detail};
+}
+
+function outcomeOf(result: StatementResult): string {
+  return result.kind === 'done' ? 'done' : result.failure;
+}
--- /dev/null
+++ b/src/services/gateway/node/session_context.ts
@@ -0,0 +1,93 @@
+import type {Clock} from '../../../base/common/clock';
+import type {CallerName} from '../../../base/common/ids';
+import type {Result} from '../../../base/common/outcome';
+import {Reply, type Task} from '../../../base/node/task';
+import {Consistency, type DatabaseRoute} from '../../../schema/generated/fleet';
+import type {
+  PlaceNeed,
+  PlaceRefusal,
+} from '../../dispatch/common/place_request';
+import type {
+  Grant,
+  ServiceDispatcher,
+} from '../../dispatch/node/service_dispatcher';
+import {failure, type StatementResult} from '../../statement/common/statement';
+import type {SessionMemory} from '../common/session_memory';
+import {MemberTurn} from './member_turn';
+import type {RequestJournal} from './request_journal';
+
+/** What the parts of one session share. */
+export interface SessionContext {
+  readonly caller: CallerName;
+  readonly memory: SessionMemory;
+  readonly clock: Clock;
+  readonly journal: RequestJournal;
+  readonly signal: AbortSignal;
+  /** The route in force for the next transaction; undefined once dropped. */
+  route(): DatabaseRoute | undefined;
+  dispatcherOf(service: string): ServiceDispatcher;
+}
+
+/** One request, or one transaction, as far as a place for it matters. */
+export interface PlaceWish {
+  readonly requestId: string;
+  readonly route: DatabaseRoute;
+  readonly needsPrimary: boolean;
+  /** When its first byte was here, or that of its transaction. */
+  readonly since: number;
+  readonly deadline: number;
+  readonly passed: ReadonlySet<string>;
+}
+
+/** Waits for a connection to a member that may serve a wish. */
+export function* takeTurn(
+  context: SessionContext,
+  wish: PlaceWish,
+): Task<Result<MemberTurn, PlaceRefusal>> {
+  const {caller, memory, clock, signal} = context;
+  const {route, deadline, passed, requestId} = wish;
+  const dispatcher = context.dispatcherOf(route.service);
+  const reply = new Reply<Result<Grant, PlaceRefusal>>();
+  const asked = clock.now();
+  dispatcher.post({
+    kind: 'request',
+    request: {
+      caller,
+      priority: route.priority,
+      deadline,
+      since: asked,
+      need: needOf(context, wish),
+      values: memory.values,
+      passed,
+      settle: reply.give,
+    },
+  });
+  const outcome = yield* reply.wait();
+  const waitedMs = clock.now() - asked;
+  context.journal.onPlaced(route, waitedMs);
+  if (outcome.isErr) {
+    context.journal.onRefused(requestId, route, outcome.error, waitedMs);
+  }
+  return outcome.map(grant => {
+    return new MemberTurn(grant, dispatcher, clock, signal);
+  });
+}
+
+function needOf(
+  {memory}: SessionContext,
+  {route, needsPrimary, since}: PlaceWish,
+): PlaceNeed {
+  if (needsPrimary) return {kind: 'primary'};
+  const isSession = route.consistency === Consistency.CONSISTENCY_SESSION;
+  return {
+    kind: 'read',
+    coversTime: since - route.stalenessMs,
+    own: isSession ? memory.ownPosition : undefined,
+  };
+}
+
+/** What a caller is told where no place was to be had; nothing ran. */
+export function refusalResult(refusal: PlaceRefusal): StatementResult {
+  const {reason, retryAfterMs} = refusal;
+  return failure('busy', `${reason}, retry after ${retryAfterMs} ms`);
+}
--- /dev/null
+++ b/src/services/gateway/node/single_statement.ts
@@ -0,0 +1,192 @@
+import {pause, type Task} from '../../../base/node/task';
+import {Consistency, type DatabaseRoute} from '../../../schema/generated/fleet';
+import {
+  failure,
+  saysNotRun,
+  type Statement,
+  type StatementResult,
+  type TargetCall,
+  type TargetStatement,
+} from '../../statement/common/statement';
+import {isDone, type MemberTurn, type TurnReply} from './member_turn';
+import {refusalResult, takeTurn, type SessionContext} from './session_context';
+
+/** A statement outside a transaction. */
+export interface SingleRequest {
+  readonly requestId: string;
+  readonly statement: Statement & {kind: 'read' | 'write' | 'execute'};
+  readonly isWrite: boolean;
+  readonly route: DatabaseRoute;
+  /** When its last byte was here. */
+  readonly since: number;
+}
+
+/** After a busy member, the same one may be asked again, in milliseconds. */
+const BUSY_PAUSE_MS = 15;
+/** A statement is tried on this many connections at most. */
+const MOST_TRIES = 6;
+/**
+ * A read whose answer does not come is sent to another member after so many
+ * times the usual answer, and not before the least: longer than a full queue
+ * of a member takes, so that only lost answers and silent members count.
+ */
+const LOST_ANSWER_MS = 350;
+/** Own statements before a request take no slot and are answered quickly. */
+const PRELUDE_MS = 400;
+
+/** How one try ended. */
+type Try =
+  | {readonly kind: 'final'; readonly result: StatementResult}
+  | {readonly kind: 'again'; readonly detail: string; readonly busy: boolean};
+
+/** Runs one statement on a member that may serve it. */
+export function* runSingle(
+  context: SessionContext,
+  request: SingleRequest,
+): Task<StatementResult> {
+  const {route, since, requestId} = request;
+  const deadline = since + route.statementMs;
+  const passed = new Set<string>();
+  for (let tries = 1; ; tries++) {
+    const taken = yield* takeTurn(context, {
+      requestId,
+      route,
+      needsPrimary: needsPrimary(request),
+      since,
+      deadline,
+      passed,
+    });
+    if (taken.isErr) return refusalResult(taken.error);
+    const turn = taken.value;
+    const startedAt = context.clock.now();
+    const outcome = yield* tryOn(context, turn, request, deadline);
+    if (outcome.kind === 'final') return outcome.result;
+    passed.add(turn.instance);
+    const now = context.clock.now();
+    const {detail, busy} = outcome;
+    const attempt = {instance: turn.instance, tookMs: now - startedAt, detail};
+    context.journal.onRepeated(requestId, route.service, attempt);
+    if (tries >= MOST_TRIES || now >= deadline) {
+      return failure('busy', `${detail}, retry after ${BUSY_PAUSE_MS * 4} ms`);
+    }
+    if (busy) yield* pause(BUSY_PAUSE_MS * tries);
+  }
+}
+
+function needsPrimary({isWrite, route}: SingleRequest): boolean {
+  return isWrite || route.consistency === Consistency.CONSISTENCY_PRIMARY;
+}
+
+function* tryOn(
+  context: SessionContext,
+  turn: MemberTurn,
+  request: SingleRequest,
+  deadline: number,
+): Task<Try> {
+  const {memory, clock} = context;
+  const {pooled} = turn.grant;
+  const prelude: TargetStatement[] = memory.valuesFor(pooled);
+  let statement: TargetStatement = request.statement;
+  if (request.statement.kind === 'execute') {
+    const execution = memory.executionFor(request.statement, pooled);
+    if (!execution) {
+      turn.end(false);
+      const text = `no statement ${request.statement.name}`;
+      return {kind: 'final', result: failure('unknown name', text)};
+    }
+    prelude.push(...execution.prelude);
+    statement = execution.statement;
+  }
+  if (!(yield* turn.prepare(prelude, PRELUDE_MS))) {
+    turn.end(false);
+    return {kind: 'again', detail: 'own statements failed', busy: false};
+  }
+  const askedAt = clock.now();
+  if (request.isWrite) {
+    return yield* write(context, turn, request, statement, deadline - askedAt);
+  }
+  return yield* read(turn, request, statement, askedAt, deadline - askedAt);
+}
+
+/**
+ * Sends a write once. After it went out, only the member's word that it did
+ * not run allows another try: else it could take effect twice.
+ */
+function* write(
+  context: SessionContext,
+  turn: MemberTurn,
+  request: SingleRequest,
+  statement: TargetStatement,
+  timeMs: number,
+): Task<Try> {
+  const {requestId, route} = request;
+  const askedAt = context.clock.now();
+  const [reply] = yield* turn.ask([{requestId, statement}], timeMs);
+  turn.observe(askedAt, reply!, isDone(reply) ? 'leads' : undefined);
+  turn.end(isOutside(reply));
+  if (reply?.kind !== 'answer') {
+    const attempt = {
+      instance: turn.instance,
+      tookMs: context.clock.now() - askedAt,
+      detail: `no answer to a write: ${reply?.reason}`,
+    };
+    context.journal.onFailed(requestId, route.service, attempt);
+    const text = 'the write may have taken effect';
+    return {kind: 'final', result: failure('unknown outcome', text)};
+  }
+  const {result, position} = reply;
+  if (result.kind === 'done') {
+    context.memory.onCommit(position);
+    return {kind: 'final', result};
+  }
+  if (!saysNotRun(result.failure)) return {kind: 'final', result};
+  const busy = result.failure !== 'not primary';
+  return {kind: 'again', detail: result.failure, busy};
+}
+
+/**
+ * Sends a read. Where no position says what is new enough, the member proves
+ * behind the read that it still leads: a begin is refused by one that does
+ * not, and takes no slot. An old primary would else answer with old data.
+ */
+function* read(
+  turn: MemberTurn,
+  request: SingleRequest,
+  statement: TargetStatement,
+  askedAt: number,
+  timeMs: number,
+): Task<Try> {
+  const {requestId} = request;
+  const {after} = turn.grant;
+  const calls: TargetCall[] = [{requestId, statement, ...(after && {after})}];
+  if (!after) calls.push(...LEAD_PROOF);
+  const [reply, proof, ending] = yield* turn.ask(
+    calls,
+    Math.min(timeMs, LOST_ANSWER_MS),
+  );
+  const last = after ? reply : ending;
+  const proved = isDone(proof);
+  if (proved) turn.observe(askedAt, proof!, 'leads');
+  else turn.observe(askedAt, proof ?? reply!);
+  if (!proved && after) turn.observe(askedAt, reply!);
+  turn.end(isOutside(last));
+  if (reply?.kind !== 'answer') {
+    return {kind: 'again', detail: `lost: ${reply?.reason}`, busy: false};
+  }
+  const {result} = reply;
+  if (result.kind === 'done') {
+    if (after || proved) return {kind: 'final', result};
+    return {kind: 'again', detail: 'the lead is not proved', busy: false};
+  }
+  const busy = result.failure === 'busy';
+  return {kind: 'again', detail: result.failure, busy};
+}
+
+const LEAD_PROOF: readonly TargetCall[] = [
+  {requestId: undefined, statement: {kind: 'begin', readOnly: false}},
+  {requestId: undefined, statement: {kind: 'rollback'}},
+];
+
+function isOutside(reply: TurnReply | undefined): boolean {
+  return reply?.kind === 'answer' && reply.state === 'idle';
+}
--- /dev/null
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -0,0 +1,225 @@
+import {err, ok, type Result} from '../../../../base/common/outcome';
+import type {Position} from '../../../position/common/position';
+import {comparePositions} from '../../../position/common/position';
+import {
+  DONE_HERE,
+  failure,
+  type StatementResult,
+  type TargetCall,
+  type TargetReply,
+  type TransactionState,
+} from '../../../statement/common/statement';
+import type {
+  ConnectFailure,
+  TargetAddress,
+  TargetConnector,
+  TargetLink,
+} from '../../../target_link/common/target_link';
+
+/** What one statement did at a member. */
+export interface Run {
+  readonly instance: string;
+  readonly link: number;
+  readonly requestId: string;
+  readonly text: string;
+  /** Session values on the connection while it ran. */
+  readonly values: string;
+}
+
+/** A member whose faults tests switch on and off. */
+export class FakeMember {
+  position: Position = {term: 1, offset: 10};
+  isPrimary = false;
+  isDown = false;
+  /** Takes statements and never answers. */
+  isSilent = false;
+  /** Loses the answers of so many statements that it runs. */
+  losesAnswers = 0;
+  /** Answers so many statements that it has no room. */
+  busyFor = 0;
+  connections = 0;
+
+  constructor(readonly instance: string) {}
+}
+
+/** A group of members in memory, behind the seam that sessions see. */
+export class FakeGroup implements TargetConnector {
+  readonly runs: Run[] = [];
+  readonly members = new Map<string, FakeMember>();
+  mostConnections = 16;
+  private links = 0;
+
+  constructor(readonly instances: readonly string[]) {
+    for (const instance of instances) {
+      this.members.set(instance, new FakeMember(instance));
+    }
+    this.member(instances[0]!).isPrimary = true;
+  }
+
+  member(instance: string): FakeMember {
+    return this.members.get(instance)!;
+  }
+
+  /** Lets another member lead the next term with what it has. */
+  promote(instance: string): void {
+    for (const member of this.members.values()) member.isPrimary = false;
+    const heir = this.member(instance);
+    heir.isPrimary = true;
+    heir.position = {...heir.position, term: heir.position.term + 1};
+  }
+
+  /** What ran under callers' ids, as "member text". */
+  get callerRuns(): string[] {
+    return this.runs
+      .filter(({requestId}) => requestId !== '-')
+      .map(({instance, text}) => `${instance} ${text}`);
+  }
+
+  connect(target: TargetAddress): Promise<Result<TargetLink, ConnectFailure>> {
+    const member = this.members.get(target.instance);
+    if (!member || member.isDown) return Promise.resolve(err('refused'));
+    if (member.connections >= this.mostConnections) {
+      return Promise.resolve(err('too many connections'));
+    }
+    return Promise.resolve(ok(new FakeLink(this, member, ++this.links)));
+  }
+}
+
+class FakeLink implements TargetLink {
+  isClosed = false;
+  readonly openedAt: Position;
+  private readonly values = new Map<string, string>();
+  private readonly prepared = new Map<string, string>();
+  private readonly listeners: (() => void)[] = [];
+  private readonly waiting: ((reply: TargetReply) => void)[] = [];
+  private state: TransactionState = 'idle';
+  private wrote = false;
+  private plain = false;
+
+  constructor(
+    private readonly group: FakeGroup,
+    private readonly member: FakeMember,
+    private readonly id: number,
+  ) {
+    this.openedAt = member.position;
+    member.connections++;
+  }
+
+  send(calls: readonly TargetCall[]): readonly Promise<TargetReply>[] {
+    return calls.map(call => this.answer(call));
+  }
+
+  onDidClose(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.member.connections--;
+    for (const settle of this.waiting) settle({kind: 'lost', reason: 'closed'});
+    for (const listener of this.listeners) listener();
+  }
+
+  private answer(call: TargetCall): Promise<TargetReply> {
+    const {member} = this;
+    if (this.isClosed || member.isDown) {
+      this.close();
+      return Promise.resolve({kind: 'lost', reason: 'down'});
+    }
+    if (member.isSilent) return this.never();
+    const result = this.run(call);
+    if (member.losesAnswers > 0 && call.requestId !== undefined) {
+      member.losesAnswers--;
+      return this.never();
+    }
+    const {state} = this;
+    const {position} = member;
+    return Promise.resolve({kind: 'answer', result, state, position});
+  }
+
+  private never(): Promise<TargetReply> {
+    return new Promise(resolve => this.waiting.push(resolve));
+  }
+
+  private run({requestId, statement, after}: TargetCall): StatementResult {
+    const {member} = this;
+    const takesSlot = ['read', 'write', 'execute', 'commit'].includes(
+      statement.kind,
+    );
+    if (takesSlot && member.busyFor > 0) {
+      member.busyFor--;
+      return failure('busy', '');
+    }
+    if (after && comparePositions(member.position, after) < 0) {
+      return failure('lagging', '');
+    }
+    switch (statement.kind) {
+      case 'begin':
+        if (!statement.readOnly && !member.isPrimary) {
+          return failure('not primary', '');
+        }
+        this.state = 'open';
+        this.plain = !statement.readOnly;
+        this.wrote = false;
+        return DONE_HERE;
+      case 'rollback':
+        this.state = 'idle';
+        return DONE_HERE;
+      case 'reset':
+        this.values.clear();
+        this.prepared.clear();
+        return DONE_HERE;
+      case 'set':
+        this.values.set(statement.name, statement.value);
+        return DONE_HERE;
+      case 'prepare':
+        this.prepared.set(statement.name, statement.action);
+        return DONE_HERE;
+      default:
+        return this.runInSlot(requestId ?? '-', statement);
+    }
+  }
+
+  private runInSlot(
+    requestId: string,
+    statement: TargetCall['statement'],
+  ): StatementResult {
+    const {member} = this;
+    if (this.state === 'open' && this.plain && !member.isPrimary) {
+      this.state = 'failed';
+      return failure('not primary', '');
+    }
+    const isExecution = statement.kind === 'execute';
+    if (isExecution && !this.prepared.has(statement.name)) {
+      return failure('unknown name', '');
+    }
+    const writes =
+      statement.kind === 'write' ||
+      (isExecution && this.prepared.get(statement.name) === 'write');
+    if (writes && !member.isPrimary) return failure('not primary', '');
+    this.note(requestId, statement);
+    if (statement.kind === 'commit') {
+      this.state = 'idle';
+      if (this.wrote) this.advance();
+    } else if (writes) {
+      this.wrote = true;
+      if (this.state === 'idle') this.advance();
+    }
+    const rows = writes || statement.kind === 'commit' ? [] : ['row'];
+    return {kind: 'done', rows, signature: `signed ${requestId}`};
+  }
+
+  private advance(): void {
+    const {term, offset} = this.member.position;
+    this.member.position = {term, offset: offset + 1};
+  }
+
+  private note(requestId: string, statement: TargetCall['statement']): void {
+    const {instance} = this.member;
+    const values = [...this.values].map(pair => pair.join('=')).join(' ');
+    const item = 'item' in statement ? ` ${statement.item}` : '';
+    const text = `${statement.kind}${item}`;
+    this.group.runs.push({instance, link: this.id, requestId, text, values});
+  }
+}
--- /dev/null
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -0,0 +1,261 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {Consistency} from '../../../../schema/generated/fleet';
+import {FakeGroup} from './fake_group';
+import {
+  BEGIN,
+  BEGIN_READ,
+  Caller,
+  COMMIT,
+  makeCatalog,
+  makeRoute,
+  READ,
+  ROLLBACK,
+  TestGateway,
+  WRITE,
+} from './session_fixture';
+
+let gateway: TestGateway;
+
+function setUp(route = makeRoute(), over = {}) {
+  const group = new FakeGroup(['a', 'b', 'c']);
+  gateway = new TestGateway(group, makeCatalog([route], over));
+  return {group, caller: new Caller(gateway, 'db')};
+}
+
+const PRIMARY = {consistency: Consistency.CONSISTENCY_PRIMARY};
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+afterEach(() => gateway.stop.abort());
+
+describe('a session', () => {
+  it('gets its member signature for reads and writes', async () => {
+    const {caller} = setUp();
+    const written = await caller.ask(WRITE);
+    expect(written.result).toMatchObject({signature: 'signed q1'});
+    const read = await caller.ask(READ);
+    expect(read.result).toMatchObject({rows: ['row'], signature: 'signed q2'});
+  });
+
+  it('keeps a transaction on one connection, to its end', async () => {
+    const {group, caller} = setUp();
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    const read = await caller.ask(READ);
+    expect(read.state).toBe('open');
+    const done = await caller.ask(COMMIT);
+    expect(done).toMatchObject({state: 'idle', result: {kind: 'done'}});
+    const links = group.runs.map(({link}) => link);
+    expect(new Set(links).size).toBe(1);
+  });
+
+  it('sends a commit of nothing to a member, whose signature counts', async () => {
+    const {caller} = setUp();
+    await caller.ask(BEGIN);
+    const done = await caller.ask(COMMIT);
+    expect(done.result).toMatchObject({signature: 'signed q2'});
+  });
+
+  it('leaves no values of another session on a shared connection', async () => {
+    // Two callers share one connection. The second one must not run with the
+    // value that the first one set, and the first one gets its own back.
+    const {group, caller} = setUp();
+    group.mostConnections = 1;
+    const other = new Caller(gateway, 'db');
+    await caller.ask({kind: 'set', name: 'zone', value: '1'});
+    await caller.ask(WRITE);
+    await other.ask(WRITE);
+    await caller.ask(WRITE);
+    const values = group.runs.map(run => run.values);
+    expect(values).toEqual(['zone=1', '', 'zone=1']);
+  });
+
+  it('keeps prepared names apart that two sessions both use', async () => {
+    const {group, caller} = setUp();
+    const other = new Caller(gateway, 'db');
+    const prepare = {kind: 'prepare', name: 's1', shape: 'q'} as const;
+    await caller.ask({...prepare, action: 'write'});
+    await other.ask({...prepare, action: 'read'});
+    const execute = {kind: 'execute', name: 's1', item: 'a'} as const;
+    const written = await caller.ask({...execute, data: 'x'});
+    const read = await other.ask({...execute, data: undefined});
+    expect(written.result).toMatchObject({kind: 'done', rows: []});
+    expect(read.result).toMatchObject({kind: 'done', rows: ['row']});
+    expect(group.member('a').position.offset).toBe(11);
+  });
+
+  it('undoes what a caller leaves open', async () => {
+    // A caller writes in a transaction and vanishes. Its connection must not
+    // go to the next caller with the transaction still open.
+    const {group, caller} = setUp();
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    caller.leave();
+    await pause(20);
+    const other = new Caller(gateway, 'db');
+    await other.ask(WRITE);
+    const [first, second] = group.runs;
+    expect(second!.link).not.toBe(first!.link);
+  });
+
+  it('ends a transaction that rests too long, as undone', async () => {
+    const {caller} = setUp(makeRoute(), {transactionIdleMs: 30});
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    await pause(60);
+    const late = await caller.ask(WRITE);
+    expect(late.result).toMatchObject({failure: 'aborted'});
+    const end = await caller.ask(ROLLBACK);
+    expect(end).toMatchObject({state: 'idle', result: {kind: 'done'}});
+  });
+});
+
+describe('a read that must see every commit', () => {
+  it('is not answered by a primary that was replaced meanwhile', async () => {
+    // The primary is replaced and this proxy hears nothing of it. The old one
+    // still answers plain reads, without what was committed since. The proof
+    // behind the read fails there, so the caller gets the new primary's data.
+    const {group, caller} = setUp(makeRoute(PRIMARY));
+    await caller.ask(READ);
+    group.promote('b');
+    const asking = caller.ask(READ);
+    await pause(20);
+    gateway.announce();
+    const read = await asking;
+    expect(read.result.kind).toBe('done');
+    expect(group.callerRuns.at(-1)).toBe('b read a');
+  });
+});
+
+describe('a read within an age', () => {
+  it('goes to a replica that is new enough', async () => {
+    const {group, caller} = setUp();
+    for (const instance of ['b', 'c']) {
+      group.member(instance).position = {term: 1, offset: 10};
+    }
+    await caller.ask(READ);
+    await caller.ask(READ);
+    expect(group.callerRuns.at(-1)).toMatch(/^[bc] read a$/);
+  });
+
+  it("never misses the session's own commit", async () => {
+    // Replicas receive nothing. The session writes and reads at once: each
+    // replica says that it lacks the position, and the primary answers.
+    const {group, caller} = setUp();
+    await caller.ask(WRITE);
+    const read = await caller.ask(READ);
+    expect(read.result.kind).toBe('done');
+    expect(group.callerRuns.at(-1)).toBe('a read a');
+  });
+
+  it('begins at a replica with the position too', async () => {
+    const {group, caller} = setUp();
+    await caller.ask(READ);
+    await caller.ask(BEGIN_READ);
+    await caller.ask(READ);
+    await caller.ask(COMMIT);
+    expect(group.callerRuns.at(-1)).toMatch(/^[bc] commit$/);
+  });
+
+  it('is repeated elsewhere when its answer is lost', async () => {
+    const {group, caller} = setUp();
+    await caller.ask(READ);
+    for (const instance of ['b', 'c']) group.member(instance).isSilent = true;
+    const read = await caller.ask(READ);
+    expect(read.result.kind).toBe('done');
+  });
+});
+
+describe('a write', () => {
+  it('is not repeated when its answer is lost', async () => {
+    // The member commits and its answer is lost. Whether the write took effect
+    // is unknown: sending it again could double it.
+    const {group, caller} = setUp(makeRoute({statementMs: 100}));
+    group.member('a').losesAnswers = 1;
+    const written = await caller.ask(WRITE);
+    expect(written.result).toMatchObject({failure: 'unknown outcome'});
+    expect(group.callerRuns).toEqual(['a write a']);
+  });
+
+  it('is repeated when the member says that it did not run', async () => {
+    const {group, caller} = setUp();
+    group.member('a').busyFor = 2;
+    const written = await caller.ask(WRITE);
+    expect(written.result.kind).toBe('done');
+    expect(group.callerRuns).toEqual(['a write a']);
+  });
+
+  it('is refused at once, as not run, while no primary answers', async () => {
+    // The primary is gone and nobody leads. Waiting for the deadline would
+    // only use up the caller's time: it hears soon when to come back.
+    const {group, caller} = setUp();
+    await caller.ask(WRITE);
+    group.member('a').isDown = true;
+    const startedAt = Date.now();
+    const lost = await caller.ask(WRITE);
+    expect(lost.result).toMatchObject({failure: 'unknown outcome'});
+    const refused = await caller.ask(WRITE);
+    expect(refused.result).toMatchObject({failure: 'busy'});
+    expect(JSON.stringify(refused.result)).toContain('retry after');
+    expect(Date.now() - startedAt).toBeLessThan(500);
+    expect(gateway.reports.at(-1)).toBe('a unreachable');
+  });
+
+  it('goes on with the member that leads next', async () => {
+    const {group, caller} = setUp();
+    await caller.ask(WRITE);
+    group.promote('b');
+    const asking = caller.ask(WRITE);
+    await pause(20);
+    gateway.announce();
+    const written = await asking;
+    expect(written.result.kind).toBe('done');
+    expect(group.callerRuns).toEqual(['a write a', 'b write a']);
+  });
+});
+
+describe('a transaction whose member is lost', () => {
+  it('is undone before its commit, and the caller is told so', async () => {
+    const {group, caller} = setUp();
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    group.member('a').isDown = true;
+    const lost = await caller.ask(WRITE);
+    expect(lost).toMatchObject({
+      state: 'failed',
+      result: {failure: 'aborted'},
+    });
+    const end = await caller.ask(COMMIT);
+    expect(end).toMatchObject({state: 'idle', result: {failure: 'aborted'}});
+  });
+
+  it('has an unknown outcome once its commit was sent', async () => {
+    // The commit takes effect and its answer is lost. "Aborted" would be a
+    // promise that nothing is kept, and the caller would file twice.
+    const {group, caller} = setUp(makeRoute({statementMs: 100}));
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    group.member('a').losesAnswers = 1;
+    const end = await caller.ask(COMMIT);
+    expect(end).toMatchObject({
+      state: 'idle',
+      result: {failure: 'unknown outcome'},
+    });
+  });
+});
+
+describe('a stop', () => {
+  it('closes a session at rest, and one in a transaction after it', async () => {
+    const {caller} = setUp();
+    const busy = new Caller(gateway, 'db');
+    await busy.ask(BEGIN);
+    gateway.gateway.drain();
+    await pause(10);
+    expect([caller.isClosed, busy.isClosed]).toEqual([true, false]);
+    await busy.ask(WRITE);
+    const done = await busy.ask(COMMIT);
+    expect(done.result.kind).toBe('done');
+    await pause(10);
+    expect(busy.isClosed).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -0,0 +1,149 @@
+import {SuspensionClock} from '../../../../base/node/suspension_clock';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
+import {
+  ClaimedRole,
+  Consistency,
+  type Catalog,
+  type DatabaseRoute,
+  type Member,
+} from '../../../../schema/generated/fleet';
+import type {CallerReply, Statement} from '../../../statement/common/statement';
+import {Gateway} from '../../node/gateway';
+import {GatewayMeter} from '../../node/gateway_meter';
+import type {FakeGroup} from './fake_group';
+
+/** A route of the service "books". */
+export function makeRoute(over: Partial<DatabaseRoute> = {}): DatabaseRoute {
+  return {
+    name: 'r1',
+    database: 'db',
+    service: 'books',
+    consistency: Consistency.CONSISTENCY_SESSION,
+    stalenessMs: 2_000,
+    statementMs: 800,
+    objectiveMs: 1_000,
+    priority: 1,
+    ...over,
+  };
+}
+
+/** A catalog with one service. */
+export function makeCatalog(
+  routes: readonly DatabaseRoute[],
+  over: Partial<Catalog> = {},
+): Catalog {
+  return {
+    version: 1,
+    routes: [...routes],
+    services: [{service: 'books', connections: 16, confirmations: 1}],
+    transactionIdleMs: 0,
+    ...over,
+  };
+}
+
+/** The members of a group as control tells of them. */
+export function membersOf(group: FakeGroup): Member[] {
+  return group.instances.map(instance => ({
+    instance,
+    service: 'books',
+    address: `${instance}:1`,
+    site: `site-${instance}`,
+    slots: 2,
+    draining: false,
+    role: group.member(instance).isPrimary
+      ? ClaimedRole.CLAIMED_ROLE_PRIMARY
+      : ClaimedRole.CLAIMED_ROLE_REPLICA,
+  }));
+}
+
+/** A log that keeps its lines. */
+export function makeLog() {
+  const lines: string[] = [];
+  const note = (sentence: string, fields: object = {}) => {
+    lines.push(`${sentence} ${JSON.stringify(fields)}`);
+  };
+  return {lines, log: {info: note, warn: note, error: note, debug: note}};
+}
+
+/** One caller's session at a gateway. */
+export class Caller {
+  private readonly waiting: ((reply: CallerReply) => void)[] = [];
+  private readonly ended = new AbortController();
+  private readonly session;
+  private requests = 0;
+  isClosed = false;
+
+  constructor(
+    private readonly gateway: TestGateway,
+    database: string,
+  ) {
+    const channel = {
+      answer: (reply: CallerReply) => this.waiting.shift()?.(reply),
+      close: () => {
+        this.isClosed = true;
+        this.ended.abort();
+      },
+    };
+    const {signal} = this.ended;
+    this.session = gateway.gateway.openSession(database, 'c', channel, signal);
+  }
+
+  /** Sends a statement and waits for its answer. */
+  ask(statement: Statement): Promise<CallerReply> {
+    const requestId = `q${++this.requests}`;
+    const receivedAt = this.gateway.clock.now();
+    this.session.post({
+      kind: 'request',
+      request: {requestId, statement},
+      receivedAt,
+    });
+    return new Promise(resolve => this.waiting.push(resolve));
+  }
+
+  leave(): void {
+    this.ended.abort();
+  }
+}
+
+/** A gateway before a group of fake members. */
+export class TestGateway {
+  readonly clock = new SuspensionClock(new MonotonicClock(), () => Date.now());
+  readonly stop = new AbortController();
+  readonly gateway: Gateway;
+  readonly logged = makeLog();
+  readonly reports: string[] = [];
+
+  constructor(
+    readonly group: FakeGroup,
+    catalog: Catalog,
+  ) {
+    this.gateway = new Gateway(
+      {
+        region: 'region-a',
+        regionOf: () => 'region-a',
+        connector: group,
+        clock: this.clock,
+        log: this.logged.log,
+        meter: new GatewayMeter(),
+        onDidJudgePrimary: ({instance, trouble}) => {
+          this.reports.push(`${instance} ${trouble}`);
+        },
+      },
+      this.stop.signal,
+    );
+    this.gateway.setMembers({members: membersOf(group), proxies: 1});
+    this.gateway.setCatalog(catalog);
+  }
+
+  /** Tells the gateway anew who the members are. */
+  announce(): void {
+    this.gateway.setMembers({members: membersOf(this.group), proxies: 1});
+  }
+}
+
+export const READ: Statement = {kind: 'read', item: 'a'};
+export const WRITE: Statement = {kind: 'write', item: 'a', data: 'x'};
+export const BEGIN: Statement = {kind: 'begin', readOnly: false};
+export const BEGIN_READ: Statement = {kind: 'begin', readOnly: true};
+export const COMMIT: Statement = {kind: 'commit'};
+export const ROLLBACK: Statement = {kind: 'rollback'};
--- /dev/null
+++ b/src/services/target_link/common/target_link.ts
@@ -0,0 +1,42 @@
+import type {Result} from '../../../base/common/outcome';
+import type {Position} from '../../position/common/position';
+import type {TargetCall, TargetReply} from '../../statement/common/statement';
+
+/** Where a member is met, and which member is expected there. */
+export interface TargetAddress {
+  readonly service: string;
+  readonly instance: string;
+  readonly address: string;
+}
+
+/** Why a connection could not be opened. */
+export type ConnectFailure =
+  /** Refused or reset: nobody listens there. */
+  | 'refused'
+  /** No answer in time. */
+  | 'silent'
+  /** The member has as many connections as it takes. */
+  | 'too many connections'
+  /** Another member has the address now. */
+  | 'other member';
+
+/** A connection to a member; answers come in the order of the calls. */
+export interface TargetLink {
+  readonly isClosed: boolean;
+  /** What the member's log held when the connection opened. */
+  readonly openedAt: Position | undefined;
+  /** Sends calls in one go and gives each answer when it is whole. */
+  send(calls: readonly TargetCall[]): readonly Promise<TargetReply>[];
+  /** Calls back once when the connection ends, for whatever reason. */
+  onDidClose(listener: () => void): void;
+  close(): void;
+}
+
+/** Opens connections to members. */
+export interface TargetConnector {
+  connect(
+    target: TargetAddress,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<TargetLink, ConnectFailure>>;
+}
