--- /dev/null
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -0,0 +1,270 @@
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import type {Clock} from '../../../base/common/clock';
+import {err, ok, type Result} from '../../../base/common/outcome';
+import type {Log} from '../../../base/node/log';
+import {ownController, every} from '../../../base/node/timers';
+import type {Catalog, Member} from '../../../schema/generated/fleet';
+import type {CatalogReader} from '../../catalog/common/catalog';
+import type {ConsensusNode} from '../../consensus/node/consensus_node';
+import {encodeCommand} from '../../fleet_state/common/fleet_command';
+import type {FleetLeader} from '../../fleet_link/node/fleet_leader';
+import type {
+  FleetMachine,
+  PublishOutcome,
+} from '../../fleet_state/common/fleet_machine';
+import {planElastic} from '../../membership/common/elastic_plan';
+import type {Joiner} from '../../membership/common/membership_plan';
+import {Roster, type Announcement} from '../../roster/common/roster';
+import {ServicePromotions, type PromotionMeans} from './service_promotions';
+
+/** Why control cannot answer for certain now. */
+export type Uncertainty = 'not leading' | 'too few voters' | 'unconfirmed';
+
+/** What an operator hears of a catalog that was handed in. */
+export type HandInOutcome =
+  | {readonly kind: PublishOutcome}
+  | {readonly kind: 'invalid'; readonly reason: string};
+
+/** What control is built on. */
+export interface FleetControlSurroundings {
+  readonly holder: string;
+  /** Voters that must hold something before it is acknowledged. */
+  readonly wantedVoters: number;
+  readonly node: ConsensusNode;
+  readonly machine: FleetMachine;
+  readonly reader: CatalogReader;
+  readonly means: PromotionMeans;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+const TEND_MS = 200;
+/** A member that stayed silent for so long is forgotten, in milliseconds. */
+const FORGET_SILENT_MS = 20_000;
+
+/** The decisions of control where targets confirm commits themselves. */
+export class FleetControl {
+  private roster = new Roster();
+  private term = ownController();
+  private promotions: ServicePromotions | undefined;
+  private readonly joiners = new Map<string, Joiner>();
+  private readonly admitting = new Set<string>();
+  private changingMembers = false;
+  private leadingSince = Infinity;
+  private known: {version: number; catalog: Catalog} | undefined;
+  leader: FleetLeader | undefined;
+
+  constructor(private readonly around: FleetControlSurroundings) {}
+
+  start(signal: AbortSignal): void {
+    every(signal, TEND_MS, () => this.tend());
+    signal.addEventListener('abort', () => this.term.abort(), {once: true});
+  }
+
+  get isLeading(): boolean {
+    return this.around.node.core.leaderReady;
+  }
+
+  get members(): readonly Member[] {
+    return this.roster.all();
+  }
+
+  get membersRevision(): number {
+    return this.roster.revision;
+  }
+
+  /** The catalog in force, as proxies get it. */
+  catalog(): Catalog | undefined {
+    const {machine, reader} = this.around;
+    const version = machine.catalogVersion;
+    if (version === 0) return undefined;
+    if (this.known?.version !== version) {
+      const read = reader.read(inflate(machine.catalogSource));
+      if (read.isErr) throw new Error(`catalog ${version} in the log`);
+      this.known = {version, catalog: read.value.catalog};
+    }
+    return this.known.catalog;
+  }
+
+  /** Begins or ends what only a leader does. */
+  onDidChangeRole(isLeader: boolean): void {
+    this.term.abort();
+    this.term = ownController();
+    this.promotions = undefined;
+    this.roster = new Roster();
+    this.leadingSince = isLeader ? this.around.clock.now() : Infinity;
+    this.leader?.push();
+  }
+
+  /** What a new state means for proxies. */
+  onDidApply(): void {
+    if (this.isLeading) this.restoreMembers();
+  }
+
+  onJoin(joiner: Joiner): void {
+    this.joiners.set(joiner.id, joiner);
+  }
+
+  /** Puts a complete catalog into the log; the outcome once it is certain. */
+  async handIn(source: string): Promise<Result<HandInOutcome, Uncertainty>> {
+    const {reader, node, machine, log} = this.around;
+    const read = reader.read(source);
+    if (read.isErr) {
+      log.info('Refused a catalog.', {reason: read.error.reason});
+      return ok({kind: 'invalid', reason: read.error.reason});
+    }
+    if (!this.isLeading) return err('not leading');
+    if (!this.hasEnoughVoters) return err('too few voters');
+    const {catalog, canonical} = read.value;
+    const {version} = catalog;
+    const compressed = deflateRawSync(Buffer.from(canonical));
+    const body = {
+      $case: 'publish',
+      value: {version, source: compressed},
+    } as const;
+    const done = await node.propose(encodeCommand(body));
+    if (done.isErr) {
+      log.warn('Cannot tell what became of a catalog.', {version});
+      return err('unconfirmed');
+    }
+    const kind = machine.takeOutcome(done.value);
+    if (!kind) return err('unconfirmed');
+    log.info('Took a catalog.', {version, outcome: kind, index: done.value});
+    this.leader?.push();
+    return ok({kind});
+  }
+
+  /** The newest catalog's source, if a majority confirms that it is. */
+  async readBack(): Promise<Result<string | undefined, Uncertainty>> {
+    const {node, machine} = this.around;
+    if (!this.isLeading) return err('not leading');
+    const confirmed = await node.confirm();
+    if (confirmed.isErr) return err('unconfirmed');
+    if (machine.catalogVersion === 0) return ok(undefined);
+    return ok(inflate(machine.catalogSource));
+  }
+
+  /** Takes an announcement; false where this instance does not lead. */
+  announce(announcement: Announcement): boolean {
+    if (!this.isLeading) return false;
+    const {member} = announcement;
+    const before = this.roster.get(member.instance);
+    const revision = this.roster.revision;
+    this.roster.announce(announcement, this.around.clock.now());
+    if (revision !== this.roster.revision) {
+      const {instance, service, role, draining} = member;
+      const fields = {instance, service, role, draining};
+      const known = before !== undefined;
+      this.around.log.info('A member announced a change.', {...fields, known});
+      this.leader?.push();
+    }
+    this.admit(member);
+    this.drive();
+    return true;
+  }
+
+  /** Takes note that a member ended, with its log. */
+  async forget(instance: string): Promise<boolean> {
+    if (!this.isLeading) return false;
+    const member = this.roster.get(instance);
+    this.roster.remove(instance);
+    this.leader?.push();
+    if (!member) return true;
+    const {service} = member;
+    this.around.log.info('A member has left.', {instance, service});
+    const body = {$case: 'forget', value: {service, instance}} as const;
+    const done = await this.around.node.propose(encodeCommand(body));
+    return done.isOk;
+  }
+
+  private get hasEnoughVoters(): boolean {
+    const {peers} = this.around.node.core.configuration;
+    const voters = peers.filter(({voter}) => voter).length;
+    return voters >= this.around.wantedVoters;
+  }
+
+  private restoreMembers(): void {
+    for (const member of this.around.machine.members) {
+      this.roster.restore(member);
+    }
+  }
+
+  private tend(): void {
+    if (!this.isLeading) return;
+    this.restoreMembers();
+    this.tendVoters();
+    this.forgetSilent();
+    this.drive();
+  }
+
+  private drive(): void {
+    if (!this.isLeading || !this.leader) return;
+    this.promotions ??= new ServicePromotions(
+      {
+        ...this.around,
+        roster: this.roster,
+        leader: this.leader,
+      },
+      this.term.signal,
+    );
+    this.promotions.look();
+  }
+
+  /** A member whose log may count at a promotion goes into the log. */
+  private admit(member: Member): void {
+    const {instance, service, address} = member;
+    const known = this.around.machine.member(service, instance);
+    if (known?.address === address || this.admitting.has(instance)) return;
+    this.admitting.add(instance);
+    const body = {$case: 'admit', value: {member}} as const;
+    void this.around.node.propose(encodeCommand(body)).then(() => {
+      this.admitting.delete(instance);
+    });
+  }
+
+  /**
+   * A member that ended without a word would be waited for at each promotion.
+   * It is forgotten once it was silent for long while another replica of its
+   * service went on: what it held was received there since.
+   */
+  private forgetSilent(): void {
+    const now = this.around.clock.now();
+    if (now - this.leadingSince < FORGET_SILENT_MS) return;
+    for (const member of this.roster.all()) {
+      const {instance, service} = member;
+      const heardAt = Math.max(
+        this.roster.heardAt(instance),
+        this.leadingSince,
+      );
+      if (now - heardAt < FORGET_SILENT_MS) continue;
+      if (!this.promotions?.canMiss(member)) continue;
+      this.around.log.warn('Forgets a silent member.', {instance, service});
+      void this.forget(instance);
+    }
+  }
+
+  private tendVoters(): void {
+    const {node, wantedVoters, clock} = this.around;
+    const {core} = node;
+    if (this.changingMembers || !core.configurationCommitted) return;
+    const joiners = [...this.joiners.values()];
+    this.joiners.clear();
+    const next = planElastic({
+      configuration: core.configuration,
+      joiners,
+      wanted: wantedVoters,
+      commitIndex: core.commitIndex,
+      matchIndexOf: id => core.matchIndexOf(id),
+      silenceOf: id => core.silenceOf(id, clock.now()),
+    });
+    if (!next) return;
+    this.changingMembers = true;
+    void node.changeConfiguration(next).then(() => {
+      this.changingMembers = false;
+    });
+  }
+}
+
+function inflate(source: Buffer): string {
+  return inflateRawSync(source).toString();
+}
--- /dev/null
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -0,0 +1,162 @@
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {Clock} from '../../../base/common/clock';
+import type {Log} from '../../../base/node/log';
+import {every} from '../../../base/node/timers';
+import type {
+  Catalog,
+  FleetServer,
+  FollowerMessage,
+  LeaderMessage,
+  Member,
+  PrimaryReport,
+} from '../../../schema/generated/fleet';
+
+type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
+
+interface Follower {
+  readonly stream: Stream;
+  instance: string;
+  catalogVersion: number;
+  membersRevision: number;
+  readonly complaints: Map<string, PrimaryReport>;
+}
+
+/** What the leader tells its proxies from. */
+export interface FleetSource {
+  /** Whether this instance leads and knows all that was committed. */
+  isLeading(): boolean;
+  leaderAddress(): string;
+  catalog(): Catalog | undefined;
+  members(): readonly Member[];
+  membersRevision(): number;
+}
+
+/**
+ * Changes reach proxies within this and a way, in milliseconds. A storm of
+ * changes thus costs each proxy at most four catalogs a second, against some
+ * seconds in which a change has to be in force.
+ */
+const PUSH_MS = 250;
+
+/** Control's side of the exchange with proxies. */
+export class FleetLeader {
+  private readonly followers = new Set<Follower>();
+  private proxies = 0;
+  /** Since when at least half of the proxies complain, by member. */
+  private readonly complainedSince = new Map<string, number>();
+
+  constructor(
+    private readonly source: FleetSource,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  get handlers(): FleetServer {
+    return {follow: stream => this.onFollow(stream)};
+  }
+
+  start(signal: AbortSignal): void {
+    every(signal, PUSH_MS, () => this.push());
+    signal.addEventListener('abort', () => this.endAll(), {once: true});
+  }
+
+  /** Sends what each proxy has not heard of yet. */
+  push(): void {
+    if (!this.source.isLeading()) return this.endAll();
+    for (const follower of this.followers) this.pushTo(follower);
+  }
+
+  /** How many proxies complain of a member, and for how long half did. */
+  complaintsOf(service: string, instance: string) {
+    const attached = [...this.followers].filter(one => one.instance !== '');
+    const complaining = attached.filter(({complaints}) => {
+      return complaints.get(service)?.instance === instance;
+    });
+    const half =
+      complaining.length > 0 && complaining.length * 2 >= attached.length;
+    const now = this.clock.now();
+    if (!half) this.complainedSince.delete(instance);
+    else if (!this.complainedSince.has(instance)) {
+      this.complainedSince.set(instance, now);
+    }
+    return {
+      proxies: attached.length,
+      complaints: complaining.length,
+      complainedMs: now - (this.complainedSince.get(instance) ?? now),
+    };
+  }
+
+  private onFollow(stream: Stream): void {
+    if (!this.source.isLeading()) {
+      const leaderAddress = this.source.leaderAddress();
+      stream.write({body: {$case: 'notLeading', value: {leaderAddress}}});
+      stream.end();
+      return;
+    }
+    const follower: Follower = {
+      stream,
+      instance: '',
+      catalogVersion: 0,
+      membersRevision: -1,
+      complaints: new Map(),
+    };
+    this.followers.add(follower);
+    stream.on('data', message => this.onMessage(follower, message));
+    const leave = () => this.leave(follower);
+    stream.on('end', leave);
+    stream.on('error', leave);
+    stream.on('cancelled', leave);
+  }
+
+  private onMessage(follower: Follower, {body}: FollowerMessage): void {
+    if (body?.$case === 'hello') {
+      const {instance, catalogVersion} = body.value;
+      for (const other of this.followers) {
+        // The same proxy came again; its old stream may be half dead.
+        if (other.instance === instance) this.leave(other);
+      }
+      follower.instance = instance;
+      follower.catalogVersion = catalogVersion;
+      this.log.info('A proxy is attached.', {instance, catalogVersion});
+      this.proxies = Math.max(this.proxies, this.followers.size);
+      this.push();
+    } else if (body?.$case === 'report') {
+      const {service, instance, trouble} = body.value;
+      if (trouble === '') follower.complaints.delete(service);
+      else follower.complaints.set(service, body.value);
+      const {instance: proxy} = follower;
+      this.log.info('A proxy judges.', {proxy, service, instance, trouble});
+    }
+  }
+
+  private pushTo(follower: Follower): void {
+    if (follower.instance === '') return;
+    const catalog = this.source.catalog();
+    if (catalog && catalog.version > follower.catalogVersion) {
+      follower.catalogVersion = catalog.version;
+      this.write(follower, {$case: 'catalog', value: catalog});
+    }
+    const revision = this.source.membersRevision() * 1_000 + this.proxies;
+    if (follower.membersRevision === revision) return;
+    follower.membersRevision = revision;
+    const members = [...this.source.members()];
+    const value = {members, proxies: this.proxies};
+    this.write(follower, {$case: 'members', value});
+  }
+
+  private write(follower: Follower, body: LeaderMessage['body']): void {
+    follower.stream.write({body});
+  }
+
+  private leave(follower: Follower): void {
+    if (!this.followers.delete(follower)) return;
+    follower.stream.end();
+    const {instance} = follower;
+    this.log.info('A proxy is detached.', {instance});
+    this.proxies = Math.max(1, this.followers.size);
+  }
+
+  private endAll(): void {
+    for (const follower of [...this.followers]) this.leave(follower);
+  }
+}
--- /dev/null
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -0,0 +1,115 @@
+import {
+  FleetCommand,
+  FleetState,
+  type PublishCatalog,
+  type Member,
+} from '../../../schema/generated/fleet';
+
+/** What became of a catalog that was put into the log. */
+export type PublishOutcome =
+  | 'in force'
+  /** The same version with the same content is in force already. */
+  | 'repeated'
+  /** A higher version is in force; nothing changed. */
+  | 'overtaken'
+  /** The same version with other content is in force. */
+  | 'conflict';
+
+/**
+ * The state of the control log where targets confirm commits themselves: the
+ * newest catalog and the members whose logs count at a promotion.
+ */
+export class FleetMachine {
+  private version = 0;
+  private source: Buffer = Buffer.alloc(0);
+  private registered: Member[] = [];
+
+  /** Outcomes of the newest entries, for those who proposed them. */
+  private readonly outcomes = new Map<number, PublishOutcome>();
+
+  get catalogVersion(): number {
+    return this.version;
+  }
+
+  /** The compressed source of the catalog in force; empty without one. */
+  get catalogSource(): Buffer {
+    return this.source;
+  }
+
+  /** The members of a service whose logs count at a promotion. */
+  get members(): readonly Member[] {
+    return this.registered;
+  }
+
+  member(service: string, instance: string): Member | undefined {
+    return this.registered.find(other => {
+      return other.service === service && other.instance === instance;
+    });
+  }
+
+  /** What became of the catalog at a log index; forgotten once it was asked. */
+  takeOutcome(index: number): PublishOutcome | undefined {
+    const outcome = this.outcomes.get(index);
+    this.outcomes.delete(index);
+    return outcome;
+  }
+
+  apply(index: number, command: Buffer): void {
+    const {body} = FleetCommand.decode(command);
+    switch (body?.$case) {
+      case 'publish':
+        this.keepOutcome(index, this.publish(body.value));
+        return;
+      case 'admit': {
+        const {member} = body.value;
+        if (!member) return;
+        this.remove(member.service, member.instance);
+        this.registered.push(member);
+        return;
+      }
+      case 'forget':
+        this.remove(body.value.service, body.value.instance);
+        return;
+      default:
+        // The index of a promotion's entry is all that counts.
+        return;
+    }
+  }
+
+  snapshot(): Buffer {
+    const {version, source, registered: members} = this;
+    return Buffer.from(FleetState.encode({version, source, members}).finish());
+  }
+
+  restore(state: Buffer): void {
+    const {version, source, members} = FleetState.decode(state);
+    this.version = version;
+    this.source = source;
+    this.registered = members;
+  }
+
+  private publish({version, source}: PublishCatalog): PublishOutcome {
+    if (version < this.version) return 'overtaken';
+    if (version === this.version) {
+      return source.equals(this.source) ? 'repeated' : 'conflict';
+    }
+    this.version = version;
+    this.source = source;
+    return 'in force';
+  }
+
+  private remove(service: string, instance: string): void {
+    const gone = this.member(service, instance);
+    this.registered = this.registered.filter(other => other !== gone);
+  }
+
+  /** Bounded: outcomes of entries that others proposed are never asked for. */
+  private keepOutcome(index: number, outcome: PublishOutcome): void {
+    this.outcomes.set(index, outcome);
+    const [oldest] = this.outcomes.keys();
+    if (this.outcomes.size > MOST_OUTCOMES) this.outcomes.delete(oldest!);
+  }
+}
+
+/** More than the operators' changes that are under way at once. */
+const MOST_OUTCOMES = 256;
--- /dev/null
+++ b/src/services/fleet_state/test/common/fleet_machine.test.ts
@@ -0,0 +1,56 @@
+import {describe, expect, it} from 'vitest';
+import {encodeCommand} from '../../common/fleet_command';
+import {FleetMachine} from '../../common/fleet_machine';
+
+const publish = (
+  machine: FleetMachine,
+  index: number,
+  version: number,
+  text: string,
+) => {
+  const value = {version, source: Buffer.from(text)};
+  machine.apply(index, encodeCommand({$case: 'publish', value}));
+  return machine.takeOutcome(index);
+};
+
+describe('catalogs in the control log', () => {
+  it('are in force by the highest version', () => {
+    const machine = new FleetMachine();
+    expect(publish(machine, 1, 4, 'four')).toBe('in force');
+    expect(publish(machine, 2, 9, 'nine')).toBe('in force');
+    expect(publish(machine, 3, 7, 'seven')).toBe('overtaken');
+    expect(machine.catalogVersion).toBe(9);
+  });
+
+  it('take the first of two operators who send one version', () => {
+    // Two operators change the same version at once. The second must hear that
+    // it lost, and must never be in force; the first may send its own again.
+    const machine = new FleetMachine();
+    expect(publish(machine, 1, 4, 'mine')).toBe('in force');
+    expect(publish(machine, 2, 4, 'yours')).toBe('conflict');
+    expect(publish(machine, 3, 4, 'mine')).toBe('repeated');
+    expect(machine.catalogSource.toString()).toBe('mine');
+  });
+
+  it('and members come back from a snapshot', () => {
+    const machine = new FleetMachine();
+    publish(machine, 1, 4, 'four');
+    const member = {
+      instance: 'm1',
+      service: 's',
+      address: 'x:1',
+      site: 'z',
+      slots: 2,
+      draining: false,
+      role: 1,
+    };
+    machine.apply(2, encodeCommand({$case: 'admit', value: {member}}));
+    const copy = new FleetMachine();
+    copy.restore(machine.snapshot());
+    expect(copy.catalogVersion).toBe(4);
+    expect(copy.members).toEqual([member]);
+    const gone = {service: 's', instance: 'm1'};
+    copy.apply(3, encodeCommand({$case: 'forget', value: gone}));
+    expect(copy.members).toEqual([]);
+  });
+});
--- /dev/null
+++ b/src/services/instance/common/instance_settings.ts
@@ -0,0 +1,91 @@
+import {err, ok, type Result} from '../../../base/common/outcome';
+import {readIni} from '../../settings/common/ini_file';
+import type {SettingsFault} from '../../settings/common/settings';
+
+/** What one process of a fleet learns from its settings file. */
+export interface InstanceSettings {
+  readonly instance: string;
+  readonly site: string;
+  readonly region: string;
+  readonly ip: string;
+  /** Port for the exchange between instances. */
+  readonly internalPort: number;
+  /** Address for callers; '' where none are served. */
+  readonly callers: string;
+  readonly readiness: string;
+  /** Address for operators and members; '' where none are served. */
+  readonly operators: string;
+  /** Data folder; '' without a disk. */
+  readonly data: string;
+  /** Addresses for operators of some control instances. */
+  readonly seeds: readonly string[];
+  /** The whole system starts for the first time. */
+  readonly bootstrap: boolean;
+  /** Control instances that may be lost at once. */
+  readonly losses: number;
+  /** From the order to stop to the forced end, in milliseconds. */
+  readonly graceMs: number;
+  /** Address of whoever carries promotions out; '' without one. */
+  readonly promotions: string;
+  /** The region of each site. */
+  readonly regions: ReadonlyMap<string, string>;
+}
+
+type Entries = ReadonlyMap<string, string>;
+
+/** Reads the settings of one instance from an INI text. */
+export function readInstanceSettings(
+  file: string,
+  text: string,
+): Result<InstanceSettings, readonly SettingsFault[]> {
+  const faults: SettingsFault[] = [];
+  const ini = readIni(file, text, faults);
+  const own = new Map<string, string>();
+  const regions = new Map<string, string>();
+  for (const {section, key, value} of ini.entries) {
+    if (section === 'instance') own.set(key, value);
+    if (section === 'regions') regions.set(key, value);
+  }
+  const numberOf = (key: string, least: number) => {
+    const value = Number(own.get(key) ?? '');
+    if (own.has(key) && Number.isFinite(value) && value >= least) return value;
+    const found = own.get(key) ?? 'nothing';
+    faults.push({file, line: 0, key, found, allowed: `a number from ${least}`});
+    return least;
+  };
+  for (const key of ['name', 'site', 'ip']) requireText(own, key, file, faults);
+  const settings: InstanceSettings = {
+    instance: textOf(own, 'name'),
+    site: textOf(own, 'site'),
+    region: textOf(own, 'region'),
+    ip: textOf(own, 'ip'),
+    internalPort: numberOf('internal_port', 1),
+    callers: textOf(own, 'callers'),
+    readiness: textOf(own, 'readiness'),
+    operators: textOf(own, 'operators'),
+    data: textOf(own, 'data'),
+    seeds: textOf(own, 'seeds')
+      .split(',')
+      .filter(seed => seed !== ''),
+    bootstrap: textOf(own, 'bootstrap') === 'true',
+    losses: numberOf('losses', 0),
+    graceMs: numberOf('grace_s', 1) * 1_000,
+    promotions: textOf(own, 'promotions'),
+    regions,
+  };
+  return faults.length > 0 ? err(faults) : ok(settings);
+}
+
+function textOf(entries: Entries, key: string): string {
+  return (entries.get(key) ?? '').trim();
+}
+
+function requireText(
+  entries: Entries,
+  key: string,
+  file: string,
+  faults: SettingsFault[],
+): void {
+  if (textOf(entries, key) !== '') return;
+  faults.push({file, line: 0, key, found: 'nothing', allowed: 'a text'});
+}
--- /dev/null
+++ b/src/services/promotion/common/verdict.ts
@@ -0,0 +1,43 @@
+/** What is known of a primary. */
+export interface PrimaryView {
+  /** How long control has had no answer of it, in milliseconds. */
+  readonly silentMs: number;
+  /** Whether connections to it are refused: its process is gone. */
+  readonly refused: boolean;
+  readonly draining: boolean;
+  /** Proxies that are attached to control. */
+  readonly proxies: number;
+  /** Those that say they cannot use it. */
+  readonly complaints: number;
+  /** For how long at least half of the proxies complained, in ms. */
+  readonly complainedMs: number;
+}
+
+/** Whether a primary is to be replaced, and why. */
+export type Verdict =
+  {readonly kind: 'keep'} | {readonly kind: 'replace'; readonly reason: string};
+
+/** A process that refuses connections is gone; a restart takes longer. */
+const REFUSED_MS = 150;
+/** Longer than a way between regions with lost packets sent again takes. */
+const SILENT_MS = 700;
+/** A cut between proxies and primary must last, to be worth a change. */
+const COMPLAINED_MS = 1_000;
+
+/**
+ * Judges a primary by control's own eyes and by those of the proxies. Either
+ * alone may be cut off from it while it serves; a change would cost a gap.
+ */
+export function judgePrimary(view: PrimaryView): Verdict {
+  const {proxies, complaints, refused, silentMs} = view;
+  if (view.draining) return {kind: 'replace', reason: 'it is leaving'};
+  const half = complaints * 2 >= proxies;
+  const isGone = refused && silentMs >= REFUSED_MS;
+  if ((isGone || silentMs >= SILENT_MS) && half) {
+    const reason = refused ? 'it refuses connections' : 'it is silent';
+    return {kind: 'replace', reason};
+  }
+  const isCut = complaints > 0 && half && view.complainedMs >= COMPLAINED_MS;
+  if (isCut) return {kind: 'replace', reason: 'proxies cannot use it'};
+  return {kind: 'keep'};
+}
--- /dev/null
+++ b/src/services/promotion/node/member_watch.ts
@@ -0,0 +1,134 @@
+import type {Clock} from '../../../base/common/clock';
+import {after, every} from '../../../base/node/timers';
+import type {Member} from '../../../schema/generated/fleet';
+import type {Position} from '../../position/common/position';
+import type {
+  StatementResult,
+  TargetReply,
+  TargetStatement,
+} from '../../statement/common/statement';
+import type {
+  ConnectFailure,
+  TargetConnector,
+  TargetLink,
+} from '../../target_link/common/target_link';
+
+/** Silence is noticed within this and an answer's way, in milliseconds. */
+const PING_MS = 250;
+const CONNECT_MS = 500;
+/** An answer that takes longer is given up, and its connection with it. */
+const ANSWER_MS = 600;
+
+/** What a member says of itself. */
+export interface MemberStatus {
+  readonly leads: boolean;
+  readonly term: number;
+  readonly received: Position;
+}
+
+/** Reads what members answer to a question for their status. */
+export interface StatusReader {
+  read(result: StatementResult): MemberStatus | undefined;
+}
+
+/**
+ * Control's own connection to one member: tells whether it answers and carries
+ * orders to it. The question is one that takes no slot of the member.
+ */
+export class MemberWatch {
+  private link: TargetLink | undefined;
+  private connecting = false;
+  private pinging = false;
+  private lastAnswerAt: number;
+  private isRefused = false;
+  private highestTerm = 0;
+
+  constructor(
+    readonly member: Member,
+    private readonly connector: TargetConnector,
+    private readonly reader: StatusReader,
+    private readonly clock: Clock,
+    private readonly signal: AbortSignal,
+  ) {
+    this.lastAnswerAt = clock.now();
+    every(signal, PING_MS, () => this.ping());
+    signal.addEventListener('abort', () => this.link?.close(), {once: true});
+    this.connect();
+  }
+
+  /** How long the member has not answered, in milliseconds. */
+  get silentMs(): number {
+    return this.clock.now() - this.lastAnswerAt;
+  }
+
+  /** Whether its last refusal is newer than its last answer. */
+  get refused(): boolean {
+    return this.isRefused;
+  }
+
+  /** The highest term that its log has shown. */
+  get term(): number {
+    return this.highestTerm;
+  }
+
+  /** Gives an order; its status then, or undefined where none came in time. */
+  async order(statement: TargetStatement): Promise<MemberStatus | undefined> {
+    const reply = await this.ask(statement);
+    if (reply?.kind !== 'answer') return undefined;
+    const status = this.reader.read(reply.result);
+    if (status) this.highestTerm = Math.max(this.highestTerm, status.term);
+    return status;
+  }
+
+  private ping(): void {
+    if (!this.link) return this.connect();
+    if (this.pinging) return;
+    this.pinging = true;
+    void this.ask({kind: 'reset'}).then(() => (this.pinging = false));
+  }
+
+  private async ask(
+    statement: TargetStatement,
+  ): Promise<TargetReply | undefined> {
+    const {link} = this;
+    if (!link) return undefined;
+    const cancel = after(this.signal, ANSWER_MS, () => link.close());
+    const [promise] = link.send([{requestId: undefined, statement}]);
+    const reply = await promise!;
+    cancel();
+    if (reply.kind === 'answer') this.onAnswer(reply.position);
+    return reply;
+  }
+
+  private onAnswer(position: Position | undefined): void {
+    this.lastAnswerAt = this.clock.now();
+    this.isRefused = false;
+    if (position) this.highestTerm = Math.max(this.highestTerm, position.term);
+  }
+
+  private connect(): void {
+    if (this.connecting || this.signal.aborted) return;
+    this.connecting = true;
+    void this.connector
+      .connect(this.member, CONNECT_MS, this.signal)
+      .then(outcome => {
+        this.connecting = false;
+        if (outcome.isErr) {
+          return this.onFailedConnect(outcome.error);
+        }
+        const link = outcome.value;
+        this.link = link;
+        this.onAnswer(link.openedAt);
+        link.onDidClose(() => {
+          if (this.link === link) this.link = undefined;
+          this.connect();
+        });
+      });
+  }
+
+  private onFailedConnect(failure: ConnectFailure): void {
+    // A member that is full answers, and lives.
+    if (failure === 'too many connections') return this.onAnswer(undefined);
+    this.isRefused = failure !== 'silent';
+  }
+}
--- /dev/null
+++ b/src/services/promotion/test/common/heir.test.ts
@@ -0,0 +1,99 @@
+import {describe, expect, it} from 'vitest';
+import {chooseHeir, type MemberAnswer} from '../../common/heir';
+
+const answer = (
+  instance: string,
+  offset: number | undefined,
+  more: Partial<MemberAnswer> = {},
+): MemberAnswer => ({
+  instance,
+  draining: false,
+  received: offset === undefined ? undefined : {term: 3, offset},
+  ...more,
+});
+
+const silent = (instance: string) => answer(instance, undefined);
+
+describe('the choice of an heir', () => {
+  it('takes the replica that received the most', () => {
+    const choice = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [answer('b', 7), answer('c', 9)],
+    });
+    expect(choice).toEqual({kind: 'promote', instance: 'c'});
+  });
+
+  it('waits for a replica that may hold the only copy of a commit', () => {
+    // The primary dies together with replica c. A commit was acknowledged once
+    // any one replica had it, so c may have it and b not. Promoting b now would
+    // lose a lodgement that its caller was told is filed.
+    const choice = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [answer('b', 7), silent('c')],
+    });
+    expect(choice).toEqual({kind: 'wait', reason: 'no answer of c'});
+  });
+
+  it('does without the others where one reached the end of the log', () => {
+    const choice = chooseHeir({
+      oldPrimary: answer('a', 9),
+      replicas: [answer('b', 9), silent('c')],
+    });
+    expect(choice).toEqual({kind: 'promote', instance: 'b'});
+  });
+
+  it('compares terms before numbers', () => {
+    const old = answer('b', 50, {received: {term: 2, offset: 50}});
+    const choice = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [old, answer('c', 9)],
+    });
+    expect(choice).toEqual({kind: 'promote', instance: 'c'});
+  });
+
+  it('counts a leaving replica, and prefers one that stays', () => {
+    const leaving = answer('b', 9, {draining: true});
+    const equal = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [leaving, answer('c', 9)],
+    });
+    expect(equal).toEqual({kind: 'promote', instance: 'c'});
+    const ahead = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [leaving, answer('c', 8)],
+    });
+    expect(ahead).toEqual({kind: 'promote', instance: 'b'});
+  });
+
+  it('never leaves out an acknowledged commit, in any small case', () => {
+    // Every way in which three members can hold the first n of 3 commits, each
+    // acknowledged once one replica had it; any of them may be silent.
+    const holds = [undefined, 0, 1, 2, 3];
+    for (const first of [0, 1, 2, 3]) {
+      for (const second of [0, 1, 2, 3]) {
+        const acknowledged = Math.max(first, second);
+        for (const end of holds) {
+          if (end !== undefined && end < acknowledged) continue;
+          for (const [b, c] of silences(first, second)) {
+            const choice = chooseHeir({
+              oldPrimary: answer('a', end),
+              replicas: [answer('b', b), answer('c', c)],
+            });
+            if (choice.kind === 'wait') continue;
+            const held = choice.instance === 'b' ? first : second;
+            expect(held).toBeGreaterThanOrEqual(acknowledged);
+          }
+        }
+      }
+    }
+  });
+});
+
+function silences(b: number, c: number): (number | undefined)[][] {
+  return [
+    [b, c],
+    [undefined, c],
+    [b, undefined],
+    [undefined, undefined],
+  ];
+}
--- /dev/null
+++ b/src/services/promotion/test/common/verdict.test.ts
@@ -0,0 +1,44 @@
+import {describe, expect, it} from 'vitest';
+import {judgePrimary, type PrimaryView} from '../../common/verdict';
+
+const view = (over: Partial<PrimaryView> = {}): PrimaryView => ({
+  silentMs: 0,
+  refused: false,
+  draining: false,
+  proxies: 6,
+  complaints: 0,
+  complainedMs: 0,
+  ...over,
+});
+
+const isReplaced = (over: Partial<PrimaryView>) => {
+  return judgePrimary(view(over)).kind === 'replace';
+};
+
+describe('the verdict on a primary', () => {
+  it('replaces one that is silent to control and to the proxies', () => {
+    expect(isReplaced({silentMs: 800, complaints: 4})).toBe(true);
+  });
+
+  it('keeps one that only control cannot reach', () => {
+    // A cut between control and the primary: proxies are served. A change
+    // would stop writes for a second and win nothing.
+    expect(isReplaced({silentMs: 5_000, complaints: 0})).toBe(false);
+  });
+
+  it('replaces one that only the proxies cannot reach, if that lasts', () => {
+    const cut = {complaints: 3, complainedMs: 200};
+    expect(isReplaced(cut)).toBe(false);
+    expect(isReplaced({...cut, complainedMs: 1_200})).toBe(true);
+  });
+
+  it('keeps one that a minority of proxies cannot reach', () => {
+    expect(isReplaced({complaints: 2, complainedMs: 9_000})).toBe(false);
+  });
+
+  it('replaces one that leaves, and one whose process is gone', () => {
+    expect(isReplaced({draining: true})).toBe(true);
+    const gone = {refused: true, silentMs: 200, complaints: 6};
+    expect(isReplaced(gone)).toBe(true);
+  });
+});
