--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
 ];
 
 export default tseslint.config(
-  {ignores: ['dist', '.scratch', 'src/schema/generated', 'node_modules']},
+  {ignores: ['dist', 'target', '.scratch', 'src/schema/generated', 'node_modules']},
   ...tseslint.configs.recommended,
   {
     rules: {
