Open connections one by one, and send members only what they take

While replicas lagged, 2,695 of 15,716 statements came back refused by members and were sent again. Change: one opening at a time for each member; connections beyond the equal share close after 0.8 s at rest; a window of concurrency for each member.

--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../../base/common/clock';
 import type {Member} from '../../../schema/generated/fleet';
+import {ConcurrencyWindow} from '../common/concurrency_window';
 import type {Position} from '../../position/common/position';
 import type {
   ConnectFailure,
@@ -11,6 +12,14 @@
 const CONNECT_MS = 1_000;
 /** An idle connection is closed after this long, to leave it to others. */
 const IDLE_CLOSE_MS = 4_000;
+/** One beyond the equal share is given back sooner, in milliseconds. */
+const SURPLUS_CLOSE_MS = 800;
+/**
+ * Connections that are opened at once. Each takes 12 to 27 ms of one of a
+ * member's few slots: after a common restart, openings side by side by all
+ * instances kept the members busy with nothing else for most of a second.
+ */
+const MOST_OPENING = 1;
 /** After a member said that it is full, none is opened for so long. */
 const FULL_PAUSE_MS = 250;
 /** First pause after an opening failed; doubles up to the most. */
@@ -49,6 +58,7 @@
   private pauseMs = FIRST_PAUSE_MS;
   private latency = FIRST_LATENCY_MS;
   private failingSince: number | undefined;
+  private readonly window = new ConcurrencyWindow();
   /** What the member's log held when it last answered. */
   held: Position | undefined;
 
@@ -83,10 +93,20 @@
   }
 
   mayOpen(limit: number): boolean {
-    if (this.size >= limit) return false;
+    if (this.size >= limit || this.opening >= MOST_OPENING) return false;
     return this.clock.now() >= this.pausedUntil;
   }
 
+  /** Whether a request may wait here for the opening that is under way. */
+  get isOpening(): boolean {
+    return this.opening > 0;
+  }
+
+  /** Whether the member takes one more transaction, as far as it showed. */
+  get hasWindow(): boolean {
+    return this.window.allows(this.running);
+  }
+
   /** Takes a free connection, one with these session values if there is. */
   checkout(values: ReadonlyMap<string, string>): PooledLink | undefined {
     const fitting = this.idle.findLastIndex(item => {
@@ -108,8 +128,14 @@
     this.idle.push(pooled);
   }
 
+  /** Takes note that the member had no room for a statement. */
+  onBusy(): void {
+    this.window.onBusy(this.running);
+  }
+
   /** Takes note of an answer and the time that it took. */
   onAnswer(tookMs: number, position: Position | undefined): void {
+    this.window.onAnswer();
     this.latency += (tookMs - this.latency) * LATENCY_WEIGHT;
     this.failingSince = undefined;
     if (position) this.held = position;
@@ -138,10 +164,14 @@
   }
 
   /** Closes idle connections that nobody used for a while. */
-  maintain(): void {
-    const limit = this.clock.now() - IDLE_CLOSE_MS;
-    const old = this.idle.filter(({idleSince}) => idleSince < limit);
-    for (const pooled of old) this.drop(pooled);
+  maintain(equalShare: number): void {
+    const now = this.clock.now();
+    for (const pooled of [...this.idle]) {
+      const surplus = this.all.size > equalShare;
+      const most = surplus ? SURPLUS_CLOSE_MS : IDLE_CLOSE_MS;
+      const isLast = this.all.size === 1;
+      if (!isLast && now - pooled.idleSince > most) this.drop(pooled);
+    }
   }
 
   closeAll(): void {
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -42,6 +42,8 @@
     /** Answered, and proved to lead after `askedAt`. */
     | 'leads'
     | 'not primary'
+    /** It had no room for the statement. */
+    | 'busy'
     | 'silent';
 }
 
@@ -75,7 +77,7 @@
 /** Connections of a member that are left to control and to handovers. */
 const RESERVED_CONNECTIONS = 2;
 /** More connections than the equal share, where others rest. */
-const SHARE_FACTOR = 2;
+const SHARE_FACTOR = 3;
 /** Without a sample this new, the primary is asked for one, in ms. */
 const SAMPLE_EVERY_MS = 400;
 /** Samples are asked for only while reads came in so lately, in ms. */
@@ -230,7 +232,7 @@
   ): Grant | undefined {
     const pool = this.pools.get(instance);
     if (!pool) return undefined;
-    const pooled = pool.checkout(request.values);
+    const pooled = pool.hasWindow && pool.checkout(request.values);
     if (!pooled) {
       if (pool.mayOpen(this.limit)) pool.open();
       return undefined;
@@ -250,19 +252,31 @@
         running: pool.running,
         slots: member.slots,
         latencyMs: pool.latencyMs,
-        hasRoom: pool.hasIdle() || pool.mayOpen(this.limit),
+        hasRoom: this.hasRoom(pool),
         held: pool.held,
         sameRegion: this.around.regionOf(member.site) === this.around.region,
       };
     });
   }
 
+  private hasRoom(pool: MemberPool): boolean {
+    if (!pool.hasWindow) return false;
+    return pool.hasIdle() || pool.mayOpen(this.limit);
+  }
+
+  /** Connections to one member that all instances together may have. */
+  private get sharedConnections(): number {
+    return Math.max(1, this.definition.connections - RESERVED_CONNECTIONS);
+  }
+
+  private get equalShare(): number {
+    const share = this.sharedConnections / Math.max(1, this.proxies);
+    return Math.max(1, Math.floor(share));
+  }
+
   /** Connections that this instance may have to one member. */
   private get limit(): number {
-    const {connections} = this.definition;
-    const shared = Math.max(1, connections - RESERVED_CONNECTIONS);
-    const equal = Math.floor(shared / Math.max(1, this.proxies));
-    return Math.max(1, Math.min(shared, equal * SHARE_FACTOR));
+    return Math.min(this.sharedConnections, this.equalShare * SHARE_FACTOR);
   }
 
   private onReturn({pooled, clean}: Return): void {
@@ -287,7 +301,8 @@
       pool.onSilence();
       return this.judgePrimary();
     }
-    pool.onAnswer(answeredAt - askedAt, position);
+    if (kind === 'busy') pool.onBusy();
+    else pool.onAnswer(answeredAt - askedAt, position);
     if (kind === 'leads' && position) {
       this.believe(instance, position.term, 'its own answer');
       if (instance === this.primary) this.samples.add(askedAt, position);
@@ -396,7 +411,7 @@
   private onTick(): void {
     const now = this.now();
     for (const pool of this.pools.values()) {
-      pool.maintain();
+      pool.maintain(this.equalShare);
       if (pool.size === 0 && pool.mayOpen(1)) pool.open();
     }
     this.giveUp(now);
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -98,6 +98,13 @@
 function observedIn(reply: TurnReply): Observation['kind'] {
   if (reply.kind === 'lost') return 'silent';
   const {result} = reply;
-  const isDeposed = result.kind === 'error' && result.failure === 'not primary';
-  return isDeposed ? 'not primary' : 'answered';
+  if (result.kind === 'done') return 'answered';
+  switch (result.failure) {
+    case 'not primary':
+      return 'not primary';
+    case 'busy':
+      return 'busy';
+    default:
+      return 'answered';
+  }
 }
