--- a/src/base/node/log.ts
+++ b/src/base/node/log.ts
@@ -1,4 +1,7 @@
 import {createConsola, LogLevels, type ConsolaReporter} from 'consola';
+import {LineBudget} from '../common/line_budget';
+import {LineSink} from './line_sink';
+import {MonotonicClock} from './monotonic_clock';
 
 /** A log whose lines all carry the prefix of one part. */
 export interface Log {
@@ -12,7 +15,11 @@
 export type Fields = Readonly<Record<string, string | number | boolean>>;
 
 /** How the lines of a program look. */
-export type LogFormat = 'text' | 'json';
+export type LogFormat = 'text' | 'json' | 'events';
+
+/** Lines of one sentence in a second; see LineBudget for the grounds. */
+const LINES_PER_SECOND = 20;
+const STANDARD_OUTPUT = 1;
 
 const reporters: Record<LogFormat, ConsolaReporter> = {
   text: {
@@ -33,8 +40,48 @@
       process.stderr.write(`${JSON.stringify({...line, ...fields})}\n`);
     },
   },
+  events: {
+    log({date, type, tag, args}) {
+      const [sentence, fields = {}] = args as [string, Fields?];
+      events ??= new EventWriter();
+      events.write({date, level: type, part: tag, sentence, fields});
+    },
+  },
 };
 
+interface Event {
+  readonly date: Date;
+  readonly level: string;
+  readonly part: string;
+  readonly sentence: string;
+  readonly fields: Fields;
+}
+
+/**
+ * One JSON object a line on standard output, within a budget for each sentence
+ * and without ever waiting for the reader. The time of day may jump, so each
+ * line has the steady clock as well, in milliseconds since the start.
+ */
+class EventWriter {
+  private readonly clock = new MonotonicClock();
+  private readonly budget = new LineBudget(LINES_PER_SECOND, this.clock);
+  private readonly sink = new LineSink(STANDARD_OUTPUT);
+
+  write({date, level, part, sentence, fields}: Event): void {
+    const steady = Math.round(this.clock.now());
+    const time = date.toISOString();
+    for (const [kind, count] of this.budget.settle()) {
+      const note = {time, steady, level, part, sentence: 'Lines left out.'};
+      this.sink.writeLine(JSON.stringify({...note, kind, count}));
+    }
+    if (!this.budget.take(sentence)) return;
+    const line = {time, steady, level, part, sentence, ...fields};
+    this.sink.writeLine(JSON.stringify(line));
+  }
+}
+
+let events: EventWriter | undefined;
+
 let root = createConsola({
   level: LogLevels.info,
   reporters: [reporters.text],
--- a/src/services/dispatch/test/common/concurrency_window.test.ts
+++ b/src/services/dispatch/test/common/concurrency_window.test.ts
@@ -28,8 +28,9 @@
       }
       served += total();
       running.forEach((count, each) => {
-        for (let answer = 0; answer < count; answer++)
-          {windows[each]!.onAnswer();}
+        for (let answer = 0; answer < count; answer++) {
+          windows[each]!.onAnswer();
+        }
       });
     }
     // Without it, 71 of 90 are refused in each turn.
