Proxies hear at once who leads; start from V8's code cache

Control itself took 0.6 s to start. Change: a control instance keeps a proxy's stream and tells it who leads as soon as it knows; changes of role go into the log; a build-time code cache for both programs.

--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,11 +1,17 @@
-// Bundles the programs for the users' platform under target/.
+// Bundles the programs for the users' platform under target/, with V8's code
+// cache beside each: without it a small machine compiles for half of its start.
+import {spawnSync} from 'node:child_process';
 import {build} from 'esbuild';
 
+const PROGRAMS = {
+  proxy: 'platform/node/proxy_main.ts',
+  control: 'platform/node/control_main.ts',
+};
+
 await build({
-  entryPoints: {
-    proxy: 'platform/node/proxy_main.ts',
-    control: 'platform/node/control_main.ts',
-  },
+  entryPoints: Object.fromEntries(
+    Object.entries(PROGRAMS).map(([name, path]) => [`${name}.bundle`, path]),
+  ),
   outdir: 'target',
   outExtension: {'.js': '.cjs'},
   bundle: true,
@@ -16,3 +22,22 @@
   keepNames: true,
   logLevel: 'warning',
 });
+
+await build({
+  entryPoints: Object.fromEntries(
+    Object.keys(PROGRAMS).map(name => [name, 'platform/node/cached_start.ts']),
+  ),
+  outdir: 'target',
+  outExtension: {'.js': '.cjs'},
+  platform: 'node',
+  format: 'cjs',
+});
+
+for (const name of Object.keys(PROGRAMS)) {
+  const {status, stderr} = spawnSync(
+    process.execPath,
+    [`target/${name}.cjs`, '--write-code-cache'],
+    {encoding: 'utf8'},
+  );
+  if (status !== 0) throw new Error(`code cache of ${name}: ${stderr}`);
+}
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -212,9 +212,12 @@
 
   /** A member whose log may count at a promotion goes into the log. */
   private admit(member: Member): void {
-    const {instance, service, address} = member;
+    const {instance, service, address, role} = member;
     const known = this.around.machine.member(service, instance);
-    if (known?.address === address || this.admitting.has(instance)) return;
+    // The role too: a new leader would else send proxies to an old primary
+    // until the members' next heartbeats.
+    const isKnown = known?.address === address && known.role === role;
+    if (isKnown || this.admitting.has(instance)) return;
     this.admitting.add(instance);
     const body = {$case: 'admit', value: {member}} as const;
     void this.around.node.propose(encodeCommand(body)).then(() => {
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -30,7 +30,10 @@
 
 /** Pause before another control instance is tried, in milliseconds. */
 const RETRY_MS = 150;
-/** A stream that said nothing after this long is given up, in milliseconds. */
+/**
+ * A stream that said nothing after this long is given up, in milliseconds: an
+ * instance that is cut off from the others never learns who leads.
+ */
 const FIRST_WORD_MS = 1_500;
 
 /** A proxy's side of the exchange with the leader of control. */
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -60,10 +60,17 @@
     signal.addEventListener('abort', () => this.endAll(), {once: true});
   }
 
-  /** Sends what each proxy has not heard of yet. */
+  /**
+   * Sends what each proxy has not heard of yet. One that came while nobody
+   * leads waits here and hears at once who does: asking around in turn took
+   * proxies up to 0.6 s after each election.
+   */
   push(): void {
-    if (!this.source.isLeading()) return this.endAll();
-    for (const follower of this.followers) this.pushTo(follower);
+    if (this.source.isLeading()) {
+      for (const follower of this.followers) this.pushTo(follower);
+    } else if (this.source.leaderAddress() !== '') {
+      for (const follower of [...this.followers]) this.sendOn(follower);
+    }
   }
 
   /** How many proxies complain of a member, and for how long half did. */
@@ -87,12 +94,6 @@
   }
 
   private onFollow(stream: Stream): void {
-    if (!this.source.isLeading()) {
-      const leaderAddress = this.source.leaderAddress();
-      stream.write({body: {$case: 'notLeading', value: {leaderAddress}}});
-      stream.end();
-      return;
-    }
     const follower: Follower = {
       stream,
       instance: '',
@@ -129,6 +130,12 @@
     }
   }
 
+  private sendOn(follower: Follower): void {
+    const value = {leaderAddress: this.source.leaderAddress()};
+    this.write(follower, {$case: 'notLeading', value});
+    this.leave(follower);
+  }
+
   private pushTo(follower: Follower): void {
     if (follower.instance === '') return;
     const catalog = this.source.catalog();
