--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,6 +1,7 @@
 // Bundles the programs for the users' platform under target/, with V8's code
 // cache beside each: without it a small machine compiles for half of its start.
 import {spawnSync} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import {build} from 'esbuild';
 
 const PROGRAMS = {
@@ -33,10 +34,14 @@
   format: 'cjs',
 });
 
+// V8 takes a cache only under the flags that it was written with.
+const deployment = readFileSync('deploy/system.toml', 'utf8');
+const flags = new Set(deployment.match(/--max-[a-z-]+=\d+/g));
+
 for (const name of Object.keys(PROGRAMS)) {
   const {status, stderr} = spawnSync(
     process.execPath,
-    [`target/${name}.cjs`, '--write-code-cache'],
+    [...flags, `target/${name}.cjs`, '--write-code-cache'],
     {encoding: 'utf8'},
   );
   if (status !== 0) throw new Error(`code cache of ${name}: ${stderr}`);
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -93,6 +93,7 @@
     this.promotions = undefined;
     this.roster = new Roster();
     this.leadingSince = isLeader ? this.around.clock.now() : Infinity;
+    if (!isLeader) this.leader?.onDidLoseLead();
     this.leader?.push();
   }
 
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -73,6 +73,19 @@
     }
   }
 
+  /**
+   * Sends attached proxies away when this instance stops leading.
+   *
+   * Guard: an old leader that is cut off from the others and not from its
+   * proxies would keep them, and changes made on the other side would not
+   * reach them for as long as the cut lasts.
+   */
+  onDidLoseLead(): void {
+    for (const follower of [...this.followers]) {
+      if (follower.instance !== '') this.leave(follower);
+    }
+  }
+
   /** How many proxies complain of a member, and for how long half did. */
   complaintsOf(service: string, instance: string) {
     const attached = [...this.followers].filter(one => one.instance !== '');
