Refuse at once, or wait, by when a primary is expected back

Change: PrimaryOutage tells the expected end; who would be served before the deadline waits, all others hear the time at once. A member's own word that it does not lead means a promotion under way, not a loss. One lost answer is no loss any more: a new connection has to fail, or not to open for 200 ms. PrimaryBelief takes what one instance believes out of the dispatcher. Ruled out while testing: taking a single silence for a loss made 'plays a member that is lost with a write under way' red.

--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -37,6 +37,8 @@
  * costs a turn of a slot and the request a way there and back.
  */
 const LAG_MEMORY_MS = 250;
+/** Three ways between regions and an opening, in milliseconds. */
+const SUSPICION_MS = 200;
 /** Weight of a new answer in the smoothed latency. */
 const LATENCY_WEIGHT = 0.15;
 /** What an answer is taken to need before any was measured. */
@@ -69,7 +71,9 @@
   private pausedUntil = 0;
   private pauseMs = FIRST_PAUSE_MS;
   private latency = FIRST_LATENCY_MS;
-  private failingSince: number | undefined;
+  /** Since when nothing was answered, although something was asked. */
+  private suspectedSince: number | undefined;
+  private isConfirmed = false;
   private readonly window = new ConcurrencyWindow();
   private lag = {ms: 0, at: -Infinity};
 
@@ -94,9 +98,14 @@
     return this.all.size + this.opening;
   }
 
-  /** Whether the last tries to reach the member all failed. */
+  /**
+   * Whether the member cannot be reached. One lost answer does not say so: it
+   * counts once a new connection fails too, or does not open for a while.
+   */
   get isFailing(): boolean {
-    return this.failingSince !== undefined;
+    if (this.suspectedSince === undefined) return false;
+    const suspected = this.clock.now() - this.suspectedSince;
+    return this.isConfirmed || suspected >= SUSPICION_MS;
   }
 
   hasIdle(): boolean {
@@ -142,13 +151,14 @@
   /** Takes note that the member had no room for a statement. */
   onBusy(): void {
     this.window.onBusy(this.running);
+    this.clearSuspicion();
   }
 
   /** Takes note of an answer and the time that it took. */
   onAnswer(tookMs: number): void {
     this.window.onAnswer();
+    this.clearSuspicion();
     this.latency += (tookMs - this.latency) * LATENCY_WEIGHT;
-    this.failingSince = undefined;
   }
 
   /** Takes note of how far behind the member was, in milliseconds. */
@@ -164,10 +174,16 @@
 
   /** Takes note that the member did not answer in time. */
   onSilence(): void {
-    this.failingSince ??= this.clock.now();
+    this.suspectedSince ??= this.clock.now();
     // Guard: connections can go silent for good while new ones work; those
     // that rested beside a silent one would each cost a request its time.
     for (const pooled of this.idle.splice(0)) this.drop(pooled);
+    if (this.opening === 0) this.open();
+  }
+
+  private clearSuspicion(): void {
+    this.suspectedSince = undefined;
+    this.isConfirmed = false;
   }
 
   open(): void {
@@ -218,7 +234,7 @@
       idleSince: this.clock.now(),
     };
     this.pauseMs = FIRST_PAUSE_MS;
-    this.failingSince = undefined;
+    this.clearSuspicion();
     this.all.add(pooled);
     this.idle.push(pooled);
     link.onDidClose(() => {
@@ -233,7 +249,8 @@
     if (failure === 'too many connections') {
       this.pausedUntil = now + FULL_PAUSE_MS;
     } else {
-      this.failingSince ??= now;
+      this.suspectedSince ??= now;
+      this.isConfirmed = true;
       this.pausedUntil = now + this.pauseMs;
       this.pauseMs = Math.min(this.pauseMs * 2, MOST_PAUSE_MS);
     }
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -12,6 +12,8 @@
 import {PositionSamples} from '../../freshness/common/position_samples';
 import {laterPosition, type Position} from '../../position/common/position';
 import type {TargetConnector} from '../../target_link/common/target_link';
+import {PrimaryBelief} from '../common/primary_belief';
+import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
 import type {PlaceRefusal, PlaceRequest} from '../common/place_request';
 import {MemberPool, type PooledLink} from './member_pool';
@@ -84,10 +86,6 @@
 const READ_INTEREST_MS = 2_000;
 /** The most requests that wait here; what is more has no chance. */
 const QUEUE_LIMIT = 256;
-/** How long a request may wait for a primary that is lost, in ms. */
-const PRIMARY_PATIENCE_MS = 150;
-/** A promotion takes about this long: when callers should come back. */
-const PROMOTION_MS = 1_200;
 /** How long a request may wait for a connection, as a part of its time. */
 const WAIT_PART = 0.5;
 const LEAST_RETRY_MS = 40;
@@ -106,9 +104,8 @@
   private readonly samples = new PositionSamples();
   private definition: ServiceEntry;
   private proxies = 1;
-  private primary = '';
-  private primaryTerm = 0;
-  private deposed = new Set<string>();
+  private readonly belief = new PrimaryBelief();
+  private readonly outage = new PrimaryOutage();
   private lastRead = -Infinity;
   private holdMs = FIRST_HOLD_MS;
   private probing = false;
@@ -176,6 +173,8 @@
   /** What cannot be met in time is refused at once. */
   private refusalOf(request: PlaceRequest<Grant>): PlaceRefusal | undefined {
     const now = this.now();
+    const hopeless = this.outageRefusal(request, now);
+    if (hopeless) return hopeless;
     const links = Math.max(1, this.limit * Math.max(1, this.pools.size));
     const ahead = this.queue.aheadOf(request);
     const expectedMs = (ahead * this.holdMs) / links;
@@ -184,6 +183,18 @@
     return this.refuse('overloaded', expectedMs, `ahead=${ahead}`);
   }
 
+  private outageRefusal(
+    request: PlaceRequest<Grant>,
+    now: number,
+  ): PlaceRefusal | undefined {
+    if (request.need.kind !== 'primary') return undefined;
+    const end = this.outage.expectedEnd(now);
+    if (end === undefined || end <= request.deadline) return undefined;
+    const waited = Math.round(now - request.since);
+    const detail = `waited=${waited} primary=${this.belief.instance}`;
+    return this.refuse('no primary', end - now, detail);
+  }
+
   private refuse(
     reason: PlaceRefusal['reason'],
     afterMs: number,
@@ -223,9 +234,8 @@
   }
 
   private placeOnPrimary(request: PlaceRequest<Grant>): Grant | undefined {
-    const pool = this.pools.get(this.primary);
-    if (!pool || this.deposed.has(this.primary)) return undefined;
-    return this.take(this.primary, request, undefined);
+    if (!this.belief.isStanding) return undefined;
+    return this.take(this.belief.instance, request, undefined);
   }
 
   private take(
@@ -241,7 +251,7 @@
       return undefined;
     }
     this.takenAt.set(pooled, this.now());
-    return {pooled, isPrimary: instance === this.primary, after};
+    return {pooled, isPrimary: this.isPrimary(instance), after};
   }
 
   private views(): MemberView[] {
@@ -249,7 +259,7 @@
       const {member} = pool;
       return {
         instance: member.instance,
-        isPrimary: member.instance === this.primary,
+        isPrimary: this.isPrimary(member.instance),
         draining: member.draining,
         avoided: pool.isFailing && !pool.hasIdle(),
         running: pool.running,
@@ -310,43 +320,41 @@
     if (position) pool.onLag(this.samples.lagOf(position, askedAt));
     if (kind === 'leads' && position) {
       this.believe(instance, position.term, 'its own answer');
-      if (instance === this.primary) this.samples.add(askedAt, position);
+      if (this.isPrimary(instance)) this.samples.add(askedAt, position);
     }
     if (kind === 'not primary') this.depose(instance);
     this.dispatch();
   }
 
+  private isPrimary(instance: string): boolean {
+    return instance === this.belief.instance;
+  }
+
   private believe(instance: string, term: number, source: string): void {
-    if (term < this.primaryTerm) return;
-    this.deposed.delete(instance);
-    if (instance === this.primary && term === this.primaryTerm) return;
-    const isNew = instance !== this.primary;
-    this.primary = instance;
-    this.primaryTerm = term;
-    const {service, log} = this.around;
-    if (isNew) log.info('Takes a primary.', {service, instance, term, source});
+    if (this.belief.believe(instance, term)) this.noteBelief(source);
     this.judgePrimary();
   }
 
   private depose(instance: string): void {
-    if (this.deposed.has(instance)) return;
-    this.deposed.add(instance);
+    if (!this.belief.depose(instance)) return;
     const {service, log} = this.around;
     log.info('A member says that it does not lead.', {service, instance});
     this.lookForPrimary();
+    this.judgePrimary();
   }
 
-  /** Takes the member that says it leads, unless it said otherwise itself. */
+  /** Takes a member that says it leads, unless it said otherwise itself. */
   private lookForPrimary(): void {
-    const isSettled =
-      this.pools.has(this.primary) && !this.deposed.has(this.primary);
-    if (isSettled) return;
-    for (const {member} of this.pools.values()) {
-      const {instance} = member;
-      const claims = member.role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
-      if (!claims || this.deposed.has(instance)) continue;
-      return this.believe(instance, this.primaryTerm, 'its announcement');
-    }
+    const claimants = [...this.pools.values()]
+      .filter(({member}) => claimsToLead(member))
+      .map(({member}) => member.instance);
+    if (this.belief.choose(claimants)) this.noteBelief('its announcement');
+  }
+
+  private noteBelief(source: string): void {
+    const {service, log} = this.around;
+    const {instance, term} = this.belief;
+    log.info('Takes a primary.', {service, instance, term, source});
   }
 
   private onMembers(members: readonly Member[], proxies: number): void {
@@ -357,6 +365,7 @@
       if (own.some(member => member.instance === instance)) continue;
       pool.closeAll();
       this.pools.delete(instance);
+      this.belief.forget(instance);
       const {service, log} = this.around;
       log.info('Forgets a member.', {service, instance});
     }
@@ -368,12 +377,10 @@
     const known = this.pools.get(member.instance);
     const {service, log, connector, clock} = this.around;
     if (known && known.member.address === member.address) {
-      const began = member.role !== known.member.role;
+      const isNews = member.role !== known.member.role;
       known.member = member;
-      const claims = member.role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
-      if (began && claims) {
-        this.deposed.delete(member.instance);
-        this.believe(member.instance, this.primaryTerm, 'its announcement');
+      if (isNews && claimsToLead(member)) {
+        this.believe(member.instance, this.belief.term, 'its announcement');
       }
       return;
     }
@@ -403,12 +410,16 @@
 
   /** Says when trouble with the primary begins and ends. */
   private judgePrimary(): void {
-    const pool = this.pools.get(this.primary);
+    const {instance, isStanding} = this.belief;
+    const pool = this.pools.get(instance);
+    const isLost = pool === undefined || pool.isFailing;
+    const state = isStanding ? 'serving' : 'deposed';
+    this.outage.note(isLost ? 'lost' : state, this.now());
     const trouble = pool?.isFailing ? 'unreachable' : '';
-    const judgement = `${this.primary} ${trouble}`;
+    const judgement = `${instance} ${trouble}`;
     if (judgement === this.judged) return;
     this.judged = judgement;
-    this.around.onDidJudgePrimary(this.primary, trouble);
+    this.around.onDidJudgePrimary(instance, trouble);
   }
 
   // ---- Time ----
@@ -420,6 +431,7 @@
       const isKept = this.equalShare >= 1;
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open();
     }
+    this.judgePrimary();
     this.giveUp(now);
     const wanted = now - this.lastRead < READ_INTEREST_MS;
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
@@ -429,20 +441,11 @@
 
   /** Gives up what waited as long as makes sense for its caller. */
   private giveUp(now: number): void {
-    const pool = this.pools.get(this.primary);
-    const hasPrimary =
-      pool !== undefined && !this.deposed.has(this.primary) && !pool.isFailing;
     const late: [PlaceRequest<Grant>, PlaceRefusal][] = [];
     this.queue.serve(request => {
-      const waited = now - request.since;
-      const isPrimaryLost = request.need.kind === 'primary' && !hasPrimary;
-      const room = (request.deadline - request.since) * WAIT_PART;
-      const detail = `waited=${Math.round(waited)} primary=${this.primary}`;
-      if (isPrimaryLost && waited >= PRIMARY_PATIENCE_MS) {
-        late.push([request, this.refuse('no primary', PROMOTION_MS, detail)]);
-      } else if (waited >= room) {
-        late.push([request, this.refuse('no member', this.holdMs, detail)]);
-      }
+      const refusal =
+        this.outageRefusal(request, now) ?? this.lateRefusal(request, now);
+      if (refusal) late.push([request, refusal]);
       return 'later';
     });
     for (const [request, refusal] of late) {
@@ -451,13 +454,26 @@
     }
   }
 
+  private lateRefusal(
+    request: PlaceRequest<Grant>,
+    now: number,
+  ): PlaceRefusal | undefined {
+    const {since, deadline, need} = request;
+    const isOutage = this.outage.expectedEnd(now) !== undefined;
+    const part = need.kind === 'primary' && isOutage ? 1 : WAIT_PART;
+    if (now - since < (deadline - since) * part) return undefined;
+    const waited = Math.round(now - since);
+    const detail = `waited=${waited} need=${need.kind}`;
+    return this.refuse('no member', this.holdMs, detail);
+  }
+
   /**
    * Asks the primary for its position where no request did lately. A begin is
    * refused by a member that does not lead and takes no slot.
    */
   private probePrimary(): void {
-    const pool = this.pools.get(this.primary);
-    if (this.probing || !pool || this.deposed.has(this.primary)) return;
+    const pool = this.pools.get(this.belief.instance);
+    if (this.probing || !pool || !this.belief.isStanding) return;
     const pooled = pool.checkout(NO_VALUES);
     if (!pooled) {
       if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
@@ -492,6 +508,10 @@
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
 const NO_MEMBERS: ReadonlySet<string> = new Set();
 
+function claimsToLead({role}: Member): boolean {
+  return role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
+}
+
 type ProbeReply = Awaited<ReturnType<PooledLink['link']['send']>[number]>;
 
 function probeOutcome(reply: ProbeReply | undefined): Observation['kind'] {
