Serve the first request of a session that begins while an instance stops

Sessions that began between the order and the end of rotation were closed at once, with their first request on the way. Change: only drain(), 2.2 s after the order, closes sessions, and one that has served nothing yet is closed with its first answer, or when transactions are cut. Test: new, of exactly that; 'closes a session at rest' now asks once before, since a session that asked nothing is no longer closed by a drain.

--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -36,6 +36,7 @@
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
+  private stopping = false;
   private draining = false;
 
   constructor(
@@ -52,7 +53,7 @@
   /** Whether it knows what to serve, and with whom. */
   get isReady(): boolean {
     return (
-      !this.draining && this.index !== undefined && this.members.length > 0
+      !this.stopping && this.index !== undefined && this.members.length > 0
     );
   }
 
@@ -118,6 +119,7 @@
 
   /** Takes no more traffic; sessions end where nothing is under way. */
   drain(): void {
+    this.stopping = true;
     this.draining = true;
     for (const session of this.sessions) session.post({kind: 'drain'});
   }
@@ -129,7 +131,7 @@
 
   /** Says that it takes no more traffic, while sessions go on. */
   announceStop(): void {
-    this.draining = true;
+    this.stopping = true;
   }
 
   private dispatcherOf(service: string): ServiceDispatcher {
--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -35,6 +35,7 @@
   private transaction: OpenTransaction | undefined;
   private cancelRest = () => {};
   private draining = false;
+  private hasServed = false;
 
   constructor(
     private readonly context: SessionContext,
@@ -58,12 +59,21 @@
     return this.transaction !== undefined;
   }
 
+  /**
+   * Guard: a session that began while this instance stops has its first
+   * request on the way. Closing it at rest would cut that request off; it is
+   * closed with its first answer instead.
+   */
+  private get mayClose(): boolean {
+    return this.draining && this.hasServed && !this.transaction;
+  }
+
   private *run(): Task<void> {
     for (;;) {
       const message = yield* this.mailbox.receive();
       if (!message) break;
       yield* this.handle(message);
-      if (this.draining && !this.transaction) this.channel.close();
+      if (this.mayClose) this.channel.close();
     }
     this.cancelRest();
     // The caller left: what it did not commit is not kept.
@@ -82,6 +92,7 @@
         return;
       case 'cut':
         this.draining = true;
+        this.hasServed = true;
         this.transaction?.giveUp('this instance stops');
         return;
     }
@@ -95,6 +106,7 @@
     const {result, state} = yield* this.stepOf(requestId, statement, since);
     if (state !== 'idle') this.watchRest();
     const position = this.context.memory.own?.position;
+    this.hasServed = true;
     this.channel.answer({result, state, position});
     const route = this.context.route();
     if (!route) return;
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -245,9 +245,27 @@
 });
 
 describe('a stop', () => {
+  it('serves the first request of a session that begins meanwhile', async () => {
+    // An instance is told to stop; for two more seconds callers are still sent
+    // to it. A caller connects and asks at once, and its connection was closed
+    // with the request on the way: it heard nothing, and had to guess.
+    setUp();
+    gateway.gateway.announceStop();
+    const early = new Caller(gateway, 'db');
+    gateway.gateway.drain();
+    const late = new Caller(gateway, 'db');
+    await pause(10);
+    expect([early.isClosed, late.isClosed]).toEqual([false, false]);
+    expect((await late.ask(WRITE)).result.kind).toBe('done');
+    expect((await early.ask(WRITE)).result.kind).toBe('done');
+    await pause(10);
+    expect([early.isClosed, late.isClosed]).toEqual([true, true]);
+  });
+
   it('closes a session at rest, and one in a transaction after it', async () => {
     const {caller} = setUp();
     const busy = new Caller(gateway, 'db');
+    await caller.ask(WRITE);
     await busy.ask(BEGIN);
     gateway.gateway.drain();
     await pause(10);
