--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -36,6 +36,7 @@
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
+  private waitingForCatalog: (() => void)[] = [];
   private stopping = false;
   private draining = false;
 
@@ -65,11 +66,22 @@
     return [...this.sessions].filter(one => one.isInTransaction).length;
   }
 
+  /** Calls back once a catalog is known; the result takes the call back. */
+  onceCatalogKnown(listener: () => void): () => void {
+    this.waitingForCatalog.push(listener);
+    return () => {
+      this.waitingForCatalog = this.waitingForCatalog.filter(other => {
+        return other !== listener;
+      });
+    };
+  }
+
   /** Takes a catalog; never one that is older than that in force. */
   setCatalog(catalog: Catalog): void {
     const {version} = catalog;
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
+    for (const listener of this.waitingForCatalog.splice(0)) listener();
     const {routes, services} = catalog;
     const count = routes.length;
     this.around.log.info('A catalog is in force.', {version, routes: count});
