--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -11,6 +11,7 @@
 import {BEGUN, OpenTransaction, type TransactionStep} from './open_transaction';
 import type {SessionContext} from './session_context';
 import {runSingle} from './single_statement';
+import type {WorkStatement} from './statement_on_link';
 
 /** What a session is told. */
 export type SessionMessage =
@@ -155,7 +156,7 @@
   ): Task<StatementResult> {
     const local = this.runHere(statement);
     if (local) return local;
-    const work = statement as Statement & {kind: 'read' | 'write' | 'execute'};
+    const work = statement as WorkStatement;
     const isWrite = this.isWrite(work);
     if (isWrite === undefined) return unknownName(work);
     const request = {requestId, statement: work, isWrite, route, since};
@@ -185,9 +186,7 @@
       default: {
         const local = this.runHere(statement);
         if (local) return {result: local, state: transaction.state};
-        const work = statement as Statement & {
-          kind: 'read' | 'write' | 'execute';
-        };
+        const work = statement as WorkStatement;
         const isWrite = this.isWrite(work);
         if (isWrite === undefined) {
           return {result: unknownName(work), state: transaction.state};
@@ -220,9 +219,7 @@
     }
   }
 
-  private isWrite(
-    statement: Statement & {kind: 'read' | 'write' | 'execute'},
-  ): boolean | undefined {
+  private isWrite(statement: WorkStatement): boolean | undefined {
     if (statement.kind !== 'execute') return statement.kind === 'write';
     const known = this.context.memory.lookUp(statement.name);
     return known && known.action === 'write';
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -95,6 +95,11 @@
   return reply?.kind === 'answer' && reply.result.kind === 'done';
 }
 
+/** Whether a connection is outside a transaction after an answer. */
+export function isOutside(reply: TurnReply | undefined): boolean {
+  return reply?.kind === 'answer' && reply.state === 'idle';
+}
+
 function observedIn(reply: TurnReply): Observation['kind'] {
   if (reply.kind === 'lost') return 'silent';
   const {result} = reply;
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -4,12 +4,17 @@
   DONE_HERE,
   failure,
   saysNotRun,
-  type Statement,
   type StatementResult,
   type TargetStatement,
   type TransactionState,
 } from '../../statement/common/statement';
-import {isDone, type MemberTurn, type TurnReply} from './member_turn';
+import {
+  isDone,
+  isOutside,
+  type MemberTurn,
+  type TurnReply,
+} from './member_turn';
+import {makeReady, type WorkStatement} from './statement_on_link';
 import {refusalResult, takeTurn, type SessionContext} from './session_context';
 
 /** How a statement of a transaction ended, and the state after it. */
@@ -71,7 +76,7 @@
 
   *run(
     requestId: string,
-    statement: Statement & {kind: 'read' | 'write' | 'execute'},
+    statement: WorkStatement,
     isWrite: boolean,
   ): Task<TransactionStep> {
     if (this.failed) return FAILED_STEP;
@@ -160,27 +165,19 @@
   private *runOn(
     turn: MemberTurn,
     requestId: string,
-    asked: Statement & {kind: 'read' | 'write' | 'execute'},
+    asked: WorkStatement,
     isWrite: boolean,
     deadline: number,
   ): Task<TransactionStep> {
-    const {context} = this;
-    const {memory, clock} = context;
-    const {pooled} = turn.grant;
-    const prelude = memory.valuesFor(pooled);
-    let statement: TargetStatement = asked;
-    if (asked.kind === 'execute') {
-      const execution = memory.executionFor(asked, pooled);
-      if (!execution) {
-        const result = failure('unknown name', `no statement ${asked.name}`);
-        return {result, state: 'open'};
-      }
-      prelude.push(...execution.prelude);
-      statement = execution.statement;
+    const {clock} = this.context;
+    const ready = yield* makeReady(this.context, turn, asked);
+    if (ready.kind === 'unknown name') {
+      return {result: failure('unknown name', 'not prepared'), state: 'open'};
     }
-    if (!(yield* turn.prepare(prelude, BEGIN_MS))) {
+    if (ready.kind === 'connection failed') {
       return this.fail(failure('aborted', 'own statements failed'));
     }
+    const {statement} = ready;
     for (;;) {
       const askedAt = clock.now();
       const [reply] = yield* turn.ask(
@@ -278,9 +275,5 @@
   );
 }
 
-function isOutside(reply: TurnReply | undefined): boolean {
-  return reply?.kind === 'answer' && reply.state === 'idle';
-}
-
 /** The answer to a begin: the system gives it itself. */
 export const BEGUN: TransactionStep = {result: DONE_HERE, state: 'open'};
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -3,18 +3,18 @@
 import {
   failure,
   saysNotRun,
-  type Statement,
   type StatementResult,
   type TargetCall,
   type TargetStatement,
 } from '../../statement/common/statement';
-import {isDone, type MemberTurn, type TurnReply} from './member_turn';
+import {isDone, isOutside, type MemberTurn} from './member_turn';
+import {makeReady, type WorkStatement} from './statement_on_link';
 import {refusalResult, takeTurn, type SessionContext} from './session_context';
 
 /** A statement outside a transaction. */
 export interface SingleRequest {
   readonly requestId: string;
-  readonly statement: Statement & {kind: 'read' | 'write' | 'execute'};
+  readonly statement: WorkStatement;
   readonly isWrite: boolean;
   readonly route: DatabaseRoute;
   /** When its last byte was here. */
@@ -31,8 +31,6 @@
  * of a member takes, so that only lost answers and silent members count.
  */
 const LOST_ANSWER_MS = 350;
-/** Own statements before a request take no slot and are answered quickly. */
-const PRELUDE_MS = 400;
 
 /** How one try ended. */
 type Try =
@@ -83,24 +81,17 @@
   request: SingleRequest,
   deadline: number,
 ): Task<Try> {
-  const {memory, clock} = context;
-  const {pooled} = turn.grant;
-  const prelude: TargetStatement[] = memory.valuesFor(pooled);
-  let statement: TargetStatement = request.statement;
-  if (request.statement.kind === 'execute') {
-    const execution = memory.executionFor(request.statement, pooled);
-    if (!execution) {
-      turn.end(false);
-      const text = `no statement ${request.statement.name}`;
-      return {kind: 'final', result: failure('unknown name', text)};
-    }
-    prelude.push(...execution.prelude);
-    statement = execution.statement;
+  const {clock} = context;
+  const ready = yield* makeReady(context, turn, request.statement);
+  if (ready.kind === 'unknown name') {
+    turn.end(false);
+    return {kind: 'final', result: failure('unknown name', 'not prepared')};
   }
-  if (!(yield* turn.prepare(prelude, PRELUDE_MS))) {
+  if (ready.kind === 'connection failed') {
     turn.end(false);
     return {kind: 'again', detail: 'own statements failed', busy: false};
   }
+  const {statement} = ready;
   const askedAt = clock.now();
   if (request.isWrite) {
     return yield* write(context, turn, request, statement, deadline - askedAt);
@@ -186,7 +177,3 @@
   {requestId: undefined, statement: {kind: 'begin', readOnly: false}},
   {requestId: undefined, statement: {kind: 'rollback'}},
 ];
-
-function isOutside(reply: TurnReply | undefined): boolean {
-  return reply?.kind === 'answer' && reply.state === 'idle';
-}
