--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -107,7 +107,8 @@
     const {result, state} = yield* this.stepOf(requestId, statement, since);
     if (state !== 'idle') this.watchRest();
     const position = this.context.memory.own?.position;
-    this.hasServed = true;
+    // What follows a prepared statement or a value is on its way already.
+    this.hasServed ||= result.kind === 'error' || result.signature !== '';
     this.channel.answer({result, state, position});
     const route = this.context.route();
     if (!route) return;
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -262,6 +262,20 @@
     expect([early.isClosed, late.isClosed]).toEqual([true, true]);
   });
 
+  it('is not in the way of what follows a prepared statement', async () => {
+    // A caller prepares a statement and executes it at once. Closed with the
+    // answer to the first, it never heard of the second.
+    const {caller} = setUp();
+    gateway.gateway.drain();
+    const prepare = {kind: 'prepare', name: 's', shape: 'q'} as const;
+    await caller.ask({...prepare, action: 'write'});
+    const execute = {kind: 'execute', name: 's', item: 'a'} as const;
+    const done = await caller.ask({...execute, data: 'x'});
+    expect(done.result.kind).toBe('done');
+    await pause(10);
+    expect(caller.isClosed).toBe(true);
+  });
+
   it('closes a session at rest, and one in a transaction after it', async () => {
     const {caller} = setUp();
     const busy = new Caller(gateway, 'db');
