--- a/scripts/guards.mjs
+++ b/scripts/guards.mjs
@@ -6,7 +6,7 @@
 const guards = JSON.parse(readFileSync('scripts/guards.json', 'utf8'));
 const wanted = process.argv[2] ?? '';
 
-const dirty = execFileSync('git', ['status', '--porcelain', 'src']);
+const dirty = execFileSync('git', ['status', '--porcelain', 'src', 'platform']);
 if (dirty.length > 0) {
   console.error('src has changes that are not committed');
   process.exit(1);
