Let some proxies keep the scarce connections of a service for the others

Change: control names poolers where a proxy's share is below two connections, one a site first; the others send them statements over one gRPC stream. Session memory stays with the caller's proxy; retries, queues, samples and connections are the pooler's. A lost pooler costs a read a moment, leaves the outcome of a write unknown and aborts a transaction. Control counts complaints of poolers only, since the others have nothing to judge a primary by.

Also removed: MemberPool.isOpening and Gateway.openTransactions, which nothing used.

--- a/src/base/node/grpc.ts
+++ b/src/base/node/grpc.ts
@@ -27,12 +27,22 @@
   'grpc.use_local_subchannel_pool': 1,
 };
 
+/**
+ * Links between proxies, which are many and watch their own silence while they
+ * have work: the keepalive only ends idle links to a peer that vanished.
+ */
+export const PEER_OPTIONS: ChannelOptions = {
+  ...LINK_OPTIONS,
+  'grpc.keepalive_time_ms': 4_000,
+  'grpc.keepalive_timeout_ms': 2_000,
+};
+
 /** The place where TLS between the system's processes will be set. */
 export const LINK_CREDENTIALS = credentials.createInsecure();
 
 /** A gRPC server of one process. */
-export function createServer(): Server {
-  return new Server(LINK_OPTIONS);
+export function createServer(options: ChannelOptions = LINK_OPTIONS): Server {
+  return new Server(options);
 }
 
 /** Starts listening; the bound port. The server closes with the signal. */
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -117,11 +117,6 @@
     return this.clock.now() >= this.pausedUntil;
   }
 
-  /** Whether a request may wait here for the opening that is under way. */
-  get isOpening(): boolean {
-    return this.opening > 0;
-  }
-
   /** Whether the member takes one more transaction, as far as it showed. */
   get hasWindow(): boolean {
     return this.window.allows(this.running);
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -8,6 +8,7 @@
   type FollowerMessage,
   type LeaderMessage,
   type MemberList,
+  type PoolerList,
   type PrimaryReport,
 } from '../../../schema/generated/fleet';
 
@@ -15,12 +16,17 @@
 export interface FollowerListener {
   onDidReceiveCatalog(catalog: Catalog): void;
   onDidReceiveMembers(members: MemberList): void;
+  onDidReceivePoolers(poolers: PoolerList): void;
 }
 
 /** Who a proxy is, and where control may be. */
 export interface FollowerOptions {
   readonly instance: string;
   readonly site: string;
+  /** Where other proxies reach this one. */
+  readonly address: string;
+  /** Services whose connections this proxy keeps for others. */
+  pooledServices(): string[];
   /** Addresses of control instances; asked anew at each try. */
   addresses(): readonly string[];
   catalogVersion(): number;
@@ -96,9 +102,10 @@
   }
 
   private greet(stream: Stream): void {
-    const {instance, site} = this.options;
+    const {instance, site, address} = this.options;
     const catalogVersion = this.options.catalogVersion();
-    const hello = {instance, site, catalogVersion};
+    const pooledServices = this.options.pooledServices();
+    const hello = {instance, site, catalogVersion, address, pooledServices};
     stream.write({body: {$case: 'hello', value: hello}});
     for (const report of this.reports.values()) {
       if (report.trouble === '') continue;
@@ -127,6 +134,8 @@
       case 'members':
         this.noteAttached(address);
         return this.listener.onDidReceiveMembers(body.value);
+      case 'poolers':
+        return this.listener.onDidReceivePoolers(body.value);
     }
   }
 
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -10,12 +10,16 @@
   Member,
   PrimaryReport,
 } from '../../../schema/generated/fleet';
+import {PoolerRegistry} from '../../pooler/common/pooler_registry';
 
 type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
 
 interface Follower {
   readonly stream: Stream;
   instance: string;
+  site: string;
+  address: string;
+  poolersRevision: number;
   catalogVersion: number;
   membersRevision: number;
   readonly complaints: Map<string, PrimaryReport>;
@@ -37,11 +41,11 @@
  * seconds in which a change has to be in force.
  */
 const PUSH_MS = 250;
-
 /** Control's side of the exchange with proxies. */
 export class FleetLeader {
   private readonly followers = new Set<Follower>();
   private proxies = 0;
+  private readonly registry = new PoolerRegistry();
   /** Since when at least half of the proxies complain, by member. */
   private readonly complainedSince = new Map<string, number>();
 
@@ -67,6 +71,7 @@
    */
   push(): void {
     if (this.source.isLeading()) {
+      this.plan();
       for (const follower of this.followers) this.pushTo(follower);
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
@@ -81,6 +86,7 @@
    * reach them for as long as the cut lasts.
    */
   onDidLoseLead(): void {
+    this.registry.reset();
     for (const follower of [...this.followers]) {
       if (follower.instance !== '') this.leave(follower);
     }
@@ -88,7 +94,7 @@
 
   /** How many proxies complain of a member, and for how long half did. */
   complaintsOf(service: string, instance: string) {
-    const attached = [...this.followers].filter(one => one.instance !== '');
+    const attached = this.witnessesOf(service);
     const complaining = attached.filter(({complaints}) => {
       return complaints.get(service)?.instance === instance;
     });
@@ -106,10 +112,35 @@
     };
   }
 
+  /** The proxies that have connections to a service's members to judge by. */
+  private witnessesOf(service: string): Follower[] {
+    const poolers = this.registry.instancesOf(service);
+    if (poolers.length === 0) return this.attached;
+    return this.attached.filter(({instance}) => poolers.includes(instance));
+  }
+
+  /** Names poolers anew where proxies or services came or went. */
+  private plan(): void {
+    const services = this.source.catalog()?.services ?? [];
+    const {registry} = this;
+    if (!registry.update(services, this.attached, this.clock.now())) return;
+    const poolers = registry.poolers
+      .map(({service, instance}) => `${service}:${instance}`)
+      .join(' ');
+    this.log.info('Names the poolers.', {poolers});
+  }
+
+  private get attached(): Follower[] {
+    return [...this.followers].filter(({instance}) => instance !== '');
+  }
+
   private onFollow(stream: Stream): void {
     const follower: Follower = {
       stream,
       instance: '',
+      site: '',
+      address: '',
+      poolersRevision: 0,
       catalogVersion: 0,
       membersRevision: -1,
       complaints: new Map(),
@@ -124,12 +155,15 @@
 
   private onMessage(follower: Follower, {body}: FollowerMessage): void {
     if (body?.$case === 'hello') {
-      const {instance, catalogVersion} = body.value;
+      const {instance, catalogVersion, site, address} = body.value;
       for (const other of this.followers) {
         // The same proxy came again; its old stream may be half dead.
         if (other.instance === instance) this.leave(other);
       }
       follower.instance = instance;
+      follower.site = site;
+      follower.address = address;
+      this.registry.adopt(follower, body.value.pooledServices);
       follower.catalogVersion = catalogVersion;
       this.log.info('A proxy is attached.', {instance, catalogVersion});
       this.proxies = Math.max(this.proxies, this.followers.size);
@@ -156,6 +190,7 @@
       follower.catalogVersion = catalog.version;
       this.write(follower, {$case: 'catalog', value: catalog});
     }
+    this.pushPoolers(follower);
     const revision = this.source.membersRevision() * 1_000 + this.proxies;
     if (follower.membersRevision === revision) return;
     follower.membersRevision = revision;
@@ -164,6 +199,15 @@
     this.write(follower, {$case: 'members', value});
   }
 
+  private pushPoolers(follower: Follower): void {
+    const {revision, poolers} = this.registry;
+    if (!this.registry.isSettled(this.clock.now())) return;
+    if (follower.poolersRevision === revision) return;
+    follower.poolersRevision = revision;
+    const value = {poolers: [...poolers]};
+    this.write(follower, {$case: 'poolers', value});
+  }
+
   private write(follower: Follower, body: LeaderMessage['body']): void {
     follower.stream.write({body});
   }
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -1,7 +1,11 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
 import {createServer, listen} from '../../../../base/node/grpc';
-import {FleetService, type Catalog} from '../../../../schema/generated/fleet';
+import {
+  FleetService,
+  type Catalog,
+  type PoolerEntry,
+} from '../../../../schema/generated/fleet';
 import {
   makeCatalog,
   makeLog,
@@ -16,6 +20,9 @@
   knownLeader = '';
   version = 1;
   address = '';
+  /** Connections that a member takes from all proxies. */
+  connections = 16;
+  readonly clock = new ManualClock();
   readonly leader: FleetLeader;
 
   constructor() {
@@ -23,15 +30,21 @@
       {
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
-        catalog: () => makeCatalog([makeRoute()], {version: this.version}),
+        catalog: () => this.catalog(),
         members: () => [],
         membersRevision: () => 1,
       },
-      new ManualClock(),
+      this.clock,
       makeLog().log,
     );
   }
 
+  private catalog(): Catalog {
+    const {connections, version} = this;
+    const services = [{service: 'books', connections, confirmations: 1}];
+    return makeCatalog([makeRoute()], {version, services});
+  }
+
   async start(signal: AbortSignal): Promise<void> {
     const server = createServer();
     server.addService(FleetService, this.leader.handlers);
@@ -46,10 +59,12 @@
 let first: Instance;
 let second: Instance;
 let catalogs: Catalog[];
+let lists: PoolerEntry[][];
 
 beforeEach(async () => {
   stop = new AbortController();
   catalogs = [];
+  lists = [];
   first = new Instance();
   second = new Instance();
   await first.start(stop.signal);
@@ -58,17 +73,20 @@
 
 afterEach(() => stop.abort());
 
-function follow(): FleetFollower {
+function follow(instance = 'p1', pooled: string[] = []): FleetFollower {
   const follower = new FleetFollower(
     {
-      instance: 'p1',
+      instance,
       site: 'a',
+      address: `${instance}:1`,
+      pooledServices: () => pooled,
       addresses: () => [first.address, second.address],
       catalogVersion: () => catalogs.at(-1)?.version ?? 0,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
       onDidReceiveMembers: () => {},
+      onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
     stop.signal,
@@ -122,3 +140,33 @@
   await until(() => catalogs.length === 2);
   expect(catalogs.map(({version}) => version)).toEqual([1, 5]);
 });
+
+it('names poolers once the proxies of a new leader had time to come', async () => {
+  // Control elects another leader. If it named poolers with the first proxies
+  // that come back, those that keep the connections now would be left out, and
+  // all connections of the service would be closed and opened anew.
+  first.leads = true;
+  first.connections = 3;
+  const [one, other] = [follow('p2'), follow('p1', ['books'])];
+  await until(() => one.isAttached && other.isAttached);
+  first.leader.push();
+  expect(lists).toEqual([]);
+  first.clock.advance(1_000);
+  await until(() => lists.length === 2);
+  expect(lists[0]!.map(({instance}) => instance)).toEqual(['p1']);
+});
+
+it('counts complaints of those that have connections to judge by', async () => {
+  // A primary is cut off from its pooler. The other proxies have no connection
+  // to it and never complain; counted in, they would outvote the pooler.
+  first.leads = true;
+  first.connections = 3;
+  const pooler = follow('p1', ['books']);
+  const others = [follow('p2'), follow('p3')];
+  await until(() => [pooler, ...others].every(one => one.isAttached));
+  first.clock.advance(1_000);
+  await until(() => lists.length === 3);
+  pooler.report({service: 'books', instance: 'm1', trouble: 'unreachable'});
+  await until(() => first.leader.complaintsOf('books', 'm1').complaints === 1);
+  expect(first.leader.complaintsOf('books', 'm1').proxies).toBe(1);
+});
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -1,11 +1,14 @@
-import {callerName} from '../../../base/common/ids';
+import {callerName, type CallerName} from '../../../base/common/ids';
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import type {
   Catalog,
+  DatabaseRoute,
   Member,
   MemberList,
+  PoolerList,
   PrimaryReport,
+  ServiceEntry,
 } from '../../../schema/generated/fleet';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -16,6 +19,7 @@
 import {GatewaySession} from './gateway_session';
 import {RequestJournal} from './request_journal';
 import type {SessionContext} from './session_context';
+import {LOCAL_RUNNER, type WorkRunner} from './work_runner';
 
 /** What a gateway is built on. */
 export interface GatewaySurroundings {
@@ -25,6 +29,10 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly meter: GatewayMeter;
+  /** The name of this instance among the poolers. */
+  readonly instance: string;
+  /** Runs work of services whose connections other proxies keep. */
+  readonly pooledRunner: WorkRunner;
   onDidJudgePrimary(report: PrimaryReport): void;
 }
 
@@ -33,6 +41,8 @@
   private index: CatalogIndex | undefined;
   private members: readonly Member[] = [];
   private proxies = 1;
+  private poolers = new Map<string, readonly string[]>();
+  private definitions = new Map<string, ServiceEntry>();
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
@@ -62,10 +72,6 @@
     return this.sessions.size;
   }
 
-  get openTransactions(): number {
-    return [...this.sessions].filter(one => one.isInTransaction).length;
-  }
-
   /** Calls back once a catalog is known; the result takes the call back. */
   onceCatalogKnown(listener: () => void): () => void {
     this.waitingForCatalog.push(listener);
@@ -85,18 +91,61 @@
     const {routes, services} = catalog;
     const count = routes.length;
     this.around.log.info('A catalog is in force.', {version, routes: count});
+    this.definitions = new Map(services.map(one => [one.service, one]));
     for (const definition of services) {
-      const dispatcher = this.dispatcherOf(definition.service);
-      dispatcher.post({kind: 'definition', definition});
+      const {service} = definition;
+      const isServed = this.runnerOf(service) === LOCAL_RUNNER;
+      const dispatcher = isServed
+        ? this.dispatcherOf(service)
+        : this.dispatchers.get(service);
+      dispatcher?.post({kind: 'definition', definition});
     }
   }
 
   setMembers({members, proxies}: MemberList): void {
     this.members = members;
     this.proxies = proxies;
-    for (const dispatcher of this.dispatchers.values()) {
-      dispatcher.post({kind: 'members', members, proxies});
+    this.tellMembers();
+  }
+
+  /** Takes the list of proxies that keep connections for others. */
+  setPoolers({poolers}: PoolerList): void {
+    const services = new Set(poolers.map(({service}) => service));
+    const instancesOf = (service: string) => {
+      const own = poolers.filter(other => other.service === service);
+      return own.map(({instance}) => instance);
+    };
+    this.poolers = new Map(
+      [...services].map(service => [service, instancesOf(service)]),
+    );
+    for (const [service, instances] of this.poolers) {
+      if (instances.includes(this.around.instance)) this.dispatcherOf(service);
     }
+    this.tellMembers();
+  }
+
+  /** Time on the clock that ages of requests are counted by, in ms. */
+  now(): number {
+    return this.around.clock.now();
+  }
+
+  /** What the work of one session needs, for work of other proxies too. */
+  makeContext(
+    caller: CallerName,
+    memory: SessionMemory,
+    route: () => DatabaseRoute | undefined,
+    signal: AbortSignal,
+  ): SessionContext {
+    return {
+      caller,
+      memory,
+      clock: this.around.clock,
+      journal: this.journal,
+      signal,
+      route,
+      dispatcherOf: service => this.dispatcherOf(service),
+      runnerOf: service => this.runnerOf(service),
+    };
   }
 
   /** Whether callers may connect to a database. */
@@ -111,15 +160,12 @@
     channel: CallerChannel,
     signal: AbortSignal,
   ): GatewaySession {
-    const context: SessionContext = {
-      caller: callerName(caller),
-      memory: new SessionMemory(),
-      clock: this.around.clock,
-      journal: this.journal,
+    const context = this.makeContext(
+      callerName(caller),
+      new SessionMemory(),
+      () => this.index?.route(database),
       signal,
-      route: () => this.index?.route(database),
-      dispatcherOf: service => this.dispatcherOf(service),
-    };
+    );
     const session = new GatewaySession(context, channel, () => {
       return this.index?.catalog.transactionIdleMs ?? 0;
     });
@@ -149,7 +195,7 @@
   private dispatcherOf(service: string): ServiceDispatcher {
     const known = this.dispatchers.get(service);
     if (known) return known;
-    const {around, members, proxies} = this;
+    const {around, members} = this;
     const dispatcher = new ServiceDispatcher({
       ...around,
       service,
@@ -159,7 +205,31 @@
     });
     void dispatcher.start(this.signal);
     this.dispatchers.set(service, dispatcher);
+    const definition = this.definitions.get(service);
+    if (definition) dispatcher.post({kind: 'definition', definition});
+    const proxies = this.sharersOf(service);
     dispatcher.post({kind: 'members', members, proxies});
     return dispatcher;
   }
+
+  private runnerOf(service: string): WorkRunner {
+    const poolers = this.poolers.get(service);
+    if (!poolers || poolers.includes(this.around.instance)) return LOCAL_RUNNER;
+    return this.around.pooledRunner;
+  }
+
+  /** Instances that share the connections of a service with this one. */
+  private sharersOf(service: string): number {
+    const poolers = this.poolers.get(service);
+    const isPooler = poolers?.includes(this.around.instance);
+    return poolers && isPooler ? poolers.length : this.proxies;
+  }
+
+  private tellMembers(): void {
+    const {members} = this;
+    for (const [service, dispatcher] of this.dispatchers) {
+      const proxies = this.sharersOf(service);
+      dispatcher.post({kind: 'members', members, proxies});
+    }
+  }
 }
--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -8,10 +8,10 @@
   type StatementResult,
 } from '../../statement/common/statement';
 import type {CallerChannel, CallerRequest} from '../common/caller_channel';
-import {BEGUN, OpenTransaction, type TransactionStep} from './open_transaction';
+import {BEGUN, type TransactionStep} from './open_transaction';
 import type {SessionContext} from './session_context';
-import {runSingle} from './single_statement';
 import type {WorkStatement} from './statement_on_link';
+import type {WorkTransaction} from './work_runner';
 
 /** What a session is told. */
 export type SessionMessage =
@@ -21,7 +21,7 @@
       readonly receivedAt: number;
     }
   /** The transaction rested too long. */
-  | {readonly kind: 'rested'; readonly transaction: OpenTransaction}
+  | {readonly kind: 'rested'; readonly transaction: WorkTransaction}
   /** End as soon as nothing of the session is under way. */
   | {readonly kind: 'drain'}
   /** End the open transaction too. */
@@ -33,7 +33,7 @@
 /** The task of one caller's session. */
 export class GatewaySession {
   private readonly mailbox = new Mailbox<SessionMessage>(MOST_AHEAD);
-  private transaction: OpenTransaction | undefined;
+  private transaction: WorkTransaction | undefined;
   private cancelRest = () => {};
   private draining = false;
   private hasServed = false;
@@ -56,10 +56,6 @@
     return this.mailbox.post(message);
   }
 
-  get isInTransaction(): boolean {
-    return this.transaction !== undefined;
-  }
-
   /**
    * Guard: a session that began while this instance stops has its first
    * request on the way. Closing it at rest would cut that request off; it is
@@ -132,12 +128,9 @@
     }
     switch (statement.kind) {
       case 'begin':
-        this.transaction = new OpenTransaction(
-          this.context,
-          route,
-          statement.readOnly,
-          since,
-        );
+        this.transaction = this.context
+          .runnerOf(route.service)
+          .begin(this.context, route, statement.readOnly, since);
         return BEGUN;
       case 'commit':
       case 'rollback':
@@ -161,11 +154,12 @@
     const isWrite = this.isWrite(work);
     if (isWrite === undefined) return unknownName(work);
     const request = {requestId, statement: work, isWrite, route, since};
-    return yield* runSingle(this.context, request);
+    const runner = this.context.runnerOf(route.service);
+    return yield* runner.runSingle(this.context, request);
   }
 
   private *inTransaction(
-    transaction: OpenTransaction,
+    transaction: WorkTransaction,
     requestId: string,
     statement: Statement,
   ): Task<TransactionStep> {
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -15,6 +15,7 @@
 import type {SessionMemory} from '../common/session_memory';
 import {MemberTurn} from './member_turn';
 import type {RequestJournal} from './request_journal';
+import type {WorkRunner} from './work_runner';
 
 /** What the parts of one session share. */
 export interface SessionContext {
@@ -26,6 +27,8 @@
   /** The route in force for the next transaction; undefined once dropped. */
   route(): DatabaseRoute | undefined;
   dispatcherOf(service: string): ServiceDispatcher;
+  /** Who runs work of a service: this instance, or a pooler for it. */
+  runnerOf(service: string): WorkRunner;
 }
 
 /** One request, or one transaction, as far as a place for it matters. */
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -8,8 +8,9 @@
   type Member,
 } from '../../../../schema/generated/fleet';
 import type {CallerReply, Statement} from '../../../statement/common/statement';
-import {Gateway} from '../../node/gateway';
+import {Gateway, type GatewaySurroundings} from '../../node/gateway';
 import {GatewayMeter} from '../../node/gateway_meter';
+import {LOCAL_RUNNER} from '../../node/work_runner';
 import type {FakeGroup} from './fake_group';
 
 /** A route of the service "books". */
@@ -116,6 +117,7 @@
   constructor(
     readonly group: FakeGroup,
     catalog: Catalog,
+    over: Partial<GatewaySurroundings> = {},
   ) {
     this.gateway = new Gateway(
       {
@@ -125,9 +127,12 @@
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
+        instance: 'proxy-1',
+        pooledRunner: LOCAL_RUNNER,
         onDidJudgePrimary: ({instance, trouble}) => {
           this.reports.push(`${instance} ${trouble}`);
         },
+        ...over,
       },
       this.stop.signal,
     );
--- /dev/null
+++ b/src/services/pooler/node/pooled_work.ts
@@ -0,0 +1,146 @@
+import {callerName} from '../../../base/common/ids';
+import {startTask, type Task} from '../../../base/node/task';
+import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import {WorkScope, type WorkRequest} from '../../../schema/generated/pooler';
+import {SessionMemory} from '../../gateway/common/session_memory';
+import type {Gateway} from '../../gateway/node/gateway';
+import type {TransactionStep} from '../../gateway/node/open_transaction';
+import type {SessionContext} from '../../gateway/node/session_context';
+import {
+  LOCAL_RUNNER,
+  type WorkTransaction,
+} from '../../gateway/node/work_runner';
+import {comparePositions, type Position} from '../../position/common/position';
+import {
+  DONE_HERE,
+  failure,
+  type CallerReply,
+} from '../../statement/common/statement';
+import {
+  applyPrepared,
+  applySession,
+  decodeStep,
+  decodeTerms,
+  type DecodedStep,
+} from '../common/pooler_messages';
+
+/** One statement or one transaction that another proxy sent. */
+export class PooledWork {
+  private readonly memory = new SessionMemory();
+  private context: SessionContext | undefined;
+  private route: DatabaseRoute | undefined;
+  private transaction: WorkTransaction | undefined;
+  private over = false;
+  private gaveUp = false;
+
+  constructor(
+    private readonly gateway: Gateway,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** Whether its last statement was answered. */
+  get isOver(): boolean {
+    return this.over;
+  }
+
+  /** Runs one step and hands out its outcome; a proxy sends one at a time. */
+  run(request: WorkRequest, answer: (reply: CallerReply) => void): void {
+    void startTask('pooled work', () => this.runStep(request, answer));
+  }
+
+  giveUp(reason: string): void {
+    this.gaveUp = true;
+    this.transaction?.giveUp(reason);
+  }
+
+  private *runStep(
+    request: WorkRequest,
+    answer: (reply: CallerReply) => void,
+  ): Task<void> {
+    const {result, state} = yield* this.outcomeOf(request);
+    this.over = state === 'idle';
+    answer({result, state, position: this.committedSince(request)});
+  }
+
+  /** What this step committed; undefined where it committed nothing. */
+  private committedSince({session}: WorkRequest): Position | undefined {
+    const own = this.memory.own?.position;
+    const before = session?.ownCommit;
+    if (!own || !before) return own;
+    return comparePositions(own, before) > 0 ? own : undefined;
+  }
+
+  private *outcomeOf(request: WorkRequest): Task<TransactionStep> {
+    const {step, session, terms, scope} = request;
+    const decoded = step && decodeStep(step);
+    if (!decoded || !session) return INVALID;
+    const now = this.gateway.now();
+    applySession(session, this.memory, now);
+    applyPrepared(decoded, this.memory);
+    if (terms) this.route = decodeTerms(terms);
+    const {route} = this;
+    if (!route) return INVALID;
+    const since = now - request.ageMs;
+    this.context ??= this.gateway.makeContext(
+      callerName(session.caller),
+      this.memory,
+      () => this.route,
+      this.signal,
+    );
+    if (scope === WorkScope.WORK_SCOPE_SINGLE) {
+      return yield* this.runSingle(request, decoded, this.context, since);
+    }
+    if (scope !== WorkScope.WORK_SCOPE_CONTINUE) {
+      const readOnly = scope === WorkScope.WORK_SCOPE_BEGIN_READ;
+      this.transaction = LOCAL_RUNNER.begin(
+        this.context,
+        route,
+        readOnly,
+        since,
+      );
+      if (this.gaveUp) this.transaction.giveUp('given up before it began');
+    }
+    return yield* this.runInTransaction(request.requestId, decoded);
+  }
+
+  private *runSingle(
+    {requestId}: WorkRequest,
+    {statement, prepared}: DecodedStep,
+    context: SessionContext,
+    since: number,
+  ): Task<TransactionStep> {
+    const {kind} = statement;
+    if (kind === 'commit' || kind === 'rollback') return INVALID;
+    const isWrite = kind === 'write' || prepared?.action === 'write';
+    const route = this.route!;
+    const single = {requestId, statement, isWrite, route, since};
+    const result = yield* LOCAL_RUNNER.runSingle(context, single);
+    return {result, state: 'idle'};
+  }
+
+  private *runInTransaction(
+    requestId: string,
+    {statement, prepared}: DecodedStep,
+  ): Task<TransactionStep> {
+    const {transaction} = this;
+    if (!transaction) return INVALID;
+    switch (statement.kind) {
+      case 'commit':
+        return yield* transaction.commit(requestId);
+      case 'rollback':
+        yield* transaction.rollback();
+        return {result: DONE_HERE, state: 'idle'};
+      default: {
+        const isWrite =
+          statement.kind === 'write' || prepared?.action === 'write';
+        return yield* transaction.run(requestId, statement, isWrite);
+      }
+    }
+  }
+}
+
+/** A proxy of another version asked for something that is not known here. */
+const INVALID: TransactionStep = {
+  result: failure('aborted', 'a message that the pooler does not know'),
+  state: 'idle',
+};
--- /dev/null
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -0,0 +1,132 @@
+import type {Clock} from '../../../base/common/clock';
+import type {Log} from '../../../base/node/log';
+import {after, every} from '../../../base/node/timers';
+import type {PoolerEntry, PoolerList} from '../../../schema/generated/fleet';
+import {rankPoolers, type Whereabouts} from '../common/choose_pooler';
+import {PoolerLink} from './pooler_link';
+
+/**
+ * Links that are kept to poolers of each service: the one in use, and one that
+ * takes over without the time that a new link takes.
+ */
+const KEPT_LINKS = 2;
+/** A pooler that could not be reached is tried again after this, in ms. */
+const RETRY_MS = 300;
+/** Links to poolers that fell silent are backed up within this, in ms. */
+const TEND_MS = 250;
+
+/** The poolers that this proxy sends work to, and its links to them. */
+export class PoolerDirectory {
+  private poolers: readonly PoolerEntry[] = [];
+  private ranked = new Map<string, readonly PoolerEntry[]>();
+  private readonly links = new Map<string, PoolerLink>();
+  private readonly paused = new Set<string>();
+
+  constructor(
+    private readonly here: Whereabouts,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly signal: AbortSignal,
+  ) {
+    every(signal, TEND_MS, () => this.tend());
+  }
+
+  setPoolers({poolers}: PoolerList): void {
+    this.poolers = poolers;
+    const services = new Set(poolers.map(({service}) => service));
+    this.ranked = new Map(
+      [...services].map(service => [
+        service,
+        rankPoolers(poolers, service, this.here),
+      ]),
+    );
+    this.log.info('Learns of the poolers.', {
+      services: services.size,
+      poolers: poolers.length,
+    });
+    this.tend();
+  }
+
+  /** Services that this proxy keeps connections for. */
+  pooledHere(): string[] {
+    const own = this.poolers.filter(other => {
+      return other.instance === this.here.instance;
+    });
+    return own.map(({service}) => service);
+  }
+
+  /** A link for new work of a service, none of those that failed it before. */
+  choose(
+    service: string,
+    passed: ReadonlySet<PoolerLink>,
+  ): PoolerLink | undefined {
+    for (const {address} of this.ranked.get(service) ?? []) {
+      const link = this.links.get(address);
+      if (link && link.state === 'ready' && !passed.has(link)) return link;
+    }
+    this.tend();
+    return undefined;
+  }
+
+  /** Whether a link is being opened that could serve soon. */
+  isConnecting(service: string): boolean {
+    return (this.ranked.get(service) ?? []).some(({address}) => {
+      return this.links.get(address)?.state === 'connecting';
+    });
+  }
+
+  /** Opens links where too few are usable, and closes those of no use. */
+  private tend(): void {
+    if (this.signal.aborted) return;
+    const wanted = new Set<string>();
+    for (const [service, ranked] of this.ranked) {
+      if (this.pooledHere().includes(service)) continue;
+      for (const address of this.wantedOf(ranked)) wanted.add(address);
+    }
+    for (const address of wanted) this.open(address);
+    for (const [address, link] of this.links) {
+      const isNeeded = wanted.has(address) || link.underWay > 0;
+      if (!isNeeded && !this.isListed(address)) link.close();
+    }
+  }
+
+  /** The first ones in order, and one more for each that is of no use now. */
+  private wantedOf(ranked: readonly PoolerEntry[]): string[] {
+    const wanted: string[] = [];
+    let usable = 0;
+    for (const {address} of ranked) {
+      if (usable >= KEPT_LINKS) break;
+      wanted.push(address);
+      const state = this.links.get(address)?.state;
+      const isUseless = state === 'silent' || state === 'leaving';
+      if (!isUseless && !this.paused.has(address)) usable++;
+    }
+    return wanted;
+  }
+
+  private isListed(address: string): boolean {
+    return this.poolers.some(other => other.address === address);
+  }
+
+  private open(address: string): void {
+    if (this.links.has(address) || this.paused.has(address)) return;
+    const onDidClose = () => {
+      if (this.links.get(address) !== link) return;
+      this.links.delete(address);
+      this.paused.add(address);
+      after(this.signal, RETRY_MS, () => {
+        this.paused.delete(address);
+        this.tend();
+      });
+      this.tend();
+    };
+    const link: PoolerLink = new PoolerLink(
+      address,
+      this.clock,
+      this.log,
+      this.signal,
+      onDidClose,
+    );
+    this.links.set(address, link);
+  }
+}
--- /dev/null
+++ b/src/services/pooler/node/pooler_link.ts
@@ -0,0 +1,195 @@
+import {Metadata, type ClientDuplexStream} from '@grpc/grpc-js';
+import type {Clock} from '../../../base/common/clock';
+import {LINK_CREDENTIALS, PEER_OPTIONS} from '../../../base/node/grpc';
+import type {Log} from '../../../base/node/log';
+import {childController, every} from '../../../base/node/timers';
+import {
+  PoolerClient,
+  type PoolerRequest,
+  type PoolerResponse,
+  type WorkReply,
+  type WorkRequest,
+} from '../../../schema/generated/pooler';
+
+type Stream = ClientDuplexStream<PoolerRequest, PoolerResponse>;
+
+/** What is known of a pooler through its link. */
+export type LinkState =
+  /** Nothing was heard of it yet. */
+  | 'connecting'
+  | 'ready'
+  /** It answers nothing at present, though something was asked. */
+  | 'silent'
+  /** It takes no new work. */
+  | 'leaving'
+  | 'closed';
+
+/** How an answer is waited for. */
+export interface WaitTerms {
+  /** Sent elsewhere where the pooler falls silent; writes are not. */
+  readonly repeatable: boolean;
+}
+
+interface Waiting extends WaitTerms {
+  settle(reply: WorkReply | undefined): void;
+}
+
+const LOOK_MS = 50;
+/** Without a word for so long, a pooler with work is asked for a sign, in ms. */
+const QUIET_MS = 120;
+/**
+ * Without a word for so long it is silent: a way between regions and back
+ * takes 40 ms, and a busy pooler's turn some tens of milliseconds; a statement
+ * may take 800 ms in all, so a read has time for another pooler.
+ */
+const SILENT_MS = 350;
+/** A link that stays silent is closed and opened anew, in milliseconds. */
+const GIVE_UP_MS = 2_500;
+/** Statements that may be under way; more says that the pooler stalls. */
+const MOST_UNDER_WAY = 512;
+
+/** This proxy's stream to one pooler. */
+export class PoolerLink {
+  private readonly client: PoolerClient;
+  private readonly stream: Stream;
+  private readonly waiting = new Map<number, Waiting>();
+  private readonly ended;
+  private heardAt: number;
+  private askedAt: number | undefined;
+  private heard = false;
+  private leaving = false;
+  private closed = false;
+  private works = 0;
+
+  constructor(
+    readonly address: string,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    signal: AbortSignal,
+    private readonly onDidClose: () => void,
+  ) {
+    this.ended = childController(signal);
+    this.heardAt = clock.now();
+    this.client = new PoolerClient(address, LINK_CREDENTIALS, PEER_OPTIONS);
+    this.stream = this.client.serve(new Metadata());
+    this.stream.on('data', message => this.onMessage(message));
+    this.stream.on('error', error => this.end(error.message));
+    this.stream.on('end', () => this.end('ended'));
+    this.ended.signal.addEventListener('abort', () => this.end('stopped'));
+    every(this.ended.signal, LOOK_MS, () => this.look());
+    this.askForSign();
+  }
+
+  get state(): LinkState {
+    if (this.closed) return 'closed';
+    if (!this.heard) return 'connecting';
+    if (this.quietMs > SILENT_MS) return 'silent';
+    return this.leaving ? 'leaving' : 'ready';
+  }
+
+  /** Statements that were sent and not answered. */
+  get underWay(): number {
+    return this.waiting.size;
+  }
+
+  /** A name for new work on this link. */
+  nextWork(): number {
+    return ++this.works;
+  }
+
+  /** Sends a statement; undefined where its answer will not come. */
+  send(request: WorkRequest, terms: WaitTerms): Promise<WorkReply | undefined> {
+    if (this.closed || this.waiting.size >= MOST_UNDER_WAY) {
+      return Promise.resolve(undefined);
+    }
+    this.noteAsked();
+    return new Promise(resolve => {
+      this.waiting.set(request.work, {...terms, settle: resolve});
+      this.write({$case: 'work', value: request});
+    });
+  }
+
+  /** Tells the pooler that nothing more is wanted of a piece of work. */
+  abandon(work: number): void {
+    this.settle(work, undefined);
+    this.write({$case: 'abandoned', value: {work}});
+  }
+
+  close(): void {
+    this.end('not needed any more');
+  }
+
+  /** How long a question has been without any word, in milliseconds. */
+  private get quietMs(): number {
+    if (this.askedAt === undefined) return 0;
+    return this.clock.now() - Math.max(this.askedAt, this.heardAt);
+  }
+
+  private look(): void {
+    const {quietMs} = this;
+    if (quietMs > GIVE_UP_MS) return this.end('silent');
+    if (quietMs > SILENT_MS) return this.giveUpRepeatable();
+    if (quietMs > QUIET_MS) this.askForSign();
+  }
+
+  private askForSign(): void {
+    this.noteAsked();
+    this.write({$case: 'alive', value: {}});
+  }
+
+  private noteAsked(): void {
+    this.askedAt ??= this.clock.now();
+  }
+
+  private giveUpRepeatable(): void {
+    for (const [work, {repeatable}] of [...this.waiting]) {
+      if (repeatable) this.abandon(work);
+    }
+  }
+
+  private onMessage({body}: PoolerResponse): void {
+    this.heardAt = this.clock.now();
+    this.noteHeard();
+    switch (body?.$case) {
+      case 'reply':
+        this.settle(body.value.work, body.value);
+        break;
+      case 'leaving':
+        this.leaving = true;
+        this.log.info('A pooler takes no new work.', {address: this.address});
+        break;
+      case 'alive':
+        break;
+    }
+    if (this.waiting.size === 0) this.askedAt = undefined;
+  }
+
+  private noteHeard(): void {
+    if (this.heard) return;
+    this.heard = true;
+    this.log.info('Reaches a pooler.', {address: this.address});
+  }
+
+  private settle(work: number, reply: WorkReply | undefined): void {
+    const waiting = this.waiting.get(work);
+    this.waiting.delete(work);
+    waiting?.settle(reply);
+  }
+
+  private write(body: PoolerRequest['body']): void {
+    if (!this.closed) this.stream.write({body});
+  }
+
+  private end(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    const {address} = this;
+    const work = this.waiting.size;
+    if (this.heard) this.log.info('Lost a pooler.', {address, reason, work});
+    for (const id of [...this.waiting.keys()]) this.settle(id, undefined);
+    this.ended.abort();
+    this.stream.cancel();
+    this.client.close();
+    this.onDidClose();
+  }
+}
--- /dev/null
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -0,0 +1,258 @@
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {createServer, listen, PEER_OPTIONS} from '../../../../base/node/grpc';
+import {ownController} from '../../../../base/node/timers';
+import {Consistency} from '../../../../schema/generated/fleet';
+import {
+  PoolerService,
+  type PoolerRequest,
+  type PoolerResponse,
+} from '../../../../schema/generated/pooler';
+import {FakeGroup} from '../../../gateway/test/node/fake_group';
+import {
+  BEGIN,
+  Caller,
+  COMMIT,
+  makeCatalog,
+  makeRoute,
+  READ,
+  ROLLBACK,
+  TestGateway,
+  WRITE,
+} from '../../../gateway/test/node/session_fixture';
+import {PooledRunner} from '../../node/pooled_runner';
+import {PoolerDirectory} from '../../node/pooler_directory';
+import {PoolerServer} from '../../node/pooler_server';
+
+const CATALOG = makeCatalog([
+  makeRoute(),
+  makeRoute({
+    name: 'r2',
+    database: 'strict',
+    consistency: Consistency.CONSISTENCY_PRIMARY,
+  }),
+]);
+
+/** A proxy that keeps connections for others. */
+class TestPooler {
+  readonly stop = ownController();
+  readonly gateway: TestGateway;
+  readonly server: PoolerServer;
+  address = '';
+  private readonly onDidFreeze: (() => void)[] = [];
+
+  constructor(
+    readonly instance: string,
+    group: FakeGroup,
+  ) {
+    this.gateway = new TestGateway(group, CATALOG, {instance});
+    const {logged} = this.gateway;
+    this.server = new PoolerServer(
+      this.gateway.gateway,
+      logged.log,
+      this.stop.signal,
+    );
+  }
+
+  async start(): Promise<void> {
+    const server = createServer(PEER_OPTIONS);
+    const {serve} = this.server.handlers;
+    server.addService(PoolerService, {
+      serve: (stream: ServerDuplexStream<PoolerRequest, PoolerResponse>) => {
+        serve(stream);
+        // A frozen process reads nothing; bytes of its peers wait for it.
+        this.onDidFreeze.push(() => stream.removeAllListeners('data'));
+      },
+    });
+    const port = await listen(server, '127.0.0.1:0', this.stop.signal);
+    if (port.isErr) throw port.error;
+    this.address = `127.0.0.1:${port.value}`;
+  }
+
+  get entry() {
+    const {instance, address} = this;
+    return {service: 'books', instance, address, site: instance};
+  }
+
+  /** Takes requests and neither runs nor answers them. */
+  freeze(): void {
+    for (const listener of this.onDidFreeze) listener();
+  }
+
+  end(): void {
+    this.stop.abort();
+    this.gateway.stop.abort();
+  }
+}
+
+let group: FakeGroup;
+let near: TestPooler;
+let far: TestPooler;
+let edge: TestGateway;
+let directory: PoolerDirectory;
+let stop: AbortController;
+
+beforeEach(async () => {
+  stop = ownController();
+  group = new FakeGroup(['a', 'b', 'c']);
+  near = new TestPooler('site-near', group);
+  far = new TestPooler('site-far', group);
+  await near.start();
+  await far.start();
+  const clock = near.gateway.clock;
+  const here = {
+    instance: 'edge',
+    site: 'site-near',
+    regionOf: (site: string) => site,
+  };
+  const {log} = near.gateway.logged;
+  directory = new PoolerDirectory(here, clock, log, stop.signal);
+  edge = new TestGateway(new FakeGroup(['a', 'b', 'c']), CATALOG, {
+    instance: 'edge',
+    pooledRunner: new PooledRunner(directory),
+  });
+  const poolers = [near.entry, far.entry];
+  directory.setPoolers({poolers});
+  edge.gateway.setPoolers({poolers});
+});
+
+afterEach(() => {
+  stop.abort();
+  near.end();
+  far.end();
+  edge.stop.abort();
+});
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+describe('a session at a proxy without connections', () => {
+  it('runs statements and transactions at the pooler of its site', async () => {
+    const caller = new Caller(edge, 'db');
+    const written = await caller.ask(WRITE);
+    expect(written.result).toMatchObject({signature: 'signed q1'});
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    const read = await caller.ask(READ);
+    expect(read).toMatchObject({state: 'open', result: {rows: ['row']}});
+    const done = await caller.ask(COMMIT);
+    expect(done).toMatchObject({state: 'idle', result: {kind: 'done'}});
+    const links = group.runs.slice(1).map(({link}) => link);
+    expect(new Set(links).size).toBe(1);
+    expect(near.server.workCount).toBe(0);
+  });
+
+  it('reads its own commit, which it made through a pooler', async () => {
+    // A session writes and reads at once. The replicas lag; a pooler that did
+    // not hear of the session's own commit would read without it.
+    const caller = new Caller(edge, 'db');
+    const written = await caller.ask(WRITE);
+    expect(written.position).toEqual(group.member('a').position);
+    await caller.ask(READ);
+    expect(group.runs.at(-1)!.instance).toBe('a');
+  });
+
+  it('brings its values and prepared statements along', async () => {
+    const caller = new Caller(edge, 'db');
+    await caller.ask({kind: 'set', name: 'zone', value: '1'});
+    await caller.ask({
+      kind: 'prepare',
+      name: 's1',
+      action: 'write',
+      shape: 'q',
+    });
+    const execute = {kind: 'execute', name: 's1', item: 'k'} as const;
+    const done = await caller.ask({...execute, data: 'x'});
+    expect(done.result.kind).toBe('done');
+    const other = new Caller(edge, 'db');
+    await other.ask(WRITE);
+    expect(group.runs.map(({values}) => values)).toEqual(['zone=1', '']);
+  });
+
+  it('keeps nothing of a transaction that its caller rolls back', async () => {
+    const caller = new Caller(edge, 'db');
+    const before = group.member('a').position;
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    await caller.ask(ROLLBACK);
+    await pause(50);
+    expect(group.member('a').position).toEqual(before);
+    expect(near.server.workCount).toBe(0);
+  });
+
+  it('gives the connection back when its caller leaves', async () => {
+    // A caller leaves in the middle of a transaction. The pooler would hold
+    // the connection, one of a few for all proxies, for nobody.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    caller.leave();
+    await pause(50);
+    expect(near.server.workCount).toBe(0);
+  });
+});
+
+describe('a pooler that is lost', () => {
+  it('costs a read a moment, and no more', async () => {
+    // The pooler freezes with a read on its way. Its answer may come late or
+    // never; the read goes to another pooler before its time is over.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(READ);
+    near.freeze();
+    const read = await caller.ask(READ);
+    expect(read.result).toMatchObject({rows: ['row']});
+    const next = Date.now();
+    await caller.ask(READ);
+    expect(Date.now() - next).toBeLessThan(100);
+  });
+
+  it('leaves the outcome of a write unknown, and runs it once', async () => {
+    // The pooler freezes with a write on its way and may run it when it wakes
+    // up: sent to another pooler, the write could take effect twice.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(READ);
+    near.freeze();
+    const written = await caller.ask(WRITE);
+    expect(written.result).toMatchObject({failure: 'unknown outcome'});
+    expect(group.runs.filter(({text}) => text.startsWith('write'))).toEqual([]);
+  });
+
+  it('aborts a transaction under way, and begins a new one elsewhere', async () => {
+    // The pooler dies with a transaction open. Nothing of it is kept, so the
+    // caller is told to repeat it; a new one goes to the other pooler.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    near.end();
+    const lost = await caller.ask(WRITE);
+    expect(lost).toMatchObject({
+      state: 'failed',
+      result: {failure: 'aborted'},
+    });
+    await caller.ask(ROLLBACK);
+    await caller.ask(BEGIN);
+    expect((await caller.ask(WRITE)).result.kind).toBe('done');
+    expect((await caller.ask(COMMIT)).result.kind).toBe('done');
+  });
+
+  it('gets no new work once it says that it stops', async () => {
+    const caller = new Caller(edge, 'db');
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    near.server.drain();
+    await pause(50);
+    const other = new Caller(edge, 'db');
+    await other.ask(READ);
+    expect(near.server.workCount).toBe(1);
+    expect((await caller.ask(COMMIT)).result.kind).toBe('done');
+  });
+
+  it('is done without where none is left', async () => {
+    const caller = new Caller(edge, 'strict');
+    await caller.ask(READ);
+    near.end();
+    far.end();
+    await pause(50);
+    const read = await caller.ask(READ);
+    expect(read.result).toMatchObject({rows: ['row']});
+  });
+});
