Keep the poolers in the control log, and look for a promoted primary

Each arrival also sent the list of members to all 63 proxies. Proxies came back up to 2.8 s after the election and knew of the promoted primary only then.

Ruled out: proxies that carry the list to the new leader (each would carry all of it at each attach).

Change: the list is in the control log, and a new leader gives poolers 3 s to come back; proxies are counted at most once a second, and not before a second of leadership; an instance whose primary does not serve asks the other members itself whether they lead, each 150 ms.

Tests fail without each.

--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -34,9 +34,12 @@
 const MOST_PAUSE_MS = 1_000;
 /**
  * A lagging replica is asked again after this long, in milliseconds: each time
- * costs a turn of a slot and the request a way there and back.
+ * costs a turn of a slot and the request a way there and back. One that is far
+ * behind takes longer to catch up.
  */
 const LAG_MEMORY_MS = 250;
+const MOST_LAG_MEMORY_MS = 1_000;
+const LAG_MEMORY_PART = 0.25;
 /** Three ways between regions and an opening, in milliseconds. */
 const SUSPICION_MS = 200;
 /** Weight of a new answer in the smoothed latency. */
@@ -163,8 +166,10 @@
 
   /** How far behind it was, while that was seen lately; otherwise 0. */
   get lagMs(): number {
-    const age = this.clock.now() - this.lag.at;
-    return age < LAG_MEMORY_MS ? this.lag.ms : 0;
+    const {ms, at} = this.lag;
+    const memory = Math.max(LAG_MEMORY_MS, ms * LAG_MEMORY_PART);
+    const age = this.clock.now() - at;
+    return age < Math.min(memory, MOST_LAG_MEMORY_MS) ? ms : 0;
   }
 
   /** Takes note that the member did not answer in time. */
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -17,6 +17,7 @@
 import {chooseForRead, type MemberView} from '../common/choose_member';
 import type {PlaceRefusal, PlaceRequest} from '../common/place_request';
 import {MemberPool, type PooledLink} from './member_pool';
+import {PrimaryProbe} from './primary_probe';
 
 /** A connection for one transaction. */
 export interface Grant {
@@ -92,8 +93,8 @@
 /** A place is held for about this long before any was measured, in ms. */
 const FIRST_HOLD_MS = 60;
 const HOLD_WEIGHT = 0.05;
-/** How long a probe of the primary may take, in milliseconds. */
-const PROBE_MS = 700;
+/** While there is no primary, members are asked this often, in ms. */
+const SEARCH_EVERY_MS = 150;
 
 /** The task that owns the connections to the members of one service. */
 export class ServiceDispatcher {
@@ -108,7 +109,8 @@
   private readonly outage = new PrimaryOutage();
   private lastRead = -Infinity;
   private holdMs = FIRST_HOLD_MS;
-  private probing = false;
+  private readonly probe: PrimaryProbe;
+  private searchedAt = -Infinity;
   private judged = '';
   private changedQueued = false;
   private signal = new AbortController().signal;
@@ -116,6 +118,10 @@
   constructor(private readonly around: DispatcherSurroundings) {
     const {service} = around;
     this.definition = {service, connections: 8, confirmations: 0};
+    this.probe = new PrimaryProbe(around.clock, (observation, returned) => {
+      this.mailbox.post({kind: 'observed', observation});
+      this.mailbox.post({kind: 'return', returned});
+    });
   }
 
   start(signal: AbortSignal): Promise<void> {
@@ -322,7 +328,9 @@
       this.believe(instance, position.term, 'its own answer');
       if (this.isPrimary(instance)) this.samples.add(askedAt, position);
     }
-    if (kind === 'not primary') this.depose(instance);
+    if (kind === 'not primary' && this.isPrimary(instance)) {
+      this.depose(instance);
+    }
     this.dispatch();
   }
 
@@ -432,6 +440,7 @@
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open();
     }
     this.judgePrimary();
+    this.searchPrimary(now);
     this.giveUp(now);
     const wanted = now - this.lastRead < READ_INTEREST_MS;
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
@@ -467,37 +476,34 @@
     return this.refuse('no member', this.holdMs, detail);
   }
 
-  /**
-   * Asks the primary for its position where no request did lately. A begin is
-   * refused by a member that does not lead and takes no slot.
-   */
+  /** Asks the primary for its position where no request did lately. */
   private probePrimary(): void {
+    if (!this.belief.isStanding) return;
     const pool = this.pools.get(this.belief.instance);
-    if (this.probing || !pool || !this.belief.isStanding) return;
-    const pooled = pool.checkout(NO_VALUES);
-    if (!pooled) {
-      if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
-      return;
+    if (pool) this.probeMember(pool);
+  }
+
+  /**
+   * Looks for the primary among the other members while the one that is
+   * believed in does not serve. Control tells of a promotion at once, but not
+   * while its own leader is lost or this instance is cut off from it: without
+   * this look, a promoted member stood idle until a stream to control was back.
+   */
+  private searchPrimary(now: number): void {
+    if (this.outage.expectedEnd(now) === undefined) return;
+    if (now - this.searchedAt < SEARCH_EVERY_MS) return;
+    this.searchedAt = now;
+    for (const [instance, pool] of this.pools) {
+      const isBelieved = this.isPrimary(instance) && this.belief.isStanding;
+      if (!isBelieved && !pool.isFailing) this.probeMember(pool);
     }
-    this.probing = true;
-    const askedAt = this.now();
-    const {instance} = pooled;
-    const [begun, ended] = pooled.link.send([
-      {requestId: undefined, statement: {kind: 'begin', readOnly: false}},
-      {requestId: undefined, statement: {kind: 'rollback'}},
-    ]);
-    const timer = setTimeout(() => pooled.link.close(), PROBE_MS);
-    void Promise.all([begun, ended]).then(([first, last]) => {
-      clearTimeout(timer);
-      this.probing = false;
-      const answeredAt = this.now();
-      const position = first?.kind === 'answer' ? first.position : undefined;
-      const kind = probeOutcome(first);
-      const observation = {instance, askedAt, answeredAt, position, kind};
-      this.mailbox.post({kind: 'observed', observation});
-      const clean = last?.kind === 'answer' && last.state === 'idle';
-      this.mailbox.post({kind: 'return', returned: {pooled, clean}});
-    });
+  }
+
+  private probeMember(pool: MemberPool): void {
+    if (this.probe.isRunning(pool.member.instance)) return;
+    const pooled = pool.checkout(NO_VALUES);
+    if (pooled) return this.probe.start(pooled);
+    if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
   }
 
   private now(): number {
@@ -511,11 +517,3 @@
 function claimsToLead({role}: Member): boolean {
   return role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
 }
-
-type ProbeReply = Awaited<ReturnType<PooledLink['link']['send']>[number]>;
-
-function probeOutcome(reply: ProbeReply | undefined): Observation['kind'] {
-  if (reply?.kind !== 'answer') return 'silent';
-  if (reply.result.kind === 'done') return 'leads';
-  return reply.result.failure === 'not primary' ? 'not primary' : 'answered';
-}
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -14,6 +14,7 @@
 } from '../../fleet_state/common/fleet_machine';
 import {planElastic} from '../../membership/common/elastic_plan';
 import type {Joiner} from '../../membership/common/membership_plan';
+import {PoolerPlanner} from '../../pooler/common/pooler_planner';
 import {Roster, type Announcement} from '../../roster/common/roster';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
@@ -50,6 +51,8 @@
   private readonly joiners = new Map<string, Joiner>();
   private readonly admitting = new Set<string>();
   private changingMembers = false;
+  private planner = new PoolerPlanner(0);
+  private namingPoolers = false;
   private leadingSince = Infinity;
   private known: {version: number; catalog: Catalog} | undefined;
   leader: FleetLeader | undefined;
@@ -92,6 +95,7 @@
     this.term = ownController();
     this.promotions = undefined;
     this.roster = new Roster();
+    this.planner = new PoolerPlanner(this.around.clock.now());
     this.leadingSince = isLeader ? this.around.clock.now() : Infinity;
     if (!isLeader) this.leader?.onDidLoseLead();
     this.leader?.push();
@@ -195,6 +199,7 @@
     this.restoreMembers();
     this.tendVoters();
     this.forgetSilent();
+    this.tendPoolers();
     this.drive();
   }
 
@@ -247,6 +252,29 @@
     }
   }
 
+  /** Names poolers anew where proxies or services came or went. */
+  private tendPoolers(): void {
+    if (this.namingPoolers || !this.leader) return;
+    const {machine, clock, node, log} = this.around;
+    const poolers = this.planner.plan(
+      this.catalog()?.services ?? [],
+      this.leader.attached,
+      machine.poolers,
+      clock.now(),
+    );
+    if (!poolers) return;
+    this.namingPoolers = true;
+    const body = {$case: 'namePoolers', value: {poolers}} as const;
+    void node.propose(encodeCommand(body)).then(done => {
+      this.namingPoolers = false;
+      const named = poolers
+        .map(({service, instance}) => `${service}:${instance}`)
+        .join(' ');
+      const outcome = done.isOk ? 'in force' : done.error;
+      log.info('Names the poolers.', {poolers: named, outcome});
+    });
+  }
+
   private tendVoters(): void {
     const {node, wantedVoters, clock} = this.around;
     const {core} = node;
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -25,8 +25,6 @@
   readonly site: string;
   /** Where other proxies reach this one. */
   readonly address: string;
-  /** Services whose connections this proxy keeps for others. */
-  pooledServices(): string[];
   /** Addresses of control instances; asked anew at each try. */
   addresses(): readonly string[];
   catalogVersion(): number;
@@ -104,8 +102,7 @@
   private greet(stream: Stream): void {
     const {instance, site, address} = this.options;
     const catalogVersion = this.options.catalogVersion();
-    const pooledServices = this.options.pooledServices();
-    const hello = {instance, site, catalogVersion, address, pooledServices};
+    const hello = {instance, site, catalogVersion, address};
     stream.write({body: {$case: 'hello', value: hello}});
     for (const report of this.reports.values()) {
       if (report.trouble === '') continue;
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -8,9 +8,9 @@
   FollowerMessage,
   LeaderMessage,
   Member,
+  PoolerEntry,
   PrimaryReport,
 } from '../../../schema/generated/fleet';
-import {PoolerRegistry} from '../../pooler/common/pooler_registry';
 
 type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
 
@@ -33,6 +33,8 @@
   catalog(): Catalog | undefined;
   members(): readonly Member[];
   membersRevision(): number;
+  poolers(): readonly PoolerEntry[];
+  poolersRevision(): number;
 }
 
 /**
@@ -41,11 +43,15 @@
  * seconds in which a change has to be in force.
  */
 const PUSH_MS = 250;
+/** Proxies hear of their number within this, in milliseconds. */
+const COUNT_EVERY_MS = 1_000;
+
 /** Control's side of the exchange with proxies. */
 export class FleetLeader {
   private readonly followers = new Set<Follower>();
   private proxies = 0;
-  private readonly registry = new PoolerRegistry();
+  /** Undefined before this leadership's first look. */
+  private countedAt: number | undefined;
   /** Since when at least half of the proxies complain, by member. */
   private readonly complainedSince = new Map<string, number>();
 
@@ -71,7 +77,7 @@
    */
   push(): void {
     if (this.source.isLeading()) {
-      this.plan();
+      this.countProxies();
       for (const follower of this.followers) this.pushTo(follower);
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
@@ -86,7 +92,8 @@
    * reach them for as long as the cut lasts.
    */
   onDidLoseLead(): void {
-    this.registry.reset();
+    this.countedAt = undefined;
+    this.proxies = 0;
     for (const follower of [...this.followers]) {
       if (follower.instance !== '') this.leave(follower);
     }
@@ -114,24 +121,31 @@
 
   /** The proxies that have connections to a service's members to judge by. */
   private witnessesOf(service: string): Follower[] {
-    const poolers = this.registry.instancesOf(service);
-    if (poolers.length === 0) return this.attached;
-    return this.attached.filter(({instance}) => poolers.includes(instance));
+    const own = this.source.poolers().filter(other => {
+      return other.service === service;
+    });
+    if (own.length === 0) return this.attached;
+    const poolers = new Set(own.map(({instance}) => instance));
+    return this.attached.filter(({instance}) => poolers.has(instance));
   }
 
-  /** Names poolers anew where proxies or services came or went. */
-  private plan(): void {
-    const services = this.source.catalog()?.services ?? [];
-    const {registry} = this;
-    if (!registry.update(services, this.attached, this.clock.now())) return;
-    const poolers = registry.poolers
-      .map(({service, instance}) => `${service}:${instance}`)
-      .join(' ');
-    this.log.info('Names the poolers.', {poolers});
+  /** The proxies that follow this instance now. */
+  get attached(): Follower[] {
+    return [...this.followers].filter(({instance}) => instance !== '');
   }
 
-  private get attached(): Follower[] {
-    return [...this.followers].filter(({instance}) => instance !== '');
+  /**
+   * Counts the proxies, at most once in a while: the count goes to all of them
+   * with the list of members, and told at each arrival it cost 63 proxies that
+   * came together 4,000 lists. A new leader tells none until they had time to
+   * come: told that they are few, each would open the connections of all.
+   */
+  private countProxies(): void {
+    const now = this.clock.now();
+    this.countedAt ??= now;
+    if (now - this.countedAt < COUNT_EVERY_MS) return;
+    this.countedAt = now;
+    this.proxies = Math.max(1, this.attached.length);
   }
 
   private onFollow(stream: Stream): void {
@@ -163,11 +177,10 @@
       follower.instance = instance;
       follower.site = site;
       follower.address = address;
-      this.registry.adopt(follower, body.value.pooledServices);
       follower.catalogVersion = catalogVersion;
       this.log.info('A proxy is attached.', {instance, catalogVersion});
-      this.proxies = Math.max(this.proxies, this.followers.size);
-      this.push();
+      if (this.source.isLeading()) this.pushTo(follower);
+      else this.push();
     } else if (body?.$case === 'report') {
       const {service, instance, trouble} = body.value;
       if (trouble === '') follower.complaints.delete(service);
@@ -200,11 +213,10 @@
   }
 
   private pushPoolers(follower: Follower): void {
-    const {revision, poolers} = this.registry;
-    if (!this.registry.isSettled(this.clock.now())) return;
+    const revision = this.source.poolersRevision();
     if (follower.poolersRevision === revision) return;
     follower.poolersRevision = revision;
-    const value = {poolers: [...poolers]};
+    const value = {poolers: [...this.source.poolers()]};
     this.write(follower, {$case: 'poolers', value});
   }
 
@@ -217,7 +229,6 @@
     follower.stream.end();
     const {instance} = follower;
     this.log.info('A proxy is detached.', {instance});
-    this.proxies = Math.max(1, this.followers.size);
   }
 
   private endAll(): void {
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -20,8 +20,7 @@
   knownLeader = '';
   version = 1;
   address = '';
-  /** Connections that a member takes from all proxies. */
-  connections = 16;
+  poolers: PoolerEntry[] = [];
   readonly clock = new ManualClock();
   readonly leader: FleetLeader;
 
@@ -30,21 +29,17 @@
       {
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
-        catalog: () => this.catalog(),
+        catalog: () => makeCatalog([makeRoute()], {version: this.version}),
         members: () => [],
         membersRevision: () => 1,
+        poolers: () => this.poolers,
+        poolersRevision: () => this.poolers.length,
       },
       this.clock,
       makeLog().log,
     );
   }
 
-  private catalog(): Catalog {
-    const {connections, version} = this;
-    const services = [{service: 'books', connections, confirmations: 1}];
-    return makeCatalog([makeRoute()], {version, services});
-  }
-
   async start(signal: AbortSignal): Promise<void> {
     const server = createServer();
     server.addService(FleetService, this.leader.handlers);
@@ -60,11 +55,13 @@
 let second: Instance;
 let catalogs: Catalog[];
 let lists: PoolerEntry[][];
+let counts: number[];
 
 beforeEach(async () => {
   stop = new AbortController();
   catalogs = [];
   lists = [];
+  counts = [];
   first = new Instance();
   second = new Instance();
   await first.start(stop.signal);
@@ -73,19 +70,18 @@
 
 afterEach(() => stop.abort());
 
-function follow(instance = 'p1', pooled: string[] = []): FleetFollower {
+function follow(instance = 'p1'): FleetFollower {
   const follower = new FleetFollower(
     {
       instance,
       site: 'a',
       address: `${instance}:1`,
-      pooledServices: () => pooled,
       addresses: () => [first.address, second.address],
       catalogVersion: () => catalogs.at(-1)?.version ?? 0,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
-      onDidReceiveMembers: () => {},
+      onDidReceiveMembers: ({proxies}) => counts.push(proxies),
       onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
@@ -95,6 +91,10 @@
   return follower;
 }
 
+function makePooler(instance: string): PoolerEntry {
+  return {service: 'books', instance, site: 'a', address: `${instance}:1`};
+}
+
 async function until(holds: () => boolean): Promise<void> {
   for (let looks = 0; looks < 400 && !holds(); looks++) {
     await new Promise(resolve => setTimeout(resolve, 10));
@@ -141,31 +141,36 @@
   expect(catalogs.map(({version}) => version)).toEqual([1, 5]);
 });
 
-it('names poolers once the proxies of a new leader had time to come', async () => {
-  // Control elects another leader. If it named poolers with the first proxies
-  // that come back, those that keep the connections now would be left out, and
-  // all connections of the service would be closed and opened anew.
+it('tells proxies of the poolers, and of each change', async () => {
+  first.leads = true;
+  first.poolers = [makePooler('p1')];
+  follow('p2');
+  await until(() => lists.length === 1);
+  first.poolers = [makePooler('p1'), makePooler('p3')];
+  await until(() => lists.length === 2);
+  expect(lists[1]!.map(({instance}) => instance)).toEqual(['p1', 'p3']);
+});
+
+it('tells no number of proxies before they had time to come', async () => {
+  // Control elects another leader, and its proxies come one by one. Told that
+  // there are two of them, each of many would open half of all connections.
   first.leads = true;
-  first.connections = 3;
-  const [one, other] = [follow('p2'), follow('p1', ['books'])];
-  await until(() => one.isAttached && other.isAttached);
+  const proxies = [follow('p1'), follow('p2')];
+  await until(() => proxies.every(one => one.isAttached));
   first.leader.push();
-  expect(lists).toEqual([]);
+  expect(new Set(counts)).toEqual(new Set([0]));
   first.clock.advance(1_000);
-  await until(() => lists.length === 2);
-  expect(lists[0]!.map(({instance}) => instance)).toEqual(['p1']);
+  await until(() => counts.at(-1) === 2);
 });
 
 it('counts complaints of those that have connections to judge by', async () => {
   // A primary is cut off from its pooler. The other proxies have no connection
   // to it and never complain; counted in, they would outvote the pooler.
   first.leads = true;
-  first.connections = 3;
-  const pooler = follow('p1', ['books']);
+  first.poolers = [makePooler('p1')];
+  const pooler = follow('p1');
   const others = [follow('p2'), follow('p3')];
   await until(() => [pooler, ...others].every(one => one.isAttached));
-  first.clock.advance(1_000);
-  await until(() => lists.length === 3);
   pooler.report({service: 'books', instance: 'm1', trouble: 'unreachable'});
   await until(() => first.leader.complaintsOf('books', 'm1').complaints === 1);
   expect(first.leader.complaintsOf('books', 'm1').proxies).toBe(1);
--- a/src/services/fleet_state/common/fleet_machine.ts
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -3,6 +3,7 @@
   FleetState,
   type PublishCatalog,
   type Member,
+  type PoolerEntry,
 } from '../../../schema/generated/fleet';
 
 /** What became of a catalog that was put into the log. */
@@ -17,12 +18,14 @@
 
 /**
  * The state of the control log where targets confirm commits themselves: the
- * newest catalog and the members whose logs count at a promotion.
+ * newest catalog, the members whose logs count at a promotion, and the poolers.
  */
 export class FleetMachine {
   private version = 0;
   private source: Buffer = Buffer.alloc(0);
   private registered: Member[] = [];
+  private named: readonly PoolerEntry[] = [];
+  private namedAt = 0;
 
   /** Outcomes of the newest entries, for those who proposed them. */
   private readonly outcomes = new Map<number, PublishOutcome>();
@@ -41,6 +44,16 @@
     return this.registered;
   }
 
+  /** The proxies that keep connections for others. */
+  get poolers(): readonly PoolerEntry[] {
+    return this.named;
+  }
+
+  /** Increases with each change of the poolers, across all leaders. */
+  get poolersRevision(): number {
+    return this.namedAt;
+  }
+
   member(service: string, instance: string): Member | undefined {
     return this.registered.find(other => {
       return other.service === service && other.instance === instance;
@@ -70,6 +83,10 @@
       case 'forget':
         this.remove(body.value.service, body.value.instance);
         return;
+      case 'namePoolers':
+        this.named = body.value.poolers;
+        this.namedAt = index;
+        return;
       default:
         // The index of a promotion's entry is all that counts.
         return;
@@ -77,12 +94,21 @@
   }
 
   snapshot(): Buffer {
-    const {version, source, registered: members} = this;
-    return Buffer.from(FleetState.encode({version, source, members}).finish());
+    const state = {
+      version: this.version,
+      source: this.source,
+      members: this.registered,
+      poolers: [...this.named],
+      poolersIndex: this.namedAt,
+    };
+    return Buffer.from(FleetState.encode(state).finish());
   }
 
   restore(state: Buffer): void {
-    const {version, source, members} = FleetState.decode(state);
+    const {version, source, members, poolers, poolersIndex} =
+      FleetState.decode(state);
+    this.named = poolers;
+    this.namedAt = poolersIndex;
     this.version = version;
     this.source = source;
     this.registered = members;
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -104,7 +104,7 @@
 
   setMembers({members, proxies}: MemberList): void {
     this.members = members;
-    this.proxies = proxies;
+    if (proxies > 0) this.proxies = proxies;
     this.tellMembers();
   }
 
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -291,3 +291,19 @@
     expect(busy.isClosed).toBe(true);
   });
 });
+
+describe('a primary that was replaced', () => {
+  it('is found without a word from control', async () => {
+    // The leader of control promotes a replica and freezes before it tells the
+    // proxies. The old primary refuses writes; the new one would stand idle
+    // until the proxies find another leader, some seconds later.
+    const {group, caller} = setUp();
+    await caller.ask(WRITE);
+    group.promote('b');
+    const started = Date.now();
+    const written = await caller.ask(WRITE);
+    expect(written.result.kind).toBe('done');
+    expect(Date.now() - started).toBeLessThan(600);
+    expect(group.runs.at(-1)!.instance).toBe('b');
+  });
+});
--- /dev/null
+++ b/src/services/pooler/common/pooler_planner.ts
@@ -0,0 +1,67 @@
+import type {PoolerEntry} from '../../../schema/generated/fleet';
+import {planPoolers, type Candidate, type PooledService} from './pooler_plan';
+
+/**
+ * A leader names poolers where none are once its proxies had time to come, in
+ * milliseconds: with the first few alone, it would name those for everything.
+ */
+const SETTLE_MS = 1_000;
+/**
+ * A pooler without a stream to control keeps its part for so long, in ms:
+ * proxies find out by themselves whether they still reach it, and after a
+ * change of leader they take up to 2 s to come back. Named anew meanwhile,
+ * nearly all poolers would change, and all connections would be opened anew.
+ */
+const GRACE_MS = 3_000;
+
+/** Plans poolers for one leadership of control. */
+export class PoolerPlanner {
+  private readonly startedAt: number;
+  /** Poolers without a stream to control, and since when. */
+  private readonly missingSince = new Map<string, number>();
+
+  constructor(now: number) {
+    this.startedAt = now;
+  }
+
+  /** The poolers from now on; undefined where those in place stay. */
+  plan(
+    services: readonly PooledService[],
+    attached: readonly Candidate[],
+    inPlace: readonly PoolerEntry[],
+    now: number,
+  ): PoolerEntry[] | undefined {
+    if (now - this.startedAt < SETTLE_MS) return undefined;
+    const missing = this.missing(attached, inPlace, now);
+    const planned = planPoolers(services, [...attached, ...missing], inPlace);
+    return isSamePlan(planned, inPlace) ? undefined : planned;
+  }
+
+  /** Poolers that were attached a moment ago. */
+  private missing(
+    attached: readonly Candidate[],
+    inPlace: readonly PoolerEntry[],
+    now: number,
+  ): Candidate[] {
+    const present = new Set(attached.map(({instance}) => instance));
+    for (const instance of present) this.missingSince.delete(instance);
+    const kept = new Map<string, Candidate>();
+    for (const entry of inPlace) {
+      const {instance} = entry;
+      if (present.has(instance)) continue;
+      const since = this.missingSince.get(instance) ?? now;
+      this.missingSince.set(instance, since);
+      if (now - since < GRACE_MS) kept.set(instance, entry);
+    }
+    return [...kept.values()];
+  }
+}
+
+function isSamePlan(a: readonly PoolerEntry[], b: readonly PoolerEntry[]) {
+  if (a.length !== b.length) return false;
+  return a.every(({service, instance, address}, at) => {
+    const other = b[at]!;
+    const isSame = other.service === service && other.instance === instance;
+    return isSame && other.address === address;
+  });
+}
--- a/src/services/pooler/test/common/pooler_plan.test.ts
+++ b/src/services/pooler/test/common/pooler_plan.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import type {PoolerEntry} from '../../../../schema/generated/fleet';
 import {planPoolers, type Candidate} from '../../common/pooler_plan';
-import {PoolerRegistry} from '../../common/pooler_registry';
+import {PoolerPlanner} from '../../common/pooler_planner';
 import {rankPoolers} from '../../common/choose_pooler';
 
 const SITES = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
@@ -53,32 +53,43 @@
   });
 });
 
-describe('PoolerRegistry', () => {
-  const services = makeServices(1, 4);
+describe('PoolerPlanner', () => {
+  const services = makeServices(6, 32);
+  const proxies = makeProxies(63);
+
+  it('waits for the proxies before it names the first poolers', () => {
+    const planner = new PoolerPlanner(0);
+    expect(planner.plan(services, proxies, [], 900)).toBeUndefined();
+    expect(planner.plan(services, proxies, [], 1_000)).toHaveLength(36);
+  });
 
   it('keeps the part of a pooler that is away for a moment', () => {
-    // The leader of control changes or a stream breaks: the pooler itself
-    // serves on. Moved at once, its connections would be opened elsewhere
-    // while it still has them, and the member would be full.
-    const registry = new PoolerRegistry();
-    const proxies = makeProxies(6);
-    registry.update(services, proxies, 0);
-    expect(registry.update(services, proxies, 1_000)).toBe(true);
-    const [{instance}] = registry.poolers as [PoolerEntry];
-    const rest = proxies.filter(other => other.instance !== instance);
-    expect(registry.update(services, rest, 1_500)).toBe(false);
-    expect(registry.update(services, rest, 3_400)).toBe(false);
-    expect(registry.update(services, rest, 3_600)).toBe(true);
-    expect(registry.instancesOf('s0')).not.toContain(instance);
+    // A stream to control breaks: the pooler itself serves on. Moved at once,
+    // its connections would be opened elsewhere while it still has them, and
+    // the members would be full.
+    const planner = new PoolerPlanner(0);
+    const named = planner.plan(services, proxies, [], 1_000)!;
+    const gone = named[0]!.instance;
+    const rest = proxies.filter(({instance}) => instance !== gone);
+    expect(planner.plan(services, rest, named, 1_500)).toBeUndefined();
+    expect(planner.plan(services, rest, named, 4_400)).toBeUndefined();
+    const next = planner.plan(services, rest, named, 4_500)!;
+    expect(next).toHaveLength(36);
+    expect(next.some(({instance}) => instance === gone)).toBe(false);
   });
 
-  it('takes over the poolers of the leader before', () => {
-    const registry = new PoolerRegistry();
-    const proxies = makeProxies(6);
-    registry.update(services, proxies.slice(0, 2), 0);
-    registry.adopt(proxies[4]!, ['s0']);
-    registry.update(services, proxies, 1_000);
-    expect(registry.instancesOf('s0')).toEqual(['p4']);
+  it('leaves poolers in place while a new leader waits for them', () => {
+    // The leader freezes. Another one is elected within a second, but its
+    // proxies notice the freeze up to 2 s later. Without the others, the first
+    // ones to come were named for everything, again and again: all proxies
+    // dropped their poolers, with what was under way there.
+    const named = new PoolerPlanner(0).plan(services, proxies, [], 1_000)!;
+    const planner = new PoolerPlanner(5_000);
+    for (let count = 0; count < 63; count += 7) {
+      const now = 6_000 + count * 30;
+      const some = proxies.slice(0, count);
+      expect(planner.plan(services, some, named, now)).toBeUndefined();
+    }
   });
 });
 
