Share poolers out evenly again, find control by several tries at once

Change: a pooler above its equal part gives it up; three control instances are asked at once, 0.3 s apart; the pause after a full member doubles; a pooler that was silent comes after the others for a second; reads go to two poolers at most. A read that may have run is answered with a timeout, not as not run.

--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -27,8 +27,13 @@
  * instances kept the members busy with nothing else for most of a second.
  */
 const MOST_OPENING = 1;
-/** After a member said that it is full, none is opened for so long. */
+/**
+ * After a member said that it is full, none is opened for so long, in ms. The
+ * pause doubles up to the most: many instances that ask again and again keep a
+ * full member from the work of those that have its connections.
+ */
 const FULL_PAUSE_MS = 100;
+const MOST_FULL_PAUSE_MS = 800;
 /** First pause after an opening failed; doubles up to the most. */
 const FIRST_PAUSE_MS = 100;
 const MOST_PAUSE_MS = 1_000;
@@ -73,6 +78,7 @@
   private opening = 0;
   private pausedUntil = 0;
   private pauseMs = FIRST_PAUSE_MS;
+  private fullPauseMs = FULL_PAUSE_MS;
   private latency = FIRST_LATENCY_MS;
   /** Since when nothing was answered, although something was asked. */
   private suspectedSince: number | undefined;
@@ -234,6 +240,7 @@
       idleSince: this.clock.now(),
     };
     this.pauseMs = FIRST_PAUSE_MS;
+    this.fullPauseMs = FULL_PAUSE_MS;
     this.clearSuspicion();
     this.all.add(pooled);
     this.idle.push(pooled);
@@ -247,7 +254,9 @@
   private onFailedOpening(failure: ConnectFailure): void {
     const now = this.clock.now();
     if (failure === 'too many connections') {
-      this.pausedUntil = now + FULL_PAUSE_MS;
+      this.pausedUntil = now + this.fullPauseMs;
+      const next = this.fullPauseMs * 2;
+      this.fullPauseMs = Math.min(next, MOST_FULL_PAUSE_MS);
     } else {
       this.suspectedSince ??= now;
       this.isConfirmed = true;
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -1,16 +1,13 @@
-import {Metadata, type ClientDuplexStream} from '@grpc/grpc-js';
-import {LINK_CREDENTIALS, LINK_OPTIONS} from '../../../base/node/grpc';
 import type {Log} from '../../../base/node/log';
-import {after} from '../../../base/node/timers';
-import {
-  FleetClient,
-  type Catalog,
-  type FollowerMessage,
-  type LeaderMessage,
-  type MemberList,
-  type PoolerList,
-  type PrimaryReport,
+import {after, every} from '../../../base/node/timers';
+import type {
+  Catalog,
+  LeaderMessage,
+  MemberList,
+  PoolerList,
+  PrimaryReport,
 } from '../../../schema/generated/fleet';
+import {FollowerStream} from './follower_stream';
 
 /** What a proxy hears from control. */
 export interface FollowerListener {
@@ -30,23 +27,29 @@
   catalogVersion(): number;
 }
 
-type Stream = ClientDuplexStream<FollowerMessage, LeaderMessage>;
-
 /** Pause before another control instance is tried, in milliseconds. */
 const RETRY_MS = 150;
 /**
- * A stream that said nothing after this long is given up, in milliseconds: an
- * instance that is cut off from the others never learns who leads.
+ * Without a word from those that were asked, one more control instance is asked
+ * after this, in milliseconds. A machine that has no power yet does not answer,
+ * and the opening packet is sent again after a second only.
+ */
+const HEDGE_MS = 300;
+/**
+ * Words of who leads that are followed at once, in each such time: around an
+ * election two instances may each name the other.
  */
-const FIRST_WORD_MS = 1_500;
+const MOST_REDIRECTS = 2;
+/** Control instances that are asked at once. */
+const MOST_ATTEMPTS = 3;
 
 /** A proxy's side of the exchange with the leader of control. */
 export class FleetFollower {
-  private stream: Stream | undefined;
+  private readonly attempts = new Map<string, FollowerStream>();
+  private attached: FollowerStream | undefined;
   private readonly reports = new Map<string, PrimaryReport>();
-  private leader = '';
   private tries = 0;
-  private attached = false;
+  private redirects = 0;
 
   constructor(
     private readonly options: FollowerOptions,
@@ -56,100 +59,94 @@
   ) {}
 
   get isAttached(): boolean {
-    return this.attached;
+    return this.attached !== undefined;
   }
 
   start(): void {
-    this.connect();
+    this.tryNext();
+    every(this.signal, HEDGE_MS, () => {
+      this.redirects = 0;
+      this.tryNext();
+    });
   }
 
   /** Tells control of the primary of a service, now and after reconnects. */
   report(report: PrimaryReport): void {
     this.reports.set(report.service, report);
-    this.stream?.write({body: {$case: 'report', value: report}});
+    this.attached?.write({$case: 'report', value: report});
   }
 
-  private connect(): void {
-    if (this.signal.aborted) return;
-    const address = this.nextAddress();
-    if (address === undefined) return this.retry();
-    const client = new FleetClient(address, LINK_CREDENTIALS, LINK_OPTIONS);
-    const stream = client.follow(new Metadata());
-    this.stream = stream;
-    let ended = false;
-    const end = () => {
-      if (ended) return;
-      ended = true;
-      cancelWait();
-      cancelStop();
-      stream.cancel();
-      client.close();
-      this.onEnd(address);
-    };
-    const cancelWait = after(this.signal, FIRST_WORD_MS, end);
-    const stop = () => end();
-    this.signal.addEventListener('abort', stop, {once: true});
-    const cancelStop = () => this.signal.removeEventListener('abort', stop);
-    stream.on('data', message => {
-      cancelWait();
-      this.onMessage(message, address);
-    });
-    stream.on('error', end);
-    stream.on('end', end);
+  /** Asks one more control instance who leads, while none told. */
+  private tryNext(): void {
+    if (this.attached || this.attempts.size >= MOST_ATTEMPTS) return;
+    const addresses = this.options.addresses();
+    const untried = addresses.filter(address => !this.attempts.has(address));
+    const address = untried[this.tries++ % Math.max(1, untried.length)];
+    if (address !== undefined) this.open(address);
+  }
+
+  private open(address: string): void {
+    if (this.signal.aborted || this.attempts.has(address)) return;
+    const stream = new FollowerStream(
+      address,
+      {
+        onDidReceive: (from, message) => this.onMessage(from, message),
+        onDidEnd: ended => this.onEnd(ended),
+      },
+      this.signal,
+    );
+    this.attempts.set(address, stream);
     this.greet(stream);
   }
 
-  private greet(stream: Stream): void {
+  private greet(stream: FollowerStream): void {
     const {instance, site, address} = this.options;
     const catalogVersion = this.options.catalogVersion();
     const hello = {instance, site, catalogVersion, address};
-    stream.write({body: {$case: 'hello', value: hello}});
-    for (const report of this.reports.values()) {
-      if (report.trouble === '') continue;
-      stream.write({body: {$case: 'report', value: report}});
-    }
-  }
-
-  private nextAddress(): string | undefined {
-    if (this.leader !== '') {
-      const {leader} = this;
-      this.leader = '';
-      return leader;
-    }
-    const addresses = this.options.addresses();
-    return addresses[this.tries++ % Math.max(1, addresses.length)];
+    stream.write({$case: 'hello', value: hello});
   }
 
-  private onMessage({body}: LeaderMessage, address: string): void {
+  private onMessage(stream: FollowerStream, {body}: LeaderMessage): void {
     switch (body?.$case) {
       case 'notLeading':
-        this.leader = body.value.leaderAddress;
-        return;
+        this.drop(stream);
+        if (this.redirects++ >= MOST_REDIRECTS) return;
+        return this.open(body.value.leaderAddress);
       case 'catalog':
-        this.noteAttached(address);
+        this.attach(stream);
         return this.listener.onDidReceiveCatalog(body.value);
       case 'members':
-        this.noteAttached(address);
+        this.attach(stream);
         return this.listener.onDidReceiveMembers(body.value);
       case 'poolers':
+        this.attach(stream);
         return this.listener.onDidReceivePoolers(body.value);
     }
   }
 
-  private noteAttached(address: string): void {
-    if (this.attached) return;
-    this.attached = true;
-    this.log.info('Follows control.', {address});
+  private attach(stream: FollowerStream): void {
+    if (this.attached === stream) return;
+    this.attached = stream;
+    for (const other of [...this.attempts.values()]) {
+      if (other !== stream) this.drop(other);
+    }
+    this.log.info('Follows control.', {address: stream.address});
+    for (const report of this.reports.values()) {
+      if (report.trouble === '') continue;
+      stream.write({$case: 'report', value: report});
+    }
   }
 
-  private onEnd(address: string): void {
-    this.stream = undefined;
-    if (this.attached) this.log.warn('Lost control.', {address});
-    this.attached = false;
-    this.retry();
+  private drop(stream: FollowerStream): void {
+    stream.end();
+    this.attempts.delete(stream.address);
+    if (this.attached !== stream) return;
+    this.attached = undefined;
+    this.log.warn('Lost control.', {address: stream.address});
   }
 
-  private retry(): void {
-    after(this.signal, RETRY_MS, () => this.connect());
+  private onEnd(stream: FollowerStream): void {
+    this.drop(stream);
+    after(this.signal, RETRY_MS, () => this.tryNext());
   }
 }
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -132,6 +132,18 @@
   expect(Date.now() - electedAt).toBeLessThan(1_000);
 });
 
+it('asks another instance while the first one keeps silent', async () => {
+  // All machines lost power, and the proxy is back before the first control
+  // instance on its list, which takes connections and says nothing. Waiting
+  // for it alone kept proxies from the leader for up to 2 s.
+  first.leader.onDidLoseLead();
+  second.leads = true;
+  const started = Date.now();
+  follow();
+  await until(() => catalogs.length === 1);
+  expect(Date.now() - started).toBeLessThan(900);
+});
+
 it('sends a change to the proxies that have an older one', async () => {
   first.leads = true;
   follow();
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -35,7 +35,15 @@
 /** How one try ended. */
 type Try =
   | {readonly kind: 'final'; readonly result: StatementResult}
-  | {readonly kind: 'again'; readonly detail: string; readonly busy: boolean};
+  | {
+      readonly kind: 'again';
+      readonly detail: string;
+      readonly busy: boolean;
+      /** It may have run, so that nobody may say it did not. */
+      readonly mayHaveRun: boolean;
+    };
+
+type AgainTry = Extract<Try, {kind: 'again'}>;
 
 /** Runs one statement on a member that may serve it. */
 export function* runSingle(
@@ -45,6 +53,7 @@
   const {route, since, requestId} = request;
   const deadline = since + route.statementMs;
   const passed = new Set<string>();
+  let mayHaveRun = false;
   for (let tries = 1; ; tries++) {
     const taken = yield* takeTurn(context, {
       requestId,
@@ -54,7 +63,10 @@
       deadline,
       passed,
     });
-    if (taken.isErr) return refusalResult(taken.error);
+    if (taken.isErr) {
+      const refusal = refusalResult(taken.error);
+      return mayHaveRun ? failure('timeout', 'no answer in time') : refusal;
+    }
     const turn = taken.value;
     const startedAt = context.clock.now();
     const outcome = yield* tryOn(context, turn, request, deadline);
@@ -62,15 +74,21 @@
     passed.add(turn.instance);
     const now = context.clock.now();
     const {detail, busy} = outcome;
+    mayHaveRun ||= outcome.mayHaveRun;
     const attempt = {instance: turn.instance, tookMs: now - startedAt, detail};
     context.journal.onRepeated(requestId, route.service, attempt);
     if (tries >= MOST_TRIES || now >= deadline) {
+      if (mayHaveRun) return failure('timeout', detail);
       return failure('busy', `${detail}, retry after ${BUSY_PAUSE_MS * 4} ms`);
     }
     if (busy) yield* pause(BUSY_PAUSE_MS * tries);
   }
 }
 
+function again(detail: string, over: Partial<AgainTry> = {}): Try {
+  return {kind: 'again', detail, busy: false, mayHaveRun: false, ...over};
+}
+
 function needsPrimary({isWrite, route}: SingleRequest): boolean {
   return isWrite || route.consistency === Consistency.CONSISTENCY_PRIMARY;
 }
@@ -89,7 +107,7 @@
   }
   if (ready.kind === 'connection failed') {
     turn.end(false);
-    return {kind: 'again', detail: 'own statements failed', busy: false};
+    return again('own statements failed');
   }
   const {statement} = ready;
   const askedAt = clock.now();
@@ -131,8 +149,7 @@
     return {kind: 'final', result};
   }
   if (!saysNotRun(result.failure)) return {kind: 'final', result};
-  const busy = result.failure !== 'not primary';
-  return {kind: 'again', detail: result.failure, busy};
+  return again(result.failure, {busy: result.failure !== 'not primary'});
 }
 
 /**
@@ -162,15 +179,17 @@
   if (!proved && after) turn.observe(askedAt, reply!);
   turn.end(isOutside(last));
   if (reply?.kind !== 'answer') {
-    return {kind: 'again', detail: `lost: ${reply?.reason}`, busy: false};
+    return again(`lost: ${reply?.reason}`, {mayHaveRun: true});
   }
   const {result} = reply;
   if (result.kind === 'done') {
     if (after || proved) return {kind: 'final', result};
-    return {kind: 'again', detail: 'the lead is not proved', busy: false};
+    return again('the lead is not proved', {mayHaveRun: true});
   }
-  const busy = result.failure === 'busy';
-  return {kind: 'again', detail: result.failure, busy};
+  return again(result.failure, {
+    busy: result.failure === 'busy',
+    mayHaveRun: !saysNotRun(result.failure),
+  });
 }
 
 const LEAD_PROOF: readonly TargetCall[] = [
--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -42,31 +42,99 @@
   candidates: readonly Candidate[],
   inPlace: readonly PoolerEntry[],
 ): PoolerEntry[] {
-  const roles = new Map(candidates.map(({instance}) => [instance, 0]));
-  const plan: PoolerEntry[] = [];
-  const add = (service: string, candidate: Candidate) => {
-    const {instance, address, site} = candidate;
-    plan.push({service, instance, address, site});
-    roles.set(instance, (roles.get(instance) ?? 0) + 1);
-  };
-  const wanted = new Map(
-    services.map(entry => [entry.service, poolersOf(entry, candidates.length)]),
-  );
-  for (const {service, instance} of inPlace) {
-    const kept = candidates.find(other => other.instance === instance);
-    const count = plan.filter(other => other.service === service).length;
-    if (kept && count < (wanted.get(service) ?? 0)) add(service, kept);
+  const plan = new PoolerPlan(services, candidates);
+  for (const {service, instance} of inPlace) plan.keep(service, instance);
+  plan.fill();
+  return plan.entries;
+}
+
+/** A plan while it is made. */
+class PoolerPlan {
+  readonly entries: PoolerEntry[] = [];
+  private readonly wanted: ReadonlyMap<string, number>;
+  private readonly candidates: ReadonlyMap<string, Candidate>;
+  /** Services that each proxy keeps connections for. */
+  private readonly roles = new Map<string, number>();
+  private readonly mostRoles: number;
+  private readonly sites: number;
+
+  constructor(
+    services: readonly PooledService[],
+    candidates: readonly Candidate[],
+  ) {
+    const proxies = candidates.length;
+    this.candidates = new Map(candidates.map(one => [one.instance, one]));
+    this.wanted = new Map(
+      services.map(entry => [entry.service, poolersOf(entry, proxies)]),
+    );
+    const total = [...this.wanted.values()].reduce((sum, one) => sum + one, 0);
+    this.mostRoles = Math.ceil(total / Math.max(1, proxies));
+    this.sites = new Set(candidates.map(({site}) => site)).size;
+  }
+
+  /**
+   * Keeps a pooler in place, unless it has more than its part.
+   *
+   * Guard: poolers named while most proxies of a site were away have the work
+   * of all of them, and their links and processors fill up. When the others
+   * are back, all parts above an equal one go to them.
+   */
+  keep(service: string, instance: string): void {
+    const candidate = this.candidates.get(instance);
+    if (!candidate) return;
+    const own = this.poolersOf(service);
+    const wanted = this.wanted.get(service) ?? 0;
+    const inSite = own.filter(({site}) => site === candidate.site).length;
+    const mostInSite = Math.ceil(wanted / Math.max(1, this.sites));
+    if (own.length >= wanted || inSite >= mostInSite) return;
+    if (this.rolesOf(instance) >= this.mostRoles) return;
+    this.add(service, candidate);
+  }
+
+  /** Names poolers where some are missing. */
+  fill(): void {
+    for (const [service, count] of this.wanted) {
+      for (;;) {
+        const own = this.poolersOf(service);
+        const next = own.length < count && this.next(service, own);
+        if (!next) break;
+        this.add(service, next);
+      }
+    }
+  }
+
+  private add(service: string, {instance, address, site}: Candidate): void {
+    this.entries.push({service, instance, address, site});
+    this.roles.set(instance, this.rolesOf(instance) + 1);
+  }
+
+  private rolesOf(instance: string): number {
+    return this.roles.get(instance) ?? 0;
+  }
+
+  private poolersOf(service: string): PoolerEntry[] {
+    return this.entries.filter(other => other.service === service);
   }
-  for (const [service, count] of wanted) {
-    for (;;) {
-      const own = plan.filter(other => other.service === service);
-      if (own.length >= count) break;
-      const next = nextPooler(service, candidates, own, roles);
-      if (!next) break;
-      add(service, next);
+
+  /** In the site with the fewest poolers of the service, the least busy one. */
+  private next(
+    service: string,
+    own: readonly PoolerEntry[],
+  ): Candidate | undefined {
+    let best: Candidate | undefined;
+    let least: readonly number[] = [];
+    for (const candidate of this.candidates.values()) {
+      const {instance, site} = candidate;
+      if (own.some(other => other.instance === instance)) continue;
+      const inSite = own.filter(other => other.site === site).length;
+      const hash = hashOf(`${service} ${instance}`);
+      const rank = [inSite, this.rolesOf(instance), hash];
+      if (best && !isBefore(rank, least)) continue;
+      best = candidate;
+      least = rank;
     }
+    return best;
   }
-  return plan;
 }
 
 /** How many poolers a service gets; 0 where each proxy serves it itself. */
@@ -76,26 +144,6 @@
   return Math.max(1, Math.floor(shared / POOLER_SHARE));
 }
 
-/** In the site with the fewest poolers of the service, the least busy one. */
-function nextPooler(
-  service: string,
-  candidates: readonly Candidate[],
-  own: readonly PoolerEntry[],
-  roles: ReadonlyMap<string, number>,
-): Candidate | undefined {
-  const free = candidates.filter(({instance}) => {
-    return !own.some(other => other.instance === instance);
-  });
-  const rankOf = ({instance, site}: Candidate) => {
-    const inSite = own.filter(other => other.site === site).length;
-    return [inSite, roles.get(instance) ?? 0, hashOf(`${service} ${instance}`)];
-  };
-  return free.reduce<Candidate | undefined>((best, candidate) => {
-    if (!best) return candidate;
-    return isBefore(rankOf(candidate), rankOf(best)) ? candidate : best;
-  }, undefined);
-}
-
 function isBefore(a: readonly number[], b: readonly number[]): boolean {
   const at = a.findIndex((value, index) => value !== b[index]);
   return at >= 0 && a[at]! < b[at]!;
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -33,6 +33,12 @@
 /** A pooler answers by the deadline itself; its answer's way comes on top. */
 const ANSWER_WAY_MS = 60;
 
+/**
+ * Poolers that a read is sent to at most. One that answers nothing may be busy
+ * rather than gone, and then each repetition is work on top.
+ */
+const MOST_POOLERS = 2;
+
 /** What came back of a statement: an outcome, or nothing. */
 export type PoolerOutcome = CallerReply | undefined;
 
@@ -72,8 +78,9 @@
       }
       context.journal.onRepeated(requestId, route.service, attempt);
       passed.add(link);
-      if (context.clock.now() >= deadline) {
-        return failure('busy', `the pooler is lost, retry after 100 ms`);
+      const isLate = context.clock.now() >= deadline;
+      if (isLate || passed.size >= MOST_POOLERS) {
+        return failure('timeout', 'no answer from the pooler');
       }
     }
   }
--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -3,7 +3,7 @@
 import {after, every} from '../../../base/node/timers';
 import type {PoolerEntry, PoolerList} from '../../../schema/generated/fleet';
 import {rankPoolers, type Whereabouts} from '../common/choose_pooler';
-import {PoolerLink} from './pooler_link';
+import {PoolerLink, type LinkState} from './pooler_link';
 
 /**
  * Links that are kept to poolers of each service: the one in use, and one that
@@ -15,6 +15,12 @@
 /** Links to poolers that fell silent are backed up within this, in ms. */
 const TEND_MS = 250;
 
+const USELESS: ReadonlySet<LinkState> = new Set([
+  'silent',
+  'recovering',
+  'leaving',
+]);
+
 /** The poolers that this proxy sends work to, and its links to them. */
 export class PoolerDirectory {
   private poolers: readonly PoolerEntry[] = [];
@@ -60,12 +66,14 @@
     service: string,
     passed: ReadonlySet<PoolerLink>,
   ): PoolerLink | undefined {
+    let second: PoolerLink | undefined;
     for (const {address} of this.ranked.get(service) ?? []) {
       const link = this.links.get(address);
-      if (link && link.state === 'ready' && !passed.has(link)) return link;
+      if (!link || passed.has(link)) continue;
+      if (link.state === 'ready') return link;
+      if (link.state === 'recovering') second ??= link;
     }
-    this.tend();
-    return undefined;
+    return second;
   }
 
   /** Whether a link is being opened that could serve soon. */
@@ -98,7 +106,7 @@
       if (usable >= KEPT_LINKS) break;
       wanted.push(address);
       const state = this.links.get(address)?.state;
-      const isUseless = state === 'silent' || state === 'leaving';
+      const isUseless = state !== undefined && USELESS.has(state);
       if (!isUseless && !this.paused.has(address)) usable++;
     }
     return wanted;
--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -20,6 +20,8 @@
   | 'ready'
   /** It answers nothing at present, though something was asked. */
   | 'silent'
+  /** It was silent a moment ago: used where there is no other. */
+  | 'recovering'
   /** It takes no new work. */
   | 'leaving'
   | 'closed';
@@ -43,6 +45,11 @@
  * may take 800 ms in all, so a read has time for another pooler.
  */
 const SILENT_MS = 350;
+/**
+ * After it was silent, others go before it for so long, in ms: a pooler that is
+ * too busy would else get new work at each sign of life.
+ */
+const RECOVERY_MS = 1_000;
 /** A link that stays silent is closed and opened anew, in milliseconds. */
 const GIVE_UP_MS = 2_500;
 /** Statements that may be under way; more says that the pooler stalls. */
@@ -57,6 +64,7 @@
   private heardAt: number;
   private askedAt: number | undefined;
   private heard = false;
+  private silentAt = -Infinity;
   private leaving = false;
   private closed = false;
   private works = 0;
@@ -84,7 +92,9 @@
     if (this.closed) return 'closed';
     if (!this.heard) return 'connecting';
     if (this.quietMs > SILENT_MS) return 'silent';
-    return this.leaving ? 'leaving' : 'ready';
+    if (this.leaving) return 'leaving';
+    const sinceSilent = this.clock.now() - this.silentAt;
+    return sinceSilent < RECOVERY_MS ? 'recovering' : 'ready';
   }
 
   /** Statements that were sent and not answered. */
@@ -128,7 +138,7 @@
   private look(): void {
     const {quietMs} = this;
     if (quietMs > GIVE_UP_MS) return this.end('silent');
-    if (quietMs > SILENT_MS) return this.giveUpRepeatable();
+    if (quietMs > SILENT_MS) return this.onSilence();
     if (quietMs > QUIET_MS) this.askForSign();
   }
 
@@ -141,7 +151,8 @@
     this.askedAt ??= this.clock.now();
   }
 
-  private giveUpRepeatable(): void {
+  private onSilence(): void {
+    this.silentAt = this.clock.now();
     for (const [work, {repeatable}] of [...this.waiting]) {
       if (repeatable) this.abandon(work);
     }
--- a/src/services/pooler/test/common/pooler_plan.test.ts
+++ b/src/services/pooler/test/common/pooler_plan.test.ts
@@ -53,6 +53,32 @@
   });
 });
 
+describe('planPoolers after a loss', () => {
+  it('takes parts from poolers that have too many of them', () => {
+    // All proxies restart, and the first one of a region gets the parts of all
+    // services there. Its link of 2 Mbit/s carried the work of 20 proxies: a
+    // quarter of the requests failed for as long as it kept them.
+    const proxies = makeProxies(63);
+    const services = makeServices(6, 32);
+    const early = proxies.slice(0, 3);
+    const first = planPoolers(services, early, []);
+    const all = planPoolers(services, proxies, first);
+    expect(all).toHaveLength(36);
+    const parts = all.map(({instance}) => instance);
+    expect(new Set(parts).size).toBe(36);
+  });
+
+  it('gives a site its parts back that was away', () => {
+    const proxies = makeProxies(63);
+    const services = makeServices(1, 32);
+    const rest = proxies.filter(({site}) => site !== 'a1' && site !== 'a2');
+    const without = planPoolers(services, rest, []);
+    const again = planPoolers(services, proxies, without);
+    const sites = again.map(({site}) => site).sort();
+    expect(sites).toEqual([...SITES].sort());
+  });
+});
+
 describe('PoolerPlanner', () => {
   const services = makeServices(6, 32);
   const proxies = makeProxies(63);
