Refuse by the rate at which places come free, and after a quarter of the objective

The expected wait was worked out from 45 connections of which others held most, so nearly all were let in, waited 400 ms and were refused with little time left.

Requests that waited through an outage get a full turn after it; before, all but the first window of them were refused at the next tick.

Tests: the load of a board meeting, a crowd that fits, an outage, in steps of a millisecond without sockets.

--- a/src/services/admission/common/fair_queue.ts
+++ b/src/services/admission/common/fair_queue.ts
@@ -44,16 +44,20 @@
     return true;
   }
 
-  /** How many requests would be served before one of this kind. */
-  aheadOf({caller, priority}: Waiting): number {
+  /** How many requests that count would be served before one. */
+  aheadOf(
+    {caller, priority}: Waiting,
+    counts: (other: T) => boolean = () => true,
+  ): number {
     if (this.count === 0) return 0;
     let ahead = 0;
     for (const [level, callers] of this.levels) {
       if (level > priority) continue;
-      const own = callers.get(caller)?.length ?? 0;
+      const own = callers.get(caller)?.filter(counts).length ?? 0;
       for (const items of callers.values()) {
         const all = level < priority;
-        ahead += all ? items.length : Math.min(items.length, own + 1);
+        const length = items.filter(counts).length;
+        ahead += all ? length : Math.min(length, own + 1);
       }
     }
     return ahead;
--- a/src/services/dispatch/common/place_request.ts
+++ b/src/services/dispatch/common/place_request.ts
@@ -30,8 +30,10 @@
   readonly values: ReadonlyMap<string, string>;
   /** Members that did not serve this request before. */
   readonly passed: ReadonlySet<string>;
-  /** Continues or repeats an operation: goes before new ones. */
+  /** When it began to ask for places, on the clock of the dispatcher. */
   readonly since: number;
+  /** How long it may wait for a place in all, in milliseconds. */
+  readonly patienceMs: number;
   settle(outcome: Result<G, PlaceRefusal>): void;
 }
 
--- a/src/services/dispatch/common/primary_outage.ts
+++ b/src/services/dispatch/common/primary_outage.ts
@@ -25,14 +25,21 @@
  */
 export class PrimaryOutage {
   private since = 0;
+  private ended = -Infinity;
   private state: PrimaryState = 'serving';
 
   /** Takes note of how the primary serves this instance. */
   note(state: PrimaryState, now: number): void {
     if (this.state === 'serving') this.since = now;
+    else if (state === 'serving') this.ended = now;
     this.state = state;
   }
 
+  /** When the last one ended; -Infinity before any did. */
+  get endedAt(): number {
+    return this.ended;
+  }
+
   /** When it is expected to end; undefined while there is a primary. */
   expectedEnd(now: number): number | undefined {
     if (this.state === 'serving') return undefined;
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -1,5 +1,4 @@
 import type {Clock} from '../../../base/common/clock';
-import {err, ok} from '../../../base/common/outcome';
 import type {Log} from '../../../base/node/log';
 import {Mailbox, startTask, type Task} from '../../../base/node/task';
 import {every} from '../../../base/node/timers';
@@ -8,14 +7,14 @@
   type Member,
   type ServiceEntry,
 } from '../../../schema/generated/fleet';
-import {FairQueue} from '../../admission/common/fair_queue';
 import {PositionSamples} from '../../freshness/common/position_samples';
 import {laterPosition, type Position} from '../../position/common/position';
 import type {TargetConnector} from '../../target_link/common/target_link';
 import {PrimaryBelief} from '../common/primary_belief';
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
-import type {PlaceRefusal, PlaceRequest} from '../common/place_request';
+import type {PlaceRequest} from '../common/place_request';
+import {WaitingRequests} from '../common/waiting_requests';
 import {MemberPool, type PooledLink} from './member_pool';
 import {PrimaryProbe} from './primary_probe';
 
@@ -85,30 +84,20 @@
 const SAMPLE_EVERY_MS = 400;
 /** Samples are asked for only while reads came in so lately, in ms. */
 const READ_INTEREST_MS = 2_000;
-/** The most requests that wait here; what is more has no chance. */
-const QUEUE_LIMIT = 256;
-/** How long a request may wait for a connection, as a part of its time. */
-const WAIT_PART = 0.5;
-const LEAST_RETRY_MS = 40;
-/** A place is held for about this long before any was measured, in ms. */
-const FIRST_HOLD_MS = 60;
-const HOLD_WEIGHT = 0.05;
 /** While there is no primary, members are asked this often, in ms. */
 const SEARCH_EVERY_MS = 150;
 
 /** The task that owns the connections to the members of one service. */
 export class ServiceDispatcher {
   private readonly mailbox = new Mailbox<DispatcherMessage>();
-  private readonly queue = new FairQueue<PlaceRequest<Grant>>();
   private readonly pools = new Map<string, MemberPool>();
-  private readonly takenAt = new Map<PooledLink, number>();
   private readonly samples = new PositionSamples();
   private definition: ServiceEntry;
   private proxies = 1;
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
+  private readonly waiting = new WaitingRequests<Grant>(this.outage);
   private lastRead = -Infinity;
-  private holdMs = FIRST_HOLD_MS;
   private readonly probe: PrimaryProbe;
   private searchedAt = -Infinity;
   private judged = '';
@@ -169,55 +158,14 @@
   // ---- Requests ----
 
   private onRequest(request: PlaceRequest<Grant>): void {
-    if (request.need.kind === 'read') this.lastRead = this.now();
-    const refusal = this.refusalOf(request);
-    if (refusal) return request.settle(err(refusal));
-    this.queue.add(request);
-    this.dispatch();
-  }
-
-  /** What cannot be met in time is refused at once. */
-  private refusalOf(request: PlaceRequest<Grant>): PlaceRefusal | undefined {
     const now = this.now();
-    const hopeless = this.outageRefusal(request, now);
-    if (hopeless) return hopeless;
-    const links = Math.max(1, this.limit * Math.max(1, this.pools.size));
-    const ahead = this.queue.aheadOf(request);
-    const expectedMs = (ahead * this.holdMs) / links;
-    const room = (request.deadline - now) * WAIT_PART;
-    if (this.queue.size < QUEUE_LIMIT && expectedMs <= room) return undefined;
-    return this.refuse('overloaded', expectedMs, `ahead=${ahead}`);
-  }
-
-  private outageRefusal(
-    request: PlaceRequest<Grant>,
-    now: number,
-  ): PlaceRefusal | undefined {
-    if (request.need.kind !== 'primary') return undefined;
-    const end = this.outage.expectedEnd(now);
-    if (end === undefined || end <= request.deadline) return undefined;
-    const waited = Math.round(now - request.since);
-    const detail = `waited=${waited} primary=${this.belief.instance}`;
-    return this.refuse('no primary', end - now, detail);
-  }
-
-  private refuse(
-    reason: PlaceRefusal['reason'],
-    afterMs: number,
-    detail: string,
-  ): PlaceRefusal {
-    const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(afterMs));
-    return {reason, retryAfterMs, detail};
+    if (request.need.kind === 'read') this.lastRead = now;
+    this.waiting.add(request, now);
+    this.dispatch();
   }
 
   private dispatch(): void {
-    if (this.queue.size === 0) return;
-    this.queue.serve(request => {
-      const grant = this.place(request);
-      if (!grant) return 'later';
-      request.settle(ok(grant));
-      return 'taken';
-    });
+    this.waiting.serve(this.now(), request => this.place(request));
   }
 
   private place(request: PlaceRequest<Grant>): Grant | undefined {
@@ -256,7 +204,6 @@
       if (pool.mayOpen(this.limit)) pool.open();
       return undefined;
     }
-    this.takenAt.set(pooled, this.now());
     return {pooled, isPrimary: this.isPrimary(instance), after};
   }
 
@@ -300,11 +247,6 @@
   }
 
   private onReturn({pooled, clean}: Return): void {
-    const takenAt = this.takenAt.get(pooled);
-    this.takenAt.delete(pooled);
-    if (takenAt !== undefined) {
-      this.holdMs += (this.now() - takenAt - this.holdMs) * HOLD_WEIGHT;
-    }
     const pool = this.pools.get(pooled.instance);
     if (pool) pool.release(pooled, clean);
     else pooled.link.close();
@@ -441,41 +383,13 @@
     }
     this.judgePrimary();
     this.searchPrimary(now);
-    this.giveUp(now);
+    this.waiting.giveUp(now);
     const wanted = now - this.lastRead < READ_INTEREST_MS;
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
     if (wanted && isOld) this.probePrimary();
     this.dispatch();
   }
 
-  /** Gives up what waited as long as makes sense for its caller. */
-  private giveUp(now: number): void {
-    const late: [PlaceRequest<Grant>, PlaceRefusal][] = [];
-    this.queue.serve(request => {
-      const refusal =
-        this.outageRefusal(request, now) ?? this.lateRefusal(request, now);
-      if (refusal) late.push([request, refusal]);
-      return 'later';
-    });
-    for (const [request, refusal] of late) {
-      this.queue.remove(request);
-      request.settle(err(refusal));
-    }
-  }
-
-  private lateRefusal(
-    request: PlaceRequest<Grant>,
-    now: number,
-  ): PlaceRefusal | undefined {
-    const {since, deadline, need} = request;
-    const isOutage = this.outage.expectedEnd(now) !== undefined;
-    const part = need.kind === 'primary' && isOutage ? 1 : WAIT_PART;
-    if (now - since < (deadline - since) * part) return undefined;
-    const waited = Math.round(now - since);
-    const detail = `waited=${waited} need=${need.kind}`;
-    return this.refuse('no member', this.holdMs, detail);
-  }
-
   /** Asks the primary for its position where no request did lately. */
   private probePrimary(): void {
     if (!this.belief.isStanding) return;
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -21,6 +21,8 @@
 
   constructor(
     readonly grant: Grant,
+    /** How long the request waited for it, in milliseconds. */
+    readonly waitedMs: number,
     private readonly dispatcher: ServiceDispatcher,
     private readonly clock: Clock,
     private readonly signal: AbortSignal,
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -110,11 +110,13 @@
     if (this.turn) return undefined;
     const {context, route, needsPrimary, since} = this;
     const passed = new Set<string>();
+    const wish = {requestId, route, needsPrimary, since, deadline, passed};
+    let waitedMs = 0;
     for (let tries = 1; ; tries++) {
-      const wish = {requestId, route, needsPrimary, since, deadline, passed};
-      const taken = yield* takeTurn(context, wish);
+      const taken = yield* takeTurn(context, {...wish, waitedMs});
       if (taken.isErr) return refusalResult(taken.error);
       const turn = taken.value;
+      waitedMs += turn.waitedMs;
       const trouble = yield* this.beginOn(turn, deadline);
       if (!trouble) {
         this.turn = turn;
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -17,6 +17,11 @@
 import type {RequestJournal} from './request_journal';
 import type {WorkRunner} from './work_runner';
 
+/** How long a request may wait for a place, as a part of its time. */
+const WAIT_PART = 0.5;
+/** The same, as a part of what its caller expects of a whole operation. */
+const PATIENCE_PART = 0.25;
+
 /** What the parts of one session share. */
 export interface SessionContext {
   readonly caller: CallerName;
@@ -39,6 +44,8 @@
   /** When its first byte was here, or that of its transaction. */
   readonly since: number;
   readonly deadline: number;
+  /** How long it waited for places before, in milliseconds. */
+  readonly waitedMs: number;
   readonly passed: ReadonlySet<string>;
 }
 
@@ -59,6 +66,7 @@
       priority: route.priority,
       deadline,
       since: asked,
+      patienceMs: patienceOf(route, deadline - asked) - wish.waitedMs,
       need: needOf(context, wish),
       values: memory.values,
       passed,
@@ -72,10 +80,21 @@
     context.journal.onRefused(requestId, route, outcome.error, waitedMs);
   }
   return outcome.map(grant => {
-    return new MemberTurn(grant, dispatcher, clock, signal);
+    return new MemberTurn(grant, waitedMs, dispatcher, clock, signal);
   });
 }
 
+/**
+ * How long a request may wait for a place, in milliseconds. After a quarter of
+ * what its caller expects of it, three quarters are left for another instance
+ * and for the work; a request that waited longer mostly came too late.
+ */
+function patienceOf({objectiveMs}: DatabaseRoute, timeMs: number): number {
+  const most = timeMs * WAIT_PART;
+  if (objectiveMs === 0) return most;
+  return Math.min(most, objectiveMs * PATIENCE_PART);
+}
+
 function needOf(
   {memory}: SessionContext,
   {route, needsPrimary, since}: PlaceWish,
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -54,6 +54,7 @@
   const deadline = since + route.statementMs;
   const passed = new Set<string>();
   let mayHaveRun = false;
+  let waitedMs = 0;
   for (let tries = 1; ; tries++) {
     const taken = yield* takeTurn(context, {
       requestId,
@@ -61,6 +62,7 @@
       needsPrimary: needsPrimary(request),
       since,
       deadline,
+      waitedMs,
       passed,
     });
     if (taken.isErr) {
@@ -68,6 +70,7 @@
       return mayHaveRun ? failure('timeout', 'no answer in time') : refusal;
     }
     const turn = taken.value;
+    waitedMs += turn.waitedMs;
     const startedAt = context.clock.now();
     const outcome = yield* tryOn(context, turn, request, deadline);
     if (outcome.kind === 'final') return outcome.result;
--- a/src/services/pooler/common/pooler_messages.ts
+++ b/src/services/pooler/common/pooler_messages.ts
@@ -171,14 +171,16 @@
 
 /** The part of a route that a pooler needs. */
 export function encodeTerms(route: DatabaseRoute): WorkTerms {
-  const {service, consistency, stalenessMs, statementMs, priority} = route;
-  return {service, consistency, stalenessMs, statementMs, priority};
+  const {service, consistency, stalenessMs} = route;
+  const {statementMs, priority, objectiveMs} = route;
+  const times = {stalenessMs, statementMs, objectiveMs};
+  return {service, consistency, priority, ...times};
 }
 
 /** A route as a pooler sees it: callers' names for it stay with the proxy. */
 export function decodeTerms(terms: WorkTerms): DatabaseRoute {
   const name = `pooled ${terms.service}`;
-  return {...terms, database: '', objectiveMs: terms.statementMs, name};
+  return {...terms, database: '', name};
 }
 
 /** A statement's outcome as a message. */
