--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import {every} from '../../../base/node/timers';
+import {SharedMessage} from './shared_message';
 import type {
   Catalog,
   FleetServer,
@@ -21,7 +22,7 @@
   address: string;
   poolersRevision: number;
   catalogVersion: number;
-  membersRevision: number;
+  membersRevision: string;
   readonly complaints: Map<string, PrimaryReport>;
 }
 
@@ -49,6 +50,9 @@
 /** Control's side of the exchange with proxies. */
 export class FleetLeader {
   private readonly followers = new Set<Follower>();
+  private readonly catalogMessage = new SharedMessage();
+  private readonly poolersMessage = new SharedMessage();
+  private membersMessage = new SharedMessage();
   private proxies = 0;
   /** Undefined before this leadership's first look. */
   private countedAt: number | undefined;
@@ -94,6 +98,8 @@
   onDidLoseLead(): void {
     this.countedAt = undefined;
     this.proxies = 0;
+    // Revisions of members begin anew with each leadership.
+    this.membersMessage = new SharedMessage();
     for (const follower of [...this.followers]) {
       if (follower.instance !== '') this.leave(follower);
     }
@@ -156,7 +162,7 @@
       address: '',
       poolersRevision: 0,
       catalogVersion: 0,
-      membersRevision: -1,
+      membersRevision: '',
       complaints: new Map(),
     };
     this.followers.add(follower);
@@ -192,36 +198,48 @@
 
   private sendOn(follower: Follower): void {
     const value = {leaderAddress: this.source.leaderAddress()};
-    this.write(follower, {$case: 'notLeading', value});
+    follower.stream.write({body: {$case: 'notLeading', value}});
     this.leave(follower);
   }
 
   private pushTo(follower: Follower): void {
     if (follower.instance === '') return;
-    const catalog = this.source.catalog();
-    if (catalog && catalog.version > follower.catalogVersion) {
-      follower.catalogVersion = catalog.version;
-      this.write(follower, {$case: 'catalog', value: catalog});
-    }
+    this.pushCatalog(follower);
     this.pushPoolers(follower);
-    const revision = this.source.membersRevision() * 1_000 + this.proxies;
-    if (follower.membersRevision === revision) return;
-    follower.membersRevision = revision;
-    const members = [...this.source.members()];
-    const value = {members, proxies: this.proxies};
-    this.write(follower, {$case: 'members', value});
+    this.pushMembers(follower);
+  }
+
+  private pushCatalog(follower: Follower): void {
+    const catalog = this.source.catalog();
+    if (!catalog || catalog.version <= follower.catalogVersion) return;
+    follower.catalogVersion = catalog.version;
+    const message = this.catalogMessage.of(`${catalog.version}`, () => {
+      return {$case: 'catalog', value: catalog};
+    });
+    follower.stream.write(message);
   }
 
   private pushPoolers(follower: Follower): void {
     const revision = this.source.poolersRevision();
     if (follower.poolersRevision === revision) return;
     follower.poolersRevision = revision;
-    const value = {poolers: [...this.source.poolers()]};
-    this.write(follower, {$case: 'poolers', value});
+    const message = this.poolersMessage.of(`${revision}`, () => {
+      const value = {poolers: [...this.source.poolers()]};
+      return {$case: 'poolers', value};
+    });
+    follower.stream.write(message);
   }
 
-  private write(follower: Follower, body: LeaderMessage['body']): void {
-    follower.stream.write({body});
+  private pushMembers(follower: Follower): void {
+    const {proxies} = this;
+    const revision = `${this.source.membersRevision()} ${proxies}`;
+    if (follower.membersRevision === revision) return;
+    follower.membersRevision = revision;
+    const message = this.membersMessage.of(revision, () => {
+      const value = {members: [...this.source.members()], proxies};
+      return {$case: 'members', value};
+    });
+    follower.stream.write(message);
   }
 
   private leave(follower: Follower): void {
--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -15,17 +15,20 @@
   readonly connections: number;
 }
 
-/**
- * Below this many connections for each proxy and member, proxies that serve
- * callers alone would open one for nearly each transaction.
- */
-const DIRECT_SHARE = 2;
 /**
  * Connections to one member that a pooler has at least. A member runs 2 to 5
  * statements at a time; with fewer connections, transactions that rest between
  * statements would keep a pooler's own queue waiting while slots are free.
  */
 const POOLER_SHARE = 5;
+/**
+ * Poolers are named where there are so many times more proxies at least. Each
+ * instance that opens connections takes 12 to 27 ms of a slot for each, and
+ * none knows of the others' queues: after a common restart 82 of them kept the
+ * members of all services busy for 4 s. Among a few the way through another
+ * proxy costs more than that.
+ */
+const LEAST_PROXIES_A_POOLER = 4;
 /** Connections to each member that are left to control and to handovers. */
 const RESERVED_CONNECTIONS = 2;
 
@@ -42,10 +45,14 @@
   candidates: readonly Candidate[],
   inPlace: readonly PoolerEntry[],
 ): PoolerEntry[] {
+  if (services.length === 0) return [];
   const plan = new PoolerPlan(services, candidates);
-  for (const {service, instance} of inPlace) plan.keep(service, instance);
-  plan.fill();
-  return plan.entries;
+  plan.make(inPlace);
+  // Where sites differ in size a first plan may have more in one place than
+  // the next one would keep; a plan made from it does not change any more.
+  const settled = new PoolerPlan(services, candidates);
+  settled.make(plan.entries);
+  return settled.entries;
 }
 
 /** A plan while it is made. */
@@ -64,12 +71,18 @@
   ) {
     const proxies = candidates.length;
     this.candidates = new Map(candidates.map(one => [one.instance, one]));
+    this.sites = new Set(candidates.map(({site}) => site)).size;
+    const atMost = Math.max(this.sites, Math.floor(proxies / services.length));
     this.wanted = new Map(
-      services.map(entry => [entry.service, poolersOf(entry, proxies)]),
+      services.map(entry => [entry.service, countFor(entry, proxies, atMost)]),
     );
     const total = [...this.wanted.values()].reduce((sum, one) => sum + one, 0);
     this.mostRoles = Math.ceil(total / Math.max(1, proxies));
-    this.sites = new Set(candidates.map(({site}) => site)).size;
+  }
+
+  make(inPlace: readonly PoolerEntry[]): void {
+    for (const {service, instance} of inPlace) this.keep(service, instance);
+    this.fill();
   }
 
   /**
@@ -79,20 +92,19 @@
    * of all of them, and their links and processors fill up. When the others
    * are back, all parts above an equal one go to them.
    */
-  keep(service: string, instance: string): void {
+  private keep(service: string, instance: string): void {
     const candidate = this.candidates.get(instance);
     if (!candidate) return;
     const own = this.poolersOf(service);
     const wanted = this.wanted.get(service) ?? 0;
     const inSite = own.filter(({site}) => site === candidate.site).length;
-    const mostInSite = Math.ceil(wanted / Math.max(1, this.sites));
-    if (own.length >= wanted || inSite >= mostInSite) return;
+    if (own.length >= wanted || inSite >= this.mostInSite(service)) return;
     if (this.rolesOf(instance) >= this.mostRoles) return;
     this.add(service, candidate);
   }
 
   /** Names poolers where some are missing. */
-  fill(): void {
+  private fill(): void {
     for (const [service, count] of this.wanted) {
       for (;;) {
         const own = this.poolersOf(service);
@@ -116,7 +128,13 @@
     return this.entries.filter(other => other.service === service);
   }
 
-  /** In the site with the fewest poolers of the service, the least busy one. */
+  /** How many poolers of a service an equal spread puts into one site. */
+  private mostInSite(service: string): number {
+    const wanted = this.wanted.get(service) ?? 0;
+    return Math.ceil(wanted / Math.max(1, this.sites));
+  }
+
+  /** The least busy proxy, in the site with the fewest poolers. */
   private next(
     service: string,
     own: readonly PoolerEntry[],
@@ -128,7 +146,8 @@
       if (own.some(other => other.instance === instance)) continue;
       const inSite = own.filter(other => other.site === site).length;
       const hash = hashOf(`${service} ${instance}`);
-      const rank = [inSite, this.rolesOf(instance), hash];
+      const isFull = inSite >= this.mostInSite(service) ? 1 : 0;
+      const rank = [isFull, this.rolesOf(instance), inSite, hash];
       if (best && !isBefore(rank, least)) continue;
       best = candidate;
       least = rank;
@@ -138,10 +157,15 @@
 }
 
 /** How many poolers a service gets; 0 where each proxy serves it itself. */
-function poolersOf({connections}: PooledService, proxies: number): number {
+function countFor(
+  {connections}: PooledService,
+  proxies: number,
+  atMost: number,
+): number {
   const shared = connections - RESERVED_CONNECTIONS;
-  if (shared >= proxies * DIRECT_SHARE) return 0;
-  return Math.max(1, Math.floor(shared / POOLER_SHARE));
+  const count = Math.max(1, Math.floor(shared / POOLER_SHARE));
+  const poolers = Math.min(count, atMost);
+  return proxies >= poolers * LEAST_PROXIES_A_POOLER ? poolers : 0;
 }
 
 function isBefore(a: readonly number[], b: readonly number[]): boolean {
