--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -53,8 +53,14 @@
     this.tend();
   }
 
+  /** Links to poolers that answer at present. */
+  get reached(): number {
+    return [...this.links.values()].filter(link => link.state === 'ready')
+      .length;
+  }
+
   /** Services that this proxy keeps connections for. */
-  pooledHere(): string[] {
+  get pooledHere(): string[] {
     const own = this.poolers.filter(other => {
       return other.instance === this.here.instance;
     });
@@ -88,7 +94,7 @@
     if (this.signal.aborted) return;
     const wanted = new Set<string>();
     for (const [service, ranked] of this.ranked) {
-      if (this.pooledHere().includes(service)) continue;
+      if (this.pooledHere.includes(service)) continue;
       for (const address of this.wantedOf(ranked)) wanted.add(address);
     }
     for (const address of wanted) this.open(address);
