--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -3,6 +3,7 @@
 import {createServer, listen} from '../../../../base/node/grpc';
 import {
   type Catalog,
+  type Member,
   type PoolerEntry,
 } from '../../../../schema/generated/fleet';
 import {
@@ -21,6 +22,7 @@
   version = 1;
   address = '';
   poolers: PoolerEntry[] = [];
+  members: Member[] = [];
   readonly clock = new ManualClock();
   readonly leader: FleetLeader;
 
@@ -30,7 +32,7 @@
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
         catalog: () => makeCatalog([makeRoute()], {version: this.version}),
-        members: () => [],
+        members: () => this.members,
         membersRevision: () => 1,
         poolers: () => this.poolers,
         poolersRevision: () => this.poolers.length,
@@ -56,12 +58,14 @@
 let catalogs: Catalog[];
 let lists: PoolerEntry[][];
 let counts: number[];
+let rosters: string[];
 
 beforeEach(async () => {
   stop = new AbortController();
   catalogs = [];
   lists = [];
   counts = [];
+  rosters = [];
   first = new Instance();
   second = new Instance();
   await first.start(stop.signal);
@@ -81,7 +85,10 @@
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
-      onDidReceiveMembers: ({proxies}) => counts.push(proxies),
+      onDidReceiveMembers: ({members, proxies}) => {
+        counts.push(proxies);
+        rosters.push(members.map(({instance}) => instance).join(' '));
+      },
       onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
@@ -91,6 +98,11 @@
   return follower;
 }
 
+function makeMember(instance: string): Member {
+  const place = {service: 'books', address: `${instance}:1`, site: 'a'};
+  return {instance, ...place, slots: 2, draining: false, role: 1};
+}
+
 function makePooler(instance: string): PoolerEntry {
   return {service: 'books', instance, site: 'a', address: `${instance}:1`};
 }
@@ -153,6 +165,22 @@
   expect(catalogs.map(({version}) => version)).toEqual([1, 5]);
 });
 
+it('tells no members of an earlier leadership', async () => {
+  // An instance leads, loses the lead and gets it back. Revisions of members
+  // begin anew, so an encoded list that it kept would look like the new one,
+  // and proxies would send work to members that are long gone.
+  first.leads = true;
+  first.members = [makeMember('old')];
+  const follower = follow();
+  await until(() => rosters.includes('old'));
+  first.leads = false;
+  first.leader.onDidLoseLead();
+  await until(() => !follower.isAttached);
+  first.members = [makeMember('new')];
+  first.leads = true;
+  await until(() => rosters.at(-1) === 'new');
+});
+
 it('tells proxies of the poolers, and of each change', async () => {
   first.leads = true;
   first.poolers = [makePooler('p1')];
