--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -15,6 +15,7 @@
 } from '../../gateway/node/work_runner';
 import {
   failure,
+  type CallerReply,
   type StatementResult,
   type TransactionState,
 } from '../../statement/common/statement';
@@ -24,7 +25,8 @@
   encodeTerms,
   wholeAge,
 } from '../common/pooler_messages';
-import {ask, type PooledRunner, type PoolerOutcome} from './pooled_runner';
+import {callPooler, takeLink} from './pooler_call';
+import type {PoolerDirectory} from './pooler_directory';
 import type {PoolerLink} from './pooler_link';
 
 /** Where a transaction is: at a pooler, under a name on its link. */
@@ -46,11 +48,11 @@
   private local: WorkTransaction | undefined;
 
   constructor(
+    private readonly directory: PoolerDirectory,
     private readonly context: SessionContext,
     private readonly route: DatabaseRoute,
     private readonly readOnly: boolean,
     private readonly since: number,
-    private readonly runner: PooledRunner,
   ) {}
 
   get state(): TransactionState {
@@ -111,7 +113,7 @@
   private *find(): Task<void> {
     if (this.place || this.local) return;
     const {context, route, readOnly, since} = this;
-    const link = yield* this.runner.takeLink(context, route.service, NO_LINKS);
+    const link = yield* this.takeLink(NO_LINKS);
     if (link) this.place = {link, work: link.nextWork()};
     else this.local = LOCAL_RUNNER.begin(context, route, readOnly, since);
   }
@@ -120,7 +122,10 @@
    * Sends one step. The first one may go to another pooler where its answer
    * does not come: without a commit, what it did at the first one is undone.
    */
-  private *send(requestId: string, step: WorkStep): Task<PoolerOutcome> {
+  private *send(
+    requestId: string,
+    step: WorkStep,
+  ): Task<CallerReply | undefined> {
     const {context, route} = this;
     const deadline = context.clock.now() + route.statementMs;
     const isCommit = step.action === WorkAction.WORK_ACTION_COMMIT;
@@ -131,19 +136,31 @@
     for (let place = this.place; place; place = this.place) {
       const {link, work} = place;
       const request = this.requestFor(work, requestId, step, isFirst);
-      const outcome = yield* ask(context, link, deadline, repeatable, request);
+      const outcome = yield* callPooler(context, {
+        link,
+        request,
+        deadline,
+        repeatable,
+      });
       const isLate = context.clock.now() >= deadline;
       if (outcome || !repeatable || isLate) return outcome;
       link.abandon(work);
       passed.add(link);
       const attempt = {instance: link.address, tookMs: 0, detail: 'no answer'};
       context.journal.onRepeated(requestId, route.service, attempt);
-      const next = yield* this.runner.takeLink(context, route.service, passed);
+      const next = yield* this.takeLink(passed);
       this.place = next && {link: next, work: next.nextWork()};
     }
     return undefined;
   }
 
+  private takeLink(
+    passed: ReadonlySet<PoolerLink>,
+  ): Task<PoolerLink | undefined> {
+    const {directory, context, route} = this;
+    return takeLink(directory, context, route.service, passed);
+  }
+
   private requestFor(
     work: number,
     requestId: string,
--- /dev/null
+++ b/src/services/pooler/node/pooler_call.ts
@@ -0,0 +1,62 @@
+import {pause, settled, type Task} from '../../../base/node/task';
+import {after} from '../../../base/node/timers';
+import type {WorkRequest} from '../../../schema/generated/pooler';
+import type {SessionContext} from '../../gateway/node/session_context';
+import type {CallerReply} from '../../statement/common/statement';
+import {decodeReply} from '../common/pooler_messages';
+import type {PoolerDirectory} from './pooler_directory';
+import type {PoolerLink, WaitTerms} from './pooler_link';
+
+/**
+ * After a start or a loss, links to poolers open within some tens of
+ * milliseconds; waiting for one is cheaper than connections of one's own.
+ */
+const LINK_WAIT_MS = 250;
+const LINK_LOOK_MS = 10;
+/** A pooler answers by the deadline itself; its answer's way comes on top. */
+const ANSWER_WAY_MS = 60;
+
+/** One statement on its way to a pooler. */
+export interface PoolerCall extends WaitTerms {
+  readonly link: PoolerLink;
+  readonly request: WorkRequest;
+  /** On the session's clock, in milliseconds. */
+  readonly deadline: number;
+}
+
+/** A usable link, after a short wait where one is being opened. */
+export function* takeLink(
+  directory: PoolerDirectory,
+  {clock}: SessionContext,
+  service: string,
+  passed: ReadonlySet<PoolerLink>,
+): Task<PoolerLink | undefined> {
+  const until = clock.now() + LINK_WAIT_MS;
+  for (;;) {
+    const link = directory.choose(service, passed);
+    if (link) return link;
+    if (!directory.isConnecting(service)) return undefined;
+    if (clock.now() >= until) return undefined;
+    yield* pause(LINK_LOOK_MS);
+  }
+}
+
+/**
+ * Sends a statement and waits for its outcome, to a little past its deadline;
+ * undefined where none came. A position that comes back is the session's newest
+ * commit.
+ */
+export function* callPooler(
+  {clock, signal, memory}: SessionContext,
+  {link, request, deadline, repeatable}: PoolerCall,
+): Task<CallerReply | undefined> {
+  const timeMs = Math.max(0, deadline - clock.now()) + ANSWER_WAY_MS;
+  const cancel = after(signal, timeMs, () => link.abandon(request.work));
+  const done = yield* settled(link.send(request, {repeatable}));
+  cancel();
+  const reply = 'value' in done ? done.value : undefined;
+  if (!reply) return undefined;
+  const outcome = decodeReply(reply);
+  memory.onCommit(outcome.position, clock.now());
+  return outcome;
+}
