Count the connections that instances share in one place; drop dead code

The reserve for control stood twice, in the dispatcher and in the plan of poolers; PrimaryBelief.isDeposed was called by nobody; the list of a proxy's own parts was made anew for each service at each look.

--- a/src/services/dispatch/common/primary_belief.ts
+++ b/src/services/dispatch/common/primary_belief.ts
@@ -18,10 +18,6 @@
     return this.believed !== '' && !this.deposed.has(this.believed);
   }
 
-  isDeposed(instance: string): boolean {
-    return this.deposed.has(instance);
-  }
-
   /**
    * Takes a member for the primary of a term; whether it is another one. The
    * word of a term that is over is not taken: it may have been held up.
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -14,6 +14,7 @@
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
 import type {PlaceRequest} from '../common/place_request';
+import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
 import {MemberPool, type PooledLink} from './member_pool';
 import {PrimaryProbe} from './primary_probe';
@@ -76,8 +77,6 @@
 }
 
 const TICK_MS = 50;
-/** Connections of a member that are left to control and to handovers. */
-const RESERVED_CONNECTIONS = 2;
 /** More connections than the equal share, where others rest. */
 const SHARE_FACTOR = 3;
 /**
@@ -240,7 +239,7 @@
 
   /** Connections to one member that all instances together may have. */
   private get sharedConnections(): number {
-    return Math.max(1, this.definition.connections - RESERVED_CONNECTIONS);
+    return sharedConnections(this.definition.connections);
   }
 
   /** Connections to one member for each instance; may be below 1. */
--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -1,4 +1,5 @@
 import type {PoolerEntry} from '../../../schema/generated/fleet';
+import {sharedConnections} from '../../dispatch/common/shared_connections';
 
 /** A proxy that can keep connections for others. */
 export interface Candidate {
@@ -29,8 +30,6 @@
  * proxy costs more than that.
  */
 const LEAST_PROXIES_A_POOLER = 4;
-/** Connections to each member that are left to control and to handovers. */
-const RESERVED_CONNECTIONS = 2;
 
 /**
  * Which proxies keep the connections to the members of which service.
@@ -88,7 +87,7 @@
    */
   private countFor({connections}: PooledService, services: number): number {
     const proxies = this.candidates.size;
-    const shared = Math.max(0, connections - RESERVED_CONNECTIONS);
+    const shared = sharedConnections(connections);
     const count = Math.min(
       Math.floor(shared / POOLER_SHARE),
       Math.max(this.sites, Math.floor(proxies / services)),
--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -93,8 +93,9 @@
   private tend(): void {
     if (this.signal.aborted) return;
     const wanted = new Set<string>();
+    const {pooledHere} = this;
     for (const [service, ranked] of this.ranked) {
-      if (this.pooledHere.includes(service)) continue;
+      if (pooledHere.includes(service)) continue;
       for (const address of this.wantedOf(ranked)) wanted.add(address);
     }
     for (const address of wanted) this.open(address);
