--- a/src/services/dispatch/common/primary_belief.ts
+++ b/src/services/dispatch/common/primary_belief.ts
@@ -1,53 +1,45 @@
-/** Which member an instance takes for the primary, and on whose word. */
+/** The member that leads a service, by control's word and by its own. */
 export class PrimaryBelief {
-  private believed = '';
-  private highestTerm = 0;
-  private readonly deposed = new Set<string>();
+  private named = '';
+  private namedEpoch = 0;
+  private denied = false;
 
-  /** The member that is taken for the primary; '' before any was heard of. */
+  /** The member that control named; '' while it names none. */
   get instance(): string {
-    return this.believed;
+    return this.named;
   }
 
-  get term(): number {
-    return this.highestTerm;
+  /** The number of the decision that named it. */
+  get epoch(): number {
+    return this.namedEpoch;
   }
 
-  /** Whether the member that is believed in did not say otherwise itself. */
+  /** Whether there is such a member that did not say otherwise itself. */
   get isStanding(): boolean {
-    return this.believed !== '' && !this.deposed.has(this.believed);
+    return this.named !== '' && !this.denied;
   }
 
-  /**
-   * Takes a member for the primary of a term; whether it is another one. The
-   * word of a term that is over is not taken: it may have been held up.
-   */
-  believe(instance: string, term: number): boolean {
-    if (term < this.highestTerm) return false;
-    this.deposed.delete(instance);
-    this.highestTerm = term;
-    const isOther = instance !== this.believed;
-    this.believed = instance;
-    return isOther;
+  /** Takes control's word; whether it is news. Older decisions are ignored. */
+  take(instance: string, epoch: number): boolean {
+    if (epoch < this.namedEpoch) return false;
+    const isNews = epoch !== this.namedEpoch || instance !== this.named;
+    if (isNews) this.denied = false;
+    this.named = instance;
+    this.namedEpoch = epoch;
+    return isNews;
   }
 
   /** Takes a member's own word that it does not lead; whether that is news. */
-  depose(instance: string): boolean {
-    if (this.deposed.has(instance)) return false;
-    this.deposed.add(instance);
+  deny(instance: string): boolean {
+    if (this.named !== instance || this.denied) return false;
+    this.denied = true;
     return true;
   }
 
-  /** Takes the first member that says it leads and did not deny it later. */
-  choose(claimants: readonly string[]): boolean {
-    if (this.isStanding) return false;
-    const claimant = claimants.find(instance => !this.deposed.has(instance));
-    return claimant !== undefined && this.believe(claimant, this.highestTerm);
-  }
-
-  /** A member is gone; nobody is believed in its place yet. */
-  forget(instance: string): void {
-    this.deposed.delete(instance);
-    if (this.believed === instance) this.believed = '';
+  /** Takes a member's own word that it leads; whether that is news. */
+  confirm(instance: string): boolean {
+    if (this.named !== instance || !this.denied) return false;
+    this.denied = false;
+    return true;
   }
 }
--- a/src/services/dispatch/node/primary_probe.ts
+++ b/src/services/dispatch/node/primary_probe.ts
@@ -25,7 +25,8 @@
     return this.running.has(instance);
   }
 
-  start(pooled: PooledLink): void {
+  /** Asks over a connection; the epoch is that of the lead in question. */
+  start(pooled: PooledLink, epoch: number): void {
     const {instance} = pooled;
     this.running.add(instance);
     const askedAt = this.clock.now();
@@ -39,6 +40,7 @@
       this.running.delete(instance);
       const observation = {
         instance,
+        epoch,
         askedAt,
         answeredAt: this.clock.now(),
         position: first.kind === 'answer' ? first.position : undefined,
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -6,8 +6,10 @@
   ClaimedRole,
   type Member,
   type ServiceEntry,
+  type ServiceLead,
 } from '../../../schema/generated/fleet';
 import {PositionSamples} from '../../freshness/common/position_samples';
+import type {LeadProofs} from '../../lease/common/lead_leases';
 import {laterPosition, type Position} from '../../position/common/position';
 import type {TargetConnector} from '../../target_link/common/target_link';
 import {PrimaryBelief} from '../common/primary_belief';
@@ -23,6 +25,8 @@
 export interface Grant {
   readonly pooled: PooledLink;
   readonly isPrimary: boolean;
+  /** The decision that the member leads by, where it is the primary. */
+  readonly epoch: number;
   /** What the member's log must hold; undefined: proof of lead is needed. */
   readonly after: Position | undefined;
 }
@@ -40,9 +44,11 @@
   readonly askedAt: number;
   readonly answeredAt: number;
   readonly position: Position | undefined;
+  /** The decision that the member led by when it was asked. */
+  readonly epoch: number;
   readonly kind:
     | 'answered'
-    /** Answered, and proved to lead after `askedAt`. */
+    /** Answered, and said after `askedAt` that it leads. */
     | 'leads'
     | 'not primary'
     /** It had no room for the statement. */
@@ -61,6 +67,7 @@
       readonly proxies: number;
     }
   | {readonly kind: 'definition'; readonly definition: ServiceEntry}
+  | {readonly kind: 'lead'; readonly lead: ServiceLead}
   | {readonly kind: 'changed'}
   | {readonly kind: 'tick'};
 
@@ -70,6 +77,7 @@
   readonly region: string;
   regionOf(site: string): string;
   readonly connector: TargetConnector;
+  readonly leases: LeadProofs;
   readonly clock: Clock;
   readonly log: Log;
   /** Trouble with the primary began (a text) or ended (''). */
@@ -154,6 +162,8 @@
       case 'definition':
         this.definition = message.definition;
         return;
+      case 'lead':
+        return this.onLead(message.lead);
       case 'changed':
         this.changedQueued = false;
         return this.dispatch();
@@ -211,7 +221,9 @@
       if (pool.mayOpen(this.limit)) pool.open();
       return undefined;
     }
-    return {pooled, isPrimary: this.isPrimary(instance), after};
+    const isPrimary = this.isPrimary(instance);
+    const epoch = isPrimary ? this.belief.epoch : NO_EPOCH;
+    return {pooled, isPrimary, epoch, after};
   }
 
   private views(): MemberView[] {
@@ -274,45 +286,49 @@
     if (kind === 'busy') pool.onBusy();
     else pool.onAnswer(answeredAt - askedAt);
     if (position) pool.onLag(this.samples.lagOf(position, askedAt));
-    if (kind === 'leads' && position) {
-      this.believe(instance, position.term, 'its own answer');
-      if (this.isPrimary(instance)) this.samples.add(askedAt, position);
-    }
-    if (kind === 'not primary' && this.isPrimary(instance)) {
-      this.depose(instance);
+    if (kind === 'leads' && position) this.onLeading(observation, position);
+    if (kind === 'not primary' && this.belief.deny(instance)) {
+      const {service, log} = this.around;
+      log.info('A member says that it does not lead.', {service, instance});
+      this.judgePrimary();
     }
     this.dispatch();
   }
 
-  private isPrimary(instance: string): boolean {
-    return instance === this.belief.instance;
+  /**
+   * A member's own word that it leads counts only under a lease: one that was
+   * replaced goes on saying so, and what it holds is not the newest.
+   */
+  private onLeading(
+    {instance, askedAt, epoch}: Observation,
+    position: Position,
+  ): void {
+    const {leases, service} = this.around;
+    if (!this.isPrimary(instance) || !leases.isHeld(service, epoch)) return;
+    this.samples.add(askedAt, position);
+    this.restore('its own answer');
   }
 
-  private believe(instance: string, term: number, source: string): void {
-    if (this.belief.believe(instance, term)) this.noteBelief(source);
+  private restore(source: string): void {
+    if (this.belief.confirm(this.belief.instance)) this.noteBelief(source);
     this.judgePrimary();
   }
 
-  private depose(instance: string): void {
-    if (!this.belief.depose(instance)) return;
-    const {service, log} = this.around;
-    log.info('A member says that it does not lead.', {service, instance});
-    this.lookForPrimary();
+  private onLead({instance, epoch}: ServiceLead): void {
+    if (!this.belief.take(instance, epoch)) return;
+    this.noteBelief('control');
     this.judgePrimary();
+    this.dispatch();
   }
 
-  /** Takes a member that says it leads, unless it said otherwise itself. */
-  private lookForPrimary(): void {
-    const claimants = [...this.pools.values()]
-      .filter(({member}) => claimsToLead(member))
-      .map(({member}) => member.instance);
-    if (this.belief.choose(claimants)) this.noteBelief('its announcement');
+  private isPrimary(instance: string): boolean {
+    return instance === this.belief.instance;
   }
 
   private noteBelief(source: string): void {
     const {service, log} = this.around;
-    const {instance, term} = this.belief;
-    log.info('Takes a primary.', {service, instance, term, source});
+    const {instance, epoch} = this.belief;
+    log.info('Takes a primary.', {service, instance, epoch, source});
   }
 
   private onMembers(members: readonly Member[], proxies: number): void {
@@ -323,11 +339,10 @@
       if (own.some(member => member.instance === instance)) continue;
       pool.closeAll();
       this.pools.delete(instance);
-      this.belief.forget(instance);
       const {service, log} = this.around;
       log.info('Forgets a member.', {service, instance});
     }
-    this.lookForPrimary();
+    this.judgePrimary();
     this.dispatch();
   }
 
@@ -337,8 +352,9 @@
     if (known && known.member.address === member.address) {
       const isNews = member.role !== known.member.role;
       known.member = member;
-      if (isNews && claimsToLead(member)) {
-        this.believe(member.instance, this.belief.term, 'its announcement');
+      const isNamed = this.isPrimary(member.instance);
+      if (isNews && isNamed && claimsToLead(member)) {
+        this.restore('its announcement');
       }
       return;
     }
@@ -370,7 +386,9 @@
   private judgePrimary(): void {
     const {instance, isStanding} = this.belief;
     const pool = this.pools.get(instance);
-    const isLost = pool === undefined || pool.isFailing;
+    // While control replaces a primary it names nobody for a moment.
+    const isReplaced = instance === '' && this.belief.epoch > 0;
+    const isLost = pool ? pool.isFailing : !isReplaced;
     const state = isStanding ? 'serving' : 'deposed';
     this.outage.note(isLost ? 'lost' : state, this.now());
     const trouble = pool?.isFailing ? 'unreachable' : '';
@@ -406,25 +424,22 @@
   }
 
   /**
-   * Looks for the primary among the other members while the one that is
-   * believed in does not serve. Control tells of a promotion at once, but not
-   * while its own leader is lost or this instance is cut off from it: without
-   * this look, a promoted member stood idle until a stream to control was back.
+   * Asks the member that control named whether it leads by now. Control hears
+   * of it too, but its word takes a way more, and none comes while its own
+   * leader is lost.
    */
   private searchPrimary(now: number): void {
     if (this.outage.expectedEnd(now) === undefined) return;
     if (now - this.searchedAt < SEARCH_EVERY_MS) return;
     this.searchedAt = now;
-    for (const [instance, pool] of this.pools) {
-      const isBelieved = this.isPrimary(instance) && this.belief.isStanding;
-      if (!isBelieved && !pool.isFailing) this.probeMember(pool);
-    }
+    const pool = this.pools.get(this.belief.instance);
+    if (pool && !this.belief.isStanding) this.probeMember(pool);
   }
 
   private probeMember(pool: MemberPool): void {
     if (this.probe.isRunning(pool.member.instance)) return;
     const pooled = pool.checkout(NO_VALUES);
-    if (pooled) return this.probe.start(pooled);
+    if (pooled) return this.probe.start(pooled, this.belief.epoch);
     if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
   }
 
@@ -433,6 +448,8 @@
   }
 }
 
+/** Members that do not lead do so by no decision. */
+const NO_EPOCH = -1;
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
 const NO_MEMBERS: ReadonlySet<string> = new Set();
 
--- a/src/services/dispatch/test/common/primary_outage.test.ts
+++ b/src/services/dispatch/test/common/primary_outage.test.ts
@@ -41,22 +41,33 @@
 });
 
 describe('the belief in a primary', () => {
-  it('does not go back to a term that is over', () => {
+  it('does not go back to a decision that is over', () => {
     const belief = new PrimaryBelief();
-    belief.believe('b', 3);
-    expect(belief.believe('a', 2)).toBe(false);
+    belief.take('b', 3);
+    expect(belief.take('a', 2)).toBe(false);
     expect(belief.instance).toBe('b');
   });
 
-  it('takes the next claimant once the member itself denies', () => {
+  it('takes no member in place of the one that control named', () => {
     // The old primary still announces that it leads, and answers a write with
-    // the word that it does not. Its own answer counts more than what it, or
-    // control, announced before.
+    // the word that it does not. Nobody is used until control names another or
+    // the member says otherwise: any other one may have been replaced.
     const belief = new PrimaryBelief();
-    belief.choose(['a', 'b']);
-    belief.depose('a');
+    belief.take('a', 1);
+    expect(belief.deny('a')).toBe(true);
     expect(belief.isStanding).toBe(false);
-    belief.choose(['a', 'b']);
-    expect(belief.instance).toBe('b');
+    expect(belief.confirm('b')).toBe(false);
+    expect(belief.isStanding).toBe(false);
+    expect(belief.confirm('a')).toBe(true);
+    expect(belief.isStanding).toBe(true);
+  });
+
+  it('relies on nobody while control names nobody', () => {
+    const belief = new PrimaryBelief();
+    belief.take('a', 1);
+    expect(belief.take('', 1)).toBe(true);
+    expect(belief.isStanding).toBe(false);
+    belief.take('b', 2);
+    expect(belief.isStanding).toBe(true);
   });
 });
--- a/src/services/failover/common/failover.ts
+++ b/src/services/failover/common/failover.ts
@@ -7,12 +7,8 @@
   logEnd,
   ORIGIN,
 } from '../../position/common/position';
-import type {
-  FailoverAction,
-  FailoverView,
-  ProxyView,
-  TargetView,
-} from './failover_view';
+import {isLeaseOver} from '../../lease/common/lease_end';
+import type {FailoverAction, FailoverView, TargetView} from './failover_view';
 
 /** Replicas must miss their primary for this many silences to convict it. */
 const UPSTREAM_PATIENCE = 2;
@@ -249,21 +245,13 @@
  * more. A leader that is new waits out what the one before may have granted.
  */
 export function areLeasesOver(view: FailoverView): boolean {
-  if (view.record.termStarts.length === 0) return true;
+  const {record, leaderSince: since, leaseBoundMs: boundMs, now} = view;
+  if (record.termStarts.length === 0) return true;
   return view.proxies.every(proxy => {
-    return hasHandedBack(view, proxy) || hasRunOut(view, proxy);
+    return isLeaseOver(proxy, record.term, {since, boundMs}, now);
   });
 }
 
-function hasHandedBack(view: FailoverView, proxy: ProxyView): boolean {
-  return proxy.handedBackBelow >= view.record.term;
-}
-
-function hasRunOut(view: FailoverView, proxy: ProxyView): boolean {
-  const start = Math.max(proxy.lastGrantAt, view.leaderSince);
-  return view.now >= start + view.leaseBoundMs;
-}
-
 type Safety = {readonly rule: string} | {readonly reason: string};
 
 /**
@@ -302,7 +290,7 @@
 function holdsAllAcknowledged(view: FailoverView, heir: TargetView): boolean {
   const held = heldPosition(heir.status!);
   return view.proxies.every(proxy => {
-    if (!hasHandedBack(view, proxy)) return false;
+    if (proxy.handedBackBelow < view.record.term) return false;
     const highest = proxy.highestAcknowledged ?? ORIGIN;
     return comparePositions(held, highest) >= 0;
   });
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -15,6 +15,8 @@
 import {planElastic} from '../../membership/common/elastic_plan';
 import type {Joiner} from '../../membership/common/membership_plan';
 import {PoolerPlanner} from '../../pooler/common/pooler_planner';
+import {LeadBoard} from '../../lease/common/lead_board';
+import {LeaseHolders} from '../../lease/common/lease_holders';
 import {Roster, type Announcement} from '../../roster/common/roster';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
@@ -26,6 +28,9 @@
   | {readonly kind: PublishOutcome}
   | {readonly kind: 'invalid'; readonly reason: string};
 
+/** What became of an announcement. */
+export type AnnounceOutcome = 'taken' | 'not leading' | 'unknown service';
+
 /** What control is built on. */
 export interface FleetControlSurroundings {
   readonly holder: string;
@@ -54,6 +59,8 @@
   private planner = new PoolerPlanner(0);
   private namingPoolers = false;
   private leadingSince = Infinity;
+  private leadBoard = new LeadBoard();
+  private leaseHolders = new LeaseHolders(Infinity);
   private known: {version: number; catalog: Catalog} | undefined;
   leader: FleetLeader | undefined;
 
@@ -89,6 +96,16 @@
     return this.known.catalog;
   }
 
+  /** Who leads which service, as proxies are told. */
+  get leads(): LeadBoard {
+    return this.leadBoard;
+  }
+
+  /** The proxies that may rely on it. */
+  get holders(): LeaseHolders {
+    return this.leaseHolders;
+  }
+
   /** Begins or ends what only a leader does. */
   onDidChangeRole(isLeader: boolean): void {
     this.term.abort();
@@ -97,13 +114,17 @@
     this.roster = new Roster();
     this.planner = new PoolerPlanner(this.around.clock.now());
     this.leadingSince = isLeader ? this.around.clock.now() : Infinity;
+    this.leadBoard = new LeadBoard();
+    this.leaseHolders = new LeaseHolders(this.leadingSince);
     if (!isLeader) this.leader?.onDidLoseLead();
     this.leader?.push();
   }
 
   /** What a new state means for proxies. */
   onDidApply(): void {
-    if (this.isLeading) this.restoreMembers();
+    if (!this.isLeading) return;
+    this.restoreMembers();
+    for (const lead of this.around.machine.leads) this.leadBoard.name(lead);
   }
 
   onJoin(joiner: Joiner): void {
@@ -149,10 +170,12 @@
     return ok(inflate(machine.catalogSource));
   }
 
-  /** Takes an announcement; false where this instance does not lead. */
-  announce(announcement: Announcement): boolean {
-    if (!this.isLeading) return false;
+  /** Takes an announcement of a member of a service that is defined. */
+  announce(announcement: Announcement): AnnounceOutcome {
+    if (!this.isLeading) return 'not leading';
     const {member} = announcement;
+    // Guard: whoever writes under a made-up service would fill the log.
+    if (!this.isDefined(member.service)) return 'unknown service';
     const before = this.roster.get(member.instance);
     const revision = this.roster.revision;
     this.roster.announce(announcement, this.around.clock.now());
@@ -165,7 +188,13 @@
     }
     this.admit(member);
     this.drive();
-    return true;
+    return 'taken';
+  }
+
+  /** Members may come before the first catalog. */
+  private isDefined(service: string): boolean {
+    const services = this.catalog()?.services;
+    return services?.some(entry => entry.service === service) ?? true;
   }
 
   /** Takes note that a member ended, with its log. */
@@ -199,6 +228,7 @@
     this.restoreMembers();
     this.tendVoters();
     this.forgetSilent();
+    this.promotions?.tendRecovering();
     this.tendPoolers();
     this.drive();
   }
@@ -209,6 +239,8 @@
       {
         ...this.around,
         roster: this.roster,
+        leads: this.leadBoard,
+        holders: this.leaseHolders,
         leader: this.leader,
       },
       this.term.signal,
@@ -218,14 +250,26 @@
 
   /** A member whose log may count at a promotion goes into the log. */
   private admit(member: Member): void {
-    const {instance, service, address, role} = member;
-    const known = this.around.machine.member(service, instance);
+    const {instance, service, address, role, born} = member;
+    const {machine} = this.around;
+    const known = machine.member(service, instance);
+    if (known && born < known.born) return;
     // The role too: a new leader would else send proxies to an old primary
     // until the members' next heartbeats.
-    const isKnown = known?.address === address && known.role === role;
+    const isSameLife = known?.born === born;
+    const isKnown =
+      isSameLife && known.address === address && known.role === role;
     if (isKnown || this.admitting.has(instance)) return;
     this.admitting.add(instance);
-    const body = {$case: 'admit', value: {member}} as const;
+    // Before the first lead nothing was acknowledged that a log could lack.
+    const isNewLife = !isSameLife && machine.lead(service) !== undefined;
+    const recovering = isSameLife ? known.recovering : isNewLife;
+    const value = {member: {...member, recovering}};
+    const body = {$case: 'admit', value} as const;
+    if (isNewLife) {
+      const fields = {service, instance, born, before: known?.born ?? 0};
+      this.around.log.info('A member joins with an unknown log.', fields);
+    }
     void this.around.node.propose(encodeCommand(body)).then(() => {
       this.admitting.delete(instance);
     });
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -1,17 +1,25 @@
 import type {Clock} from '../../../base/common/clock';
-import {err, ok, type Result} from '../../../base/common/outcome';
+import type {Result} from '../../../base/common/outcome';
 import type {Log} from '../../../base/node/log';
 import {ownController} from '../../../base/node/timers';
-import {ClaimedRole, type Member} from '../../../schema/generated/fleet';
+import {
+  ClaimedRole,
+  type FleetCommand,
+  type Member,
+} from '../../../schema/generated/fleet';
 import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
+import type {FleetMachine} from '../../fleet_state/common/fleet_machine';
 import type {FleetLeader} from '../../fleet_link/node/fleet_leader';
+import type {LeadBoard} from '../../lease/common/lead_board';
+import type {LeaseHolders} from '../../lease/common/lease_holders';
 import {
   MemberWatch,
   type StatusReader,
 } from '../../promotion/node/member_watch';
-import type {PromotionAuthority} from '../../promotion/node/promotion_authority';
 import {PromotionDriver} from '../../promotion/node/promotion_driver';
+import type {PromotionOrders} from '../../promotion/node/promotion_surroundings';
+import {comparePositions} from '../../position/common/position';
 import type {Roster} from '../../roster/common/roster';
 import type {TargetConnector} from '../../target_link/common/target_link';
 
@@ -19,14 +27,17 @@
 export interface PromotionMeans {
   readonly connector: TargetConnector;
   readonly reader: StatusReader;
-  readonly authority: PromotionAuthority;
+  readonly orders: PromotionOrders;
 }
 
 /** What the promotions of one leadership are built on. */
 export interface PromotionsSurroundings {
   readonly holder: string;
   readonly node: ConsensusNode;
+  readonly machine: FleetMachine;
   readonly roster: Roster;
+  readonly leads: LeadBoard;
+  readonly holders: LeaseHolders;
   readonly leader: FleetLeader;
   readonly means: PromotionMeans;
   readonly clock: Clock;
@@ -46,6 +57,8 @@
 export class ServicePromotions {
   private readonly watches = new Map<string, Watched>();
   private readonly drivers = new Set<string>();
+  /** Members that are asked whether they have caught up. */
+  private readonly recoveries = new Set<string>();
 
   constructor(
     private readonly around: PromotionsSurroundings,
@@ -74,14 +87,62 @@
     const healthy = others.filter(other => {
       return this.watchOf(other).silentMs < HEALTHY_SILENCE_MS;
     });
-    const {roster} = this.around;
-    const primary = primaryOf(roster, member.service);
-    const serves = healthy.some(({instance}) => instance === primary?.instance);
+    const lead = this.around.machine.lead(member.service);
+    const serves = healthy.some(({instance}) => instance === lead?.instance);
     return serves && healthy.length >= 2;
   }
 
+  /**
+   * Takes members whose log was not known to hold everything, and now is. What
+   * the lead held after a member's life became known covers all that earlier
+   * lives had confirmed.
+   */
+  tendRecovering(): void {
+    for (const member of this.around.roster.all()) {
+      const {instance, service} = member;
+      const record = this.around.machine.member(service, instance);
+      if (!record?.recovering || record.born !== member.born) continue;
+      if (this.recoveries.has(instance)) continue;
+      this.recoveries.add(instance);
+      void this.recover(record).then(() => this.recoveries.delete(instance));
+    }
+  }
+
+  private async recover(record: Member): Promise<void> {
+    const {machine, roster, log} = this.around;
+    const {service, instance, born} = record;
+    const lead = roster.get(machine.lead(service)?.instance ?? '');
+    if (!lead || lead.instance === instance) return;
+    const wanted = await this.watchOf(lead).order({kind: 'status'});
+    const held = await this.watchOf(record).order({kind: 'status'});
+    if (!wanted?.leads || !held) return;
+    const holdsAll = comparePositions(held.received, wanted.received) >= 0;
+    if (!holdsAll || roster.get(instance)?.born !== born) return;
+    const member = {...record, recovering: false};
+    const done = await this.propose({$case: 'admit', value: {member}});
+    const at = `${held.received.term}/${held.received.offset}`;
+    const fields = {service, instance, born, held: at, done: done.isOk};
+    log.info('A member has caught up.', fields);
+  }
+
   private membersOf(service: string): Member[] {
-    return this.around.roster.all().filter(other => other.service === service);
+    return this.around.roster
+      .all()
+      .filter(other => other.service === service)
+      .map(member => ({...member, recovering: this.isRecovering(member)}));
+  }
+
+  /**
+   * Whether a member's log may lack what it confirmed. One that was connected
+   * before and is again may have started anew meanwhile; its next announcement
+   * tells.
+   */
+  private isRecovering(member: Member): boolean {
+    const {machine, roster} = this.around;
+    const record = machine.member(member.service, member.instance);
+    if (record?.born !== member.born || record.recovering) return true;
+    const {reopenedAt} = this.watchOf(member);
+    return roster.heardAt(member.instance) < reopenedAt;
   }
 
   private watchOf(member: Member): MemberWatch {
@@ -107,18 +168,39 @@
   private startDriver(service: string): void {
     if (this.drivers.has(service)) return;
     this.drivers.add(service);
-    const {holder, clock, log, means, roster, leader} = this.around;
+    const {holder, clock, log, means, roster, leader, leads, holders, machine} =
+      this.around;
     const driver = new PromotionDriver({
       service,
       holder,
       clock,
       log,
-      authority: means.authority,
+      orders: means.orders,
       members: () => this.membersOf(service),
-      primary: () => primaryOf(roster, service),
+      claimant: () => claimantOf(roster, service),
+      lead: () => machine.lead(service),
       watchOf: member => this.watchOf(member),
       complaintsOf: instance => leader.complaintsOf(service, instance),
-      begin: () => this.begin(service),
+      revoke: () => {
+        leads.revoke(service);
+        leader.push();
+      },
+      isSpent: () => {
+        const epoch = leads.epochOf(service);
+        return leads.isRevoked(service) || holders.isSpent(service, epoch);
+      },
+      relying: () => {
+        return holders.relyingOn(service, leads.epochOf(service), clock.now());
+      },
+      confirm: async () => (await this.around.node.confirm()).isOk,
+      nameLead: (instance, ordered) => {
+        const value = {service, holder, instance, ordered};
+        return this.propose({$case: 'nameLead', value});
+      },
+      settleLead: async epoch => {
+        const value = {service, epoch};
+        return (await this.propose({$case: 'settleLead', value})).isOk;
+      },
       onDidPromote: instance => {
         roster.setPrimary(service, instance);
         leader.push();
@@ -127,17 +209,14 @@
     void driver.start(this.signal);
   }
 
-  private async begin(service: string): Promise<Result<number, string>> {
-    const {node, holder} = this.around;
-    const value = {service, holder};
-    const done = await node.propose(
-      encodeCommand({$case: 'beginPromotion', value}),
-    );
-    return done.isErr ? err(done.error) : ok(done.value);
+  private propose(
+    body: NonNullable<FleetCommand['body']>,
+  ): Promise<Result<number, string>> {
+    return this.around.node.propose(encodeCommand(body));
   }
 }
 
-function primaryOf(roster: Roster, service: string): Member | undefined {
+function claimantOf(roster: Roster, service: string): Member | undefined {
   return roster.all().find(member => {
     const leads = member.role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
     return leads && member.service === service;
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -6,7 +6,9 @@
   MemberList,
   PoolerList,
   PrimaryReport,
+  ServiceLead,
 } from '../../../schema/generated/fleet';
+import {RENEW_EVERY_MS, type LeadLeases} from '../../lease/common/lead_leases';
 import {FollowerStream} from './follower_stream';
 
 /** What a proxy hears from control. */
@@ -14,6 +16,7 @@
   onDidReceiveCatalog(catalog: Catalog): void;
   onDidReceiveMembers(members: MemberList): void;
   onDidReceivePoolers(poolers: PoolerList): void;
+  onDidReceiveLeads(leads: readonly ServiceLead[]): void;
 }
 
 /** Who a proxy is, and where control may be. */
@@ -25,6 +28,7 @@
   /** Addresses of control instances; asked anew at each try. */
   addresses(): readonly string[];
   catalogVersion(): number;
+  readonly leases: LeadLeases;
 }
 
 /** Pause before another control instance is tried, in milliseconds. */
@@ -68,6 +72,9 @@
       this.redirects = 0;
       this.tryNext();
     });
+    every(this.signal, RENEW_EVERY_MS, () => {
+      if (this.attached) this.renewLeases(this.attached);
+    });
   }
 
   /** Tells control of the primary of a service, now and after reconnects. */
@@ -104,6 +111,13 @@
     const catalogVersion = this.options.catalogVersion();
     const hello = {instance, site, catalogVersion, address};
     stream.write({$case: 'hello', value: hello});
+    // Asked at once: a proxy that starts serves primaries a way sooner.
+    this.renewLeases(stream);
+  }
+
+  private renewLeases(stream: FollowerStream): void {
+    const number = this.options.leases.ask();
+    stream.write({$case: 'renew', value: {number}});
   }
 
   private onMessage(stream: FollowerStream, {body}: LeaderMessage): void {
@@ -121,7 +135,20 @@
       case 'poolers':
         this.attach(stream);
         return this.listener.onDidReceivePoolers(body.value);
+      case 'leads':
+        this.attach(stream);
+        return this.onLeads(stream, body.value.leads);
+      case 'renewed':
+        if (stream !== this.attached) return;
+        return this.options.leases.onRenewed(body.value.number);
+    }
+  }
+
+  private onLeads(stream: FollowerStream, leads: readonly ServiceLead[]): void {
+    for (const returned of this.options.leases.onLeads(leads)) {
+      stream.write({$case: 'returned', value: returned});
     }
+    this.listener.onDidReceiveLeads(leads);
   }
 
   private attach(stream: FollowerStream): void {
@@ -142,6 +169,7 @@
     this.attempts.delete(stream.address);
     if (this.attached !== stream) return;
     this.attached = undefined;
+    this.options.leases.onDidDetach();
     this.log.warn('Lost control.', {address: stream.address});
   }
 
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -2,6 +2,8 @@
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import {every} from '../../../base/node/timers';
+import type {LeadBoard} from '../../lease/common/lead_board';
+import type {LeaseHolders} from '../../lease/common/lease_holders';
 import {SharedMessage} from './shared_message';
 import type {
   Catalog,
@@ -21,6 +23,9 @@
   site: string;
   address: string;
   poolersRevision: number;
+  leadsRevision: number;
+  /** Its newest question for leases that was not answered; 0 for none. */
+  renewal: number;
   catalogVersion: number;
   membersRevision: string;
   readonly complaints: Map<string, PrimaryReport>;
@@ -36,6 +41,10 @@
   membersRevision(): number;
   poolers(): readonly PoolerEntry[];
   poolersRevision(): number;
+  leads(): LeadBoard;
+  holders(): LeaseHolders;
+  /** Proves by a majority that this instance led after the call. */
+  confirm(): Promise<boolean>;
 }
 
 /**
@@ -44,6 +53,11 @@
  * seconds in which a change has to be in force.
  */
 const PUSH_MS = 250;
+/**
+ * Questions for leases that come within this share one confirmation, in ms: as
+ * often as the control group's own heartbeats, so that it costs none besides.
+ */
+const CONFIRM_EVERY_MS = 100;
 /** Proxies hear of their number within this, in milliseconds. */
 const COUNT_EVERY_MS = 1_000;
 
@@ -56,6 +70,8 @@
   private proxies = 0;
   /** Undefined before this leadership's first look. */
   private countedAt: number | undefined;
+  private confirming = false;
+  private confirmedAt = -Infinity;
   /** Since when at least half of the proxies complain, by member. */
   private readonly complainedSince = new Map<string, number>();
 
@@ -71,6 +87,7 @@
 
   start(signal: AbortSignal): void {
     every(signal, PUSH_MS, () => this.push());
+    every(signal, CONFIRM_EVERY_MS / 4, () => this.renew());
     signal.addEventListener('abort', () => this.endAll(), {once: true});
   }
 
@@ -161,6 +178,8 @@
       site: '',
       address: '',
       poolersRevision: 0,
+      leadsRevision: 0,
+      renewal: 0,
       catalogVersion: 0,
       membersRevision: '',
       complaints: new Map(),
@@ -193,9 +212,45 @@
       else follower.complaints.set(service, body.value);
       const {instance: proxy} = follower;
       this.log.info('A proxy judges.', {proxy, service, instance, trouble});
+    } else if (body?.$case === 'renew') {
+      follower.renewal = body.value.number;
+      this.renew();
+    } else if (body?.$case === 'returned') {
+      const {service, epoch} = body.value;
+      const {instance: proxy} = follower;
+      this.source.holders().onReturned(proxy, service, epoch);
+      this.log.info('A proxy returned a lease.', {proxy, service, epoch});
     }
   }
 
+  /** Answers the questions for leases that wait, with one confirmation. */
+  private renew(): void {
+    const now = this.clock.now();
+    if (this.confirming || now - this.confirmedAt < CONFIRM_EVERY_MS) return;
+    if (!this.source.isLeading()) return;
+    const asking = this.attached.filter(({renewal}) => renewal !== 0);
+    if (asking.length === 0) return;
+    const holders = this.source.holders();
+    const questions = asking.map(follower => {
+      return {follower, number: follower.renewal};
+    });
+    for (const follower of asking) follower.renewal = 0;
+    this.confirming = true;
+    this.confirmedAt = now;
+    void this.source.confirm().then(isConfirmed => {
+      this.confirming = false;
+      // What another leadership confirmed is for its own holders to count.
+      if (!isConfirmed || holders !== this.source.holders()) return;
+      for (const {follower, number} of questions) {
+        if (!this.followers.has(follower)) continue;
+        // Counted before it goes out: a lease must never be longer than known.
+        holders.onRenewed(follower.instance, this.clock.now());
+        const value = {number};
+        follower.stream.write({body: {$case: 'renewed', value}});
+      }
+    });
+  }
+
   private sendOn(follower: Follower): void {
     const value = {leaderAddress: this.source.leaderAddress()};
     follower.stream.write({body: {$case: 'notLeading', value}});
@@ -207,6 +262,7 @@
     this.pushCatalog(follower);
     this.pushPoolers(follower);
     this.pushMembers(follower);
+    this.pushLeads(follower);
   }
 
   private pushCatalog(follower: Follower): void {
@@ -242,6 +298,14 @@
     follower.stream.write(message);
   }
 
+  private pushLeads(follower: Follower): void {
+    const board = this.source.leads();
+    const leads = board.since(follower.leadsRevision);
+    if (leads.length === 0) return;
+    follower.leadsRevision = board.revision;
+    follower.stream.write({body: {$case: 'leads', value: {leads}}});
+  }
+
   private leave(follower: Follower): void {
     if (!this.followers.delete(follower)) return;
     follower.stream.end();
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
 import {createServer, listen} from '../../../../base/node/grpc';
 import {
   type Catalog,
@@ -11,6 +12,10 @@
   makeLog,
   makeRoute,
 } from '../../../gateway/test/node/session_fixture';
+import {LeadBoard} from '../../../lease/common/lead_board';
+import {LeadLeases} from '../../../lease/common/lead_leases';
+import {LeaseHolders} from '../../../lease/common/lease_holders';
+import {makeLead} from '../../../lease/test/common/lease_fixture';
 import {FleetFollower} from '../../node/fleet_follower';
 import {FleetLeader} from '../../node/fleet_leader';
 import {SHARED_FLEET_SERVICE} from '../../node/shared_message';
@@ -23,6 +28,9 @@
   address = '';
   poolers: PoolerEntry[] = [];
   members: Member[] = [];
+  isConfirmed = true;
+  readonly board = new LeadBoard();
+  readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
   readonly leader: FleetLeader;
 
@@ -36,6 +44,9 @@
         membersRevision: () => 1,
         poolers: () => this.poolers,
         poolersRevision: () => this.poolers.length,
+        leads: () => this.board,
+        holders: () => this.holders,
+        confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
       makeLog().log,
@@ -59,6 +70,7 @@
 let lists: PoolerEntry[][];
 let counts: number[];
 let rosters: string[];
+let leases: LeadLeases;
 
 beforeEach(async () => {
   stop = new AbortController();
@@ -66,6 +78,7 @@
   lists = [];
   counts = [];
   rosters = [];
+  leases = new LeadLeases(new MonotonicClock());
   first = new Instance();
   second = new Instance();
   await first.start(stop.signal);
@@ -82,6 +95,7 @@
       address: `${instance}:1`,
       addresses: () => [first.address, second.address],
       catalogVersion: () => catalogs.at(-1)?.version ?? 0,
+      leases,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
@@ -89,6 +103,7 @@
         counts.push(proxies);
         rosters.push(members.map(({instance}) => instance).join(' '));
       },
+      onDidReceiveLeads: () => {},
       onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
@@ -100,7 +115,15 @@
 
 function makeMember(instance: string): Member {
   const place = {service: 'books', address: `${instance}:1`, site: 'a'};
-  return {instance, ...place, slots: 2, draining: false, role: 1};
+  return {
+    instance,
+    ...place,
+    slots: 2,
+    draining: false,
+    born: 0,
+    recovering: false,
+    role: 1,
+  };
 }
 
 function makePooler(instance: string): PoolerEntry {
@@ -216,3 +239,35 @@
   await until(() => first.leader.complaintsOf('books', 'm1').complaints === 1);
   expect(first.leader.complaintsOf('books', 'm1').proxies).toBe(1);
 });
+
+it('leases leads to proxies and takes them back', async () => {
+  // A primary is cut off from control and goes on answering some proxies. They
+  // may rely on it only while control confirms its lead, and must say at once
+  // that they no longer do, so that the next one can lead.
+  first.board.name(makeLead('m1', 7));
+  first.leads = true;
+  follow();
+  await until(() => leases.isHeld('books', 7));
+  expect(first.holders.relyingOn('books', 7, first.clock.now())).toEqual([
+    'p1',
+  ]);
+  first.board.revoke('books');
+  first.leader.push();
+  await until(() => {
+    const {clock} = first;
+    return first.holders.relyingOn('books', 7, clock.now()).length === 0;
+  });
+  expect(leases.isHeld('books', 7)).toBe(false);
+});
+
+it('grants no lease that no majority confirmed', async () => {
+  // A leader of control was frozen and replaced. It wakes up and answers the
+  // proxy that still follows it, before it hears of the other leader.
+  first.board.name(makeLead('m1', 7));
+  first.isConfirmed = false;
+  first.leads = true;
+  follow();
+  await until(() => catalogs.length > 0);
+  await new Promise(resolve => setTimeout(resolve, 300));
+  expect(leases.isHeld('books', 7)).toBe(false);
+});
--- a/src/services/fleet_state/common/fleet_machine.ts
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -3,7 +3,9 @@
   FleetState,
   type PublishCatalog,
   type Member,
+  type NameLead,
   type PoolerEntry,
+  type ServiceLead,
 } from '../../../schema/generated/fleet';
 
 /** What became of a catalog that was put into the log. */
@@ -18,7 +20,8 @@
 
 /**
  * The state of the control log where targets confirm commits themselves: the
- * newest catalog, the members whose logs count at a promotion, and the poolers.
+ * newest catalog, the members whose logs count at a promotion, who leads each
+ * service by which decision, and the poolers.
  */
 export class FleetMachine {
   private version = 0;
@@ -26,6 +29,7 @@
   private registered: Member[] = [];
   private named: readonly PoolerEntry[] = [];
   private namedAt = 0;
+  private readonly leadOf = new Map<string, ServiceLead>();
 
   /** Outcomes of the newest entries, for those who proposed them. */
   private readonly outcomes = new Map<number, PublishOutcome>();
@@ -54,6 +58,16 @@
     return this.namedAt;
   }
 
+  /** Who leads each service, by the newest decision. */
+  get leads(): readonly ServiceLead[] {
+    return [...this.leadOf.values()];
+  }
+
+  /** Who leads a service; undefined before the first decision. */
+  lead(service: string): ServiceLead | undefined {
+    return this.leadOf.get(service);
+  }
+
   member(service: string, instance: string): Member | undefined {
     return this.registered.find(other => {
       return other.service === service && other.instance === instance;
@@ -75,9 +89,7 @@
         return;
       case 'admit': {
         const {member} = body.value;
-        if (!member) return;
-        this.remove(member.service, member.instance);
-        this.registered.push(member);
+        if (member) this.admit(member);
         return;
       }
       case 'forget':
@@ -87,8 +99,11 @@
         this.named = body.value.poolers;
         this.namedAt = index;
         return;
+      case 'nameLead':
+        return this.nameLead(index, body.value);
+      case 'settleLead':
+        return this.settleLead(body.value.service, body.value.epoch);
       default:
-        // The index of a promotion's entry is all that counts.
         return;
     }
   }
@@ -100,13 +115,16 @@
       members: this.registered,
       poolers: [...this.named],
       poolersIndex: this.namedAt,
+      leads: [...this.leads],
     };
     return Buffer.from(FleetState.encode(state).finish());
   }
 
   restore(state: Buffer): void {
-    const {version, source, members, poolers, poolersIndex} =
+    const {version, source, members, poolers, poolersIndex, leads} =
       FleetState.decode(state);
+    this.leadOf.clear();
+    for (const lead of leads) this.leadOf.set(lead.service, lead);
     this.named = poolers;
     this.namedAt = poolersIndex;
     this.version = version;
@@ -124,6 +142,25 @@
     return 'in force';
   }
 
+  /** An announcement of an earlier life may be admitted late. */
+  private admit(member: Member): void {
+    const {service, instance, born} = member;
+    const known = this.member(service, instance);
+    if (known && born < known.born) return;
+    this.remove(service, instance);
+    this.registered.push(member);
+  }
+
+  private nameLead(epoch: number, {service, instance, ordered}: NameLead) {
+    this.leadOf.set(service, {service, instance, epoch, pending: ordered});
+  }
+
+  private settleLead(service: string, epoch: number): void {
+    const lead = this.leadOf.get(service);
+    if (lead?.epoch !== epoch) return;
+    this.leadOf.set(service, {...lead, pending: false});
+  }
+
   private remove(service: string, instance: string): void {
     const gone = this.member(service, instance);
     this.registered = this.registered.filter(other => other !== gone);
--- a/src/services/fleet_state/test/common/fleet_machine.test.ts
+++ b/src/services/fleet_state/test/common/fleet_machine.test.ts
@@ -42,6 +42,8 @@
       site: 'z',
       slots: 2,
       draining: false,
+      born: 0,
+      recovering: false,
       role: 1,
     };
     machine.apply(2, encodeCommand({$case: 'admit', value: {member}}));
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -9,9 +9,11 @@
   PoolerList,
   PrimaryReport,
   ServiceEntry,
+  ServiceLead,
 } from '../../../schema/generated/fleet';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
+import type {LeadProofs} from '../../lease/common/lead_leases';
 import type {TargetConnector} from '../../target_link/common/target_link';
 import type {CallerChannel} from '../common/caller_channel';
 import {SessionMemory} from '../common/session_memory';
@@ -26,6 +28,7 @@
   readonly region: string;
   regionOf(site: string): string;
   readonly connector: TargetConnector;
+  readonly leases: LeadProofs;
   readonly clock: Clock;
   readonly log: Log;
   readonly meter: GatewayMeter;
@@ -42,6 +45,7 @@
   private members: readonly Member[] = [];
   private proxies = 1;
   private poolers = new Map<string, readonly string[]>();
+  private readonly leads = new Map<string, ServiceLead>();
   private definitions = new Map<string, ServiceEntry>();
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
@@ -108,6 +112,14 @@
     this.tellMembers();
   }
 
+  /** Takes changes of who leads which service. */
+  setLeads(leads: readonly ServiceLead[]): void {
+    for (const lead of leads) {
+      this.leads.set(lead.service, lead);
+      this.dispatchers.get(lead.service)?.post({kind: 'lead', lead});
+    }
+  }
+
   /** Takes the list of proxies that keep connections for others. */
   setPoolers({poolers}: PoolerList): void {
     const services = new Set(poolers.map(({service}) => service));
@@ -140,6 +152,7 @@
       caller,
       memory,
       clock: this.around.clock,
+      leases: this.around.leases,
       journal: this.journal,
       signal,
       route,
@@ -209,6 +222,8 @@
     if (definition) dispatcher.post({kind: 'definition', definition});
     const proxies = this.sharersOf(service);
     dispatcher.post({kind: 'members', members, proxies});
+    const lead = this.leads.get(service);
+    if (lead) dispatcher.post({kind: 'lead', lead});
     return dispatcher;
   }
 
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -10,23 +10,41 @@
   TargetReply,
   TargetStatement,
 } from '../../statement/common/statement';
+import type {LeadProofs} from '../../lease/common/lead_leases';
 import type {Clock} from '../../../base/common/clock';
 
 /** An answer of a member, or its loss. */
 export type TurnReply = TargetReply;
 
+/** What a turn needs of its session. */
+export interface TurnSurroundings {
+  readonly clock: Clock;
+  readonly leases: LeadProofs;
+  readonly signal: AbortSignal;
+}
+
+/** The place that a session was given. */
+export interface TurnPlace {
+  readonly grant: Grant;
+  readonly service: string;
+  /** How long the request waited for it, in milliseconds. */
+  readonly waitedMs: number;
+}
+
 /** A session's hold on a connection, from its grant to its return. */
 export class MemberTurn {
   private returned = false;
+  readonly grant: Grant;
+  readonly waitedMs: number;
 
   constructor(
-    readonly grant: Grant,
-    /** How long the request waited for it, in milliseconds. */
-    readonly waitedMs: number,
+    private readonly place: TurnPlace,
     private readonly dispatcher: ServiceDispatcher,
-    private readonly clock: Clock,
-    private readonly signal: AbortSignal,
-  ) {}
+    private readonly around: TurnSurroundings,
+  ) {
+    this.grant = place.grant;
+    this.waitedMs = place.waitedMs;
+  }
 
   get instance(): string {
     return this.grant.pooled.instance;
@@ -39,7 +57,8 @@
    */
   *ask(calls: readonly TargetCall[], timeMs: number): Task<TurnReply[]> {
     const {link} = this.grant.pooled;
-    const cancel = after(this.signal, Math.max(1, timeMs), () => link.close());
+    const {signal} = this.around;
+    const cancel = after(signal, Math.max(1, timeMs), () => link.close());
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
     for (const promise of promises) {
@@ -67,14 +86,29 @@
     return replies.every(isDone);
   }
 
+  /**
+   * Whether the member cannot have been replaced before now, after waiting for
+   * a lease that ran out for a time at most. Asked once an answer has come:
+   * then it held while the answer was made, whatever froze in between.
+   */
+  *confirmLead(timeMs: number): Task<boolean> {
+    const {leases} = this.around;
+    const {service} = this.place;
+    const {epoch} = this.grant;
+    if (leases.isHeld(service, epoch)) return true;
+    const done = yield* settled(leases.confirm(service, epoch, timeMs));
+    return 'value' in done && done.value;
+  }
+
   /** Tells the dispatcher what an answer said of the member. */
   observe(askedAt: number, reply: TurnReply, kind?: Observation['kind']): void {
-    const answeredAt = this.clock.now();
+    const answeredAt = this.around.clock.now();
     const position = reply.kind === 'answer' ? reply.position : undefined;
     this.dispatcher.post({
       kind: 'observed',
       observation: {
         instance: this.instance,
+        epoch: this.grant.epoch,
         askedAt,
         answeredAt,
         position,
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -158,7 +158,12 @@
     const [reply] = yield* turn.ask([call], timeMs);
     const leads = isDone(reply) && plain;
     turn.observe(askedAt, reply!, leads ? 'leads' : undefined);
-    if (isDone(reply)) return undefined;
+    if (isDone(reply)) {
+      const left = deadline - context.clock.now();
+      if (!plain || (yield* turn.confirmLead(left))) return undefined;
+      turn.end(false);
+      return 'the lead is not proved';
+    }
     turn.end(isOutside(reply));
     if (reply?.kind !== 'answer') return `lost: ${reply?.reason}`;
     return reply.result.kind === 'error' ? reply.result.failure : 'no begin';
@@ -242,7 +247,12 @@
       }
       const {result, position} = reply;
       if (result.kind === 'done') {
-        if (this.wrote) memory.onCommit(position, clock.now());
+        if (!this.wrote) return result;
+        const left = deadline - clock.now();
+        if (!(yield* turn.confirmLead(left))) {
+          return this.unproven(requestId, turn);
+        }
+        memory.onCommit(position, clock.now());
         return result;
       }
       // The member says that the commit did not run, and the connection is
@@ -252,6 +262,14 @@
     }
   }
 
+  /** The commit of a member that may have been replaced may be undone. */
+  private unproven(requestId: string, {instance}: MemberTurn): StatementResult {
+    const detail = 'committed without a lease on the lead';
+    const attempt = {instance, tookMs: 0, detail};
+    this.context.journal.onFailed(requestId, this.route.service, attempt);
+    return failure('unknown outcome', 'the commit may be kept');
+  }
+
   private fail(result: StatementResult): TransactionStep {
     this.failed = true;
     this.turn?.end(false);
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -11,6 +11,7 @@
   Grant,
   ServiceDispatcher,
 } from '../../dispatch/node/service_dispatcher';
+import type {LeadProofs} from '../../lease/common/lead_leases';
 import {failure, type StatementResult} from '../../statement/common/statement';
 import type {SessionMemory} from '../common/session_memory';
 import {MemberTurn} from './member_turn';
@@ -27,6 +28,7 @@
   readonly caller: CallerName;
   readonly memory: SessionMemory;
   readonly clock: Clock;
+  readonly leases: LeadProofs;
   readonly journal: RequestJournal;
   readonly signal: AbortSignal;
   /** The route in force for the next transaction; undefined once dropped. */
@@ -54,7 +56,7 @@
   context: SessionContext,
   wish: PlaceWish,
 ): Task<Result<MemberTurn, PlaceRefusal>> {
-  const {caller, memory, clock, signal} = context;
+  const {caller, memory, clock} = context;
   const {route, deadline, passed, requestId} = wish;
   const dispatcher = context.dispatcherOf(route.service);
   const reply = new Reply<Result<Grant, PlaceRefusal>>();
@@ -80,7 +82,8 @@
     context.journal.onRefused(requestId, route, outcome.error, waitedMs);
   }
   return outcome.map(grant => {
-    return new MemberTurn(grant, waitedMs, dispatcher, clock, signal);
+    const {service} = route;
+    return new MemberTurn({grant, waitedMs, service}, dispatcher, context);
   });
 }
 
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -117,7 +117,8 @@
   if (request.isWrite) {
     return yield* write(context, turn, request, statement, deadline - askedAt);
   }
-  return yield* read(turn, request, statement, askedAt, deadline - askedAt);
+  const timeMs = deadline - askedAt;
+  return yield* read(context, turn, request, statement, askedAt, timeMs);
 }
 
 /**
@@ -148,6 +149,10 @@
   }
   const {result, position} = reply;
   if (result.kind === 'done') {
+    const left = timeMs - (context.clock.now() - askedAt);
+    if (!(yield* turn.confirmLead(left))) {
+      return {kind: 'final', result: unprovenCommit(context, request, turn)};
+    }
     context.memory.onCommit(position, context.clock.now());
     return {kind: 'final', result};
   }
@@ -156,11 +161,28 @@
 }
 
 /**
- * Sends a read. Where no position says what is new enough, the member proves
- * behind the read that it still leads: a begin is refused by one that does
- * not, and takes no slot. An old primary would else answer with old data.
+ * What a caller is told whose write was committed by a member that may have
+ * been replaced: it may be rolled back, and nobody may say that it is kept.
+ */
+function unprovenCommit(
+  {journal}: SessionContext,
+  {requestId, route}: SingleRequest,
+  {instance}: MemberTurn,
+): StatementResult {
+  const detail = 'committed without a lease on the lead';
+  journal.onFailed(requestId, route.service, {instance, tookMs: 0, detail});
+  return failure('unknown outcome', 'the write may be kept');
+}
+
+/**
+ * Sends a read. Where no position says what is new enough, the member says
+ * behind the read that it leads: a begin is refused by one that does not, and
+ * takes no slot. One that was replaced may still say so, so the lease on its
+ * lead is looked at after that answer. An old primary would else answer with
+ * old data.
  */
 function* read(
+  {clock}: SessionContext,
   turn: MemberTurn,
   request: SingleRequest,
   statement: TargetStatement,
@@ -176,17 +198,18 @@
     Math.min(timeMs, LOST_ANSWER_MS),
   );
   const last = after ? reply : ending;
-  const proved = isDone(proof);
-  if (proved) turn.observe(askedAt, proof!, 'leads');
-  else turn.observe(askedAt, proof ?? reply!);
-  if (!proved && after) turn.observe(askedAt, reply!);
+  const leads = isDone(proof);
+  turn.observe(askedAt, proof ?? reply!, leads ? 'leads' : undefined);
   turn.end(isOutside(last));
   if (reply?.kind !== 'answer') {
     return again(`lost: ${reply?.reason}`, {mayHaveRun: true});
   }
   const {result} = reply;
   if (result.kind === 'done') {
-    if (after || proved) return {kind: 'final', result};
+    if (after) return {kind: 'final', result};
+    const left = timeMs - (clock.now() - askedAt);
+    const proved = leads && (yield* turn.confirmLead(left));
+    if (proved) return {kind: 'final', result};
     return again('the lead is not proved', {mayHaveRun: true});
   }
   return again(result.failure, {
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -68,6 +68,16 @@
     heir.position = {...heir.position, term: heir.position.term + 1};
   }
 
+  /**
+   * Lets another member lead the next term while the old primary is cut off
+   * from the group: it hears of nothing and goes on.
+   */
+  promoteBesides(instance: string): void {
+    const heir = this.member(instance);
+    heir.isPrimary = true;
+    heir.position = {...heir.position, term: heir.position.term + 1};
+  }
+
   /** What ran under callers' ids, as "member text". */
   get callerRuns(): string[] {
     return this.runs
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -1,5 +1,8 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {Consistency} from '../../../../schema/generated/fleet';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
+import {LeadLeases} from '../../../lease/common/lead_leases';
+import {makeLead, renew} from '../../../lease/test/common/lease_fixture';
 import {FakeGroup} from './fake_group';
 import {
   BEGIN,
@@ -23,6 +26,14 @@
   return {group, caller: new Caller(gateway, 'db')};
 }
 
+/** A session at a gateway whose leases only the test renews. */
+function setUpLeased(leases: LeadLeases, route = makeRoute()) {
+  const group = new FakeGroup(['a', 'b', 'c']);
+  gateway = new TestGateway(group, makeCatalog([route]), {leases});
+  leases.onLeads([makeLead('a', 1)]);
+  return {group, caller: new Caller(gateway, 'db')};
+}
+
 const PRIMARY = {consistency: Consistency.CONSISTENCY_PRIMARY};
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
@@ -294,19 +305,62 @@
 });
 
 describe('a primary that was replaced', () => {
-  it('is found without a word from control', async () => {
-    // The leader of control promotes a replica and freezes before it tells the
-    // proxies. The old primary refuses writes; the new one would stand idle
-    // until the proxies find another leader, some seconds later.
+  it('is not left for another without a word from control', async () => {
+    // A replica is promoted and says so before control does. Another proxy may
+    // still rely on the old primary, so a write here would be acknowledged
+    // beside its own. With control's word the write that waited goes through.
     const {group, caller} = setUp();
     await caller.ask(WRITE);
     group.promote('b');
-    const started = Date.now();
-    const written = await caller.ask(WRITE);
-    expect(written.result.kind).toBe('done');
-    expect(Date.now() - started).toBeLessThan(600);
+    const written = caller.ask(WRITE);
+    await pause(250);
+    expect(group.callerRuns.filter(run => run.startsWith('b'))).toEqual([]);
+    const named = Date.now();
+    gateway.announce();
+    expect((await written).result.kind).toBe('done');
+    expect(Date.now() - named).toBeLessThan(300);
     expect(group.runs.at(-1)!.instance).toBe('b');
   });
+
+  it('is not read from once its lease was returned', async () => {
+    // The old primary is cut off from control and its replicas, but not from
+    // this proxy. It accepts every statement. Another member leads, commits a
+    // booking, and the old one would show a boat that is gone.
+    const {group, caller} = setUp(makeRoute(PRIMARY));
+    await caller.ask(READ);
+    gateway.name('');
+    group.promoteBesides('b');
+    const read = caller.ask(READ);
+    await pause(50);
+    gateway.name('b');
+    expect((await read).result.kind).toBe('done');
+    expect(group.callerRuns.at(-1)).toBe('b read a');
+  });
+
+  it('acknowledges nothing once its lease ran out', async () => {
+    // This proxy was frozen, or control has no leader: nobody renews leases.
+    // Control may have ordered a promotion, and what the old primary commits
+    // may be rolled back. Saying that it is kept would lose a booking.
+    const leases = new LeadLeases(new MonotonicClock());
+    const route = makeRoute({...PRIMARY, statementMs: 300});
+    const {group, caller} = setUpLeased(leases, route);
+    const written = await caller.ask(WRITE);
+    expect(written.result).toMatchObject({failure: 'unknown outcome'});
+    const read = await caller.ask(READ);
+    expect(read.result).toMatchObject({failure: 'timeout'});
+    expect(group.callerRuns).toContain('a write a');
+  });
+
+  it('answers what waited for a lease that ran out', async () => {
+    // Control elects a leader for longer than a lease lasts, and names the
+    // same lead again. What ran meanwhile is as good as before.
+    const leases = new LeadLeases(new MonotonicClock());
+    const {caller} = setUpLeased(leases, makeRoute(PRIMARY));
+    const written = caller.ask(WRITE);
+    await pause(100);
+    renew(leases);
+    expect((await written).result.kind).toBe('done');
+  });
 });
 
 describe('connections that several instances share', () => {
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -7,6 +7,11 @@
   type DatabaseRoute,
   type Member,
 } from '../../../../schema/generated/fleet';
+import {
+  makeLead,
+  makeRenewedLeases,
+  renew,
+} from '../../../lease/test/common/lease_fixture';
 import type {CallerReply, Statement} from '../../../statement/common/statement';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
 import {GatewayMeter} from '../../node/gateway_meter';
@@ -51,6 +56,8 @@
     site: `site-${instance}`,
     slots: 2,
     draining: false,
+    born: 0,
+    recovering: false,
     role: group.member(instance).isPrimary
       ? ClaimedRole.CLAIMED_ROLE_PRIMARY
       : ClaimedRole.CLAIMED_ROLE_REPLICA,
@@ -113,6 +120,8 @@
   readonly gateway: Gateway;
   readonly logged = makeLog();
   readonly reports: string[] = [];
+  readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
+  private epoch = 0;
 
   constructor(
     readonly group: FakeGroup,
@@ -124,6 +133,7 @@
         region: 'region-a',
         regionOf: () => 'region-a',
         connector: group,
+        leases: this.leases,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
@@ -136,13 +146,28 @@
       },
       this.stop.signal,
     );
-    this.gateway.setMembers({members: membersOf(group), proxies: 1});
+    this.announce();
     this.gateway.setCatalog(catalog);
   }
 
-  /** Tells the gateway anew who the members are. */
+  /** Tells the gateway anew who the members are, and which one leads. */
   announce(): void {
     this.gateway.setMembers({members: membersOf(this.group), proxies: 1});
+    const leading = membersOf(this.group).find(({role}) => {
+      return role === ClaimedRole.CLAIMED_ROLE_PRIMARY;
+    });
+    if (leading) this.name(leading.instance);
+  }
+
+  /** Control names a lead, '' for none, and grants leases on it. */
+  name(instance: string): void {
+    const lead = makeLead(
+      instance,
+      instance === '' ? this.epoch : ++this.epoch,
+    );
+    this.leases.onLeads([lead]);
+    this.gateway.setLeads([lead]);
+    renew(this.leases);
   }
 }
 
--- a/src/services/instance/common/instance_settings.ts
+++ b/src/services/instance/common/instance_settings.ts
@@ -27,6 +27,8 @@
   readonly graceMs: number;
   /** Address of whoever carries promotions out; '' without one. */
   readonly promotions: string;
+  /** Whether it refuses an order with a lower token than one it has seen. */
+  readonly fencedOrders: boolean;
   /** The region of each site. */
   readonly regions: ReadonlyMap<string, string>;
 }
@@ -71,6 +73,7 @@
     losses: numberOf('losses', 0),
     graceMs: numberOf('grace_s', 1) * 1_000,
     promotions: textOf(own, 'promotions'),
+    fencedOrders: textOf(own, 'promotions_fenced') === 'true',
     regions,
   };
   return faults.length > 0 ? err(faults) : ok(settings);
--- /dev/null
+++ b/src/services/lease/common/lead_board.ts
@@ -0,0 +1,51 @@
+import type {ServiceLead} from '../../../schema/generated/fleet';
+
+interface Notice {
+  readonly lead: ServiceLead;
+  readonly revision: number;
+}
+
+/** Who leads which service, as the leader of control tells its proxies. */
+export class LeadBoard {
+  private readonly notices = new Map<string, Notice>();
+  private changes = 0;
+
+  /** Increases with each change. */
+  get revision(): number {
+    return this.changes;
+  }
+
+  /** What changed after a revision. */
+  since(revision: number): ServiceLead[] {
+    if (revision === this.changes) return [];
+    return [...this.notices.values()]
+      .filter(notice => notice.revision > revision)
+      .map(({lead}) => lead);
+  }
+
+  /** Takes a lead of the control log; nothing changes at a known epoch. */
+  name(lead: ServiceLead): void {
+    const known = this.notices.get(lead.service)?.lead;
+    if (!known || lead.epoch > known.epoch) this.put(lead);
+  }
+
+  /** From now on nobody may rely on the lead of a service. */
+  revoke(service: string): void {
+    const known = this.notices.get(service)?.lead;
+    if (known && known.instance !== '') this.put({...known, instance: ''});
+  }
+
+  /** Whether proxies were told to rely on nobody. */
+  isRevoked(service: string): boolean {
+    return this.notices.get(service)?.lead.instance === '';
+  }
+
+  /** The epoch that proxies know, 0 before the first. */
+  epochOf(service: string): number {
+    return this.notices.get(service)?.lead.epoch ?? 0;
+  }
+
+  private put(lead: ServiceLead): void {
+    this.notices.set(lead.service, {lead, revision: ++this.changes});
+  }
+}
--- /dev/null
+++ b/src/services/lease/common/lead_leases.ts
@@ -0,0 +1,141 @@
+import type {Clock} from '../../../base/common/clock';
+import type {ReturnLease, ServiceLead} from '../../../schema/generated/fleet';
+import {TermLease} from './term_lease';
+
+/**
+ * How long a proxy may rely on what control last confirmed, in milliseconds.
+ * Longer, and a primary that is lost together with a proxy is replaced later;
+ * shorter, and each loss of control's leader stops reads of primaries. An
+ * election takes 0.4 to 0.7 s, and proxies follow the new leader 0.1 s later.
+ */
+export const LEASE_MS = 1_200;
+
+/** Leases are renewed this often, in ms: two questions may be lost. */
+export const RENEW_EVERY_MS = 400;
+
+/** Whether a member can have been replaced. */
+export interface LeadProofs {
+  /** Whether no order to replace the lead of an epoch can have gone out yet. */
+  isHeld(service: string, epoch: number): boolean;
+  /** The same, after waiting for a lease that ran out, for a time at most. */
+  confirm(service: string, epoch: number, timeMs: number): Promise<boolean>;
+}
+
+interface Lead {
+  instance: string;
+  epoch: number;
+  readonly lease: TermLease;
+}
+
+interface Waiter {
+  readonly service: string;
+  readonly epoch: number;
+  settle(isHeld: boolean): void;
+}
+
+/**
+ * A proxy's leases on the leads of services.
+ *
+ * Guard: a primary that was replaced goes on answering whoever reaches it. Its
+ * reads would miss commits that the new primary acknowledged. So nothing that
+ * rests on the lead of a member counts before a lease on its epoch was held
+ * after the answer came. Control orders no promotion before every such lease
+ * was returned or has run out.
+ */
+export class LeadLeases implements LeadProofs {
+  private readonly leads = new Map<string, Lead>();
+  private readonly asked = new Map<number, number>();
+  private readonly waiters = new Set<Waiter>();
+  private lastNumber = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Notes a question for leases that goes out now; its number. */
+  ask(): number {
+    const number = ++this.lastNumber;
+    this.asked.set(number, this.clock.now());
+    return number;
+  }
+
+  /** Takes the leader's word that a majority confirmed it after a question. */
+  onRenewed(number: number): void {
+    const askedAt = this.asked.get(number);
+    if (askedAt === undefined) return;
+    this.forgetQuestions(number);
+    for (const {epoch, lease, instance} of this.leads.values()) {
+      if (instance !== '') lease.extend(epoch, askedAt, LEASE_MS);
+    }
+    this.settleWaiters();
+  }
+
+  /** Takes changes of leads; the leases that are to be returned for them. */
+  onLeads(leads: readonly ServiceLead[]): ReturnLease[] {
+    const returned = leads.filter(lead => !this.take(lead));
+    this.settleWaiters();
+    return returned.map(({service, epoch}) => ({service, epoch}));
+  }
+
+  /** No answer to earlier questions counts any more. */
+  onDidDetach(): void {
+    this.asked.clear();
+  }
+
+  isHeld(service: string, epoch: number): boolean {
+    const lead = this.leads.get(service);
+    return lead?.lease.isHeld(epoch, this.clock.now()) ?? false;
+  }
+
+  confirm(service: string, epoch: number, timeMs: number): Promise<boolean> {
+    if (this.isHeld(service, epoch)) return Promise.resolve(true);
+    if (this.isOver(service, epoch)) return Promise.resolve(false);
+    return new Promise(resolve => {
+      const settle = (isHeld: boolean) => {
+        clearTimeout(timer);
+        this.waiters.delete(waiter);
+        resolve(isHeld);
+      };
+      const waiter = {service, epoch, settle};
+      const timer = setTimeout(() => settle(false), Math.max(0, timeMs));
+      this.waiters.add(waiter);
+    });
+  }
+
+  /** Takes one lead; false where this proxy relies no more on its epoch. */
+  private take({service, instance, epoch}: ServiceLead): boolean {
+    const lead = this.leads.get(service) ?? this.track(service);
+    const {lease} = lead;
+    if (instance === '') {
+      lease.giveUpBelow(epoch + 1);
+      lead.instance = '';
+      return false;
+    }
+    if (epoch < lease.term) return false;
+    lease.giveUpBelow(epoch);
+    lead.instance = instance;
+    lead.epoch = epoch;
+    return true;
+  }
+
+  private track(service: string): Lead {
+    const lead = {instance: '', epoch: 0, lease: new TermLease(this.clock)};
+    this.leads.set(service, lead);
+    return lead;
+  }
+
+  private isOver(service: string, epoch: number): boolean {
+    return (this.leads.get(service)?.lease.term ?? 0) > epoch;
+  }
+
+  private forgetQuestions(upTo: number): void {
+    for (const number of this.asked.keys()) {
+      if (number <= upTo) this.asked.delete(number);
+    }
+  }
+
+  private settleWaiters(): void {
+    for (const {service, epoch, settle} of [...this.waiters]) {
+      if (this.isHeld(service, epoch)) settle(true);
+      else if (this.isOver(service, epoch)) settle(false);
+    }
+  }
+}
--- a/src/services/promotion/common/heir.ts
+++ b/src/services/promotion/common/heir.ts
@@ -6,13 +6,18 @@
   readonly draining: boolean;
   /** What its log has received; undefined where it did not answer. */
   readonly received: Position | undefined;
+  /**
+   * Its log may lack commits that it confirmed in an earlier life. It can lead
+   * where it holds enough, but says nothing of what was acknowledged.
+   */
+  readonly recovering: boolean;
 }
 
 /** What a choice is made from. */
 export interface HeirView {
   /** The old primary; its answer counts only once it has stepped down. */
   readonly oldPrimary: MemberAnswer | undefined;
-  /** All other members whose logs count, stopped before they answered. */
+  /** All other members, stopped before they answered. */
   readonly replicas: readonly MemberAnswer[];
 }
 
@@ -29,10 +34,12 @@
  * end has too. Without its word every replica must answer after it stopped
  * receiving: the one with the most then has every acknowledged commit. Where
  * one is missing, it may be the only one with some commit, so the choice waits.
+ * One that started again without its log is as good as missing: what it had
+ * confirmed before is gone with its earlier life.
  */
 export function chooseHeir({oldPrimary, replicas}: HeirView): HeirChoice {
   const answered = replicas.filter(({received}) => received !== undefined);
-  const end = oldPrimary?.received;
+  const end = oldPrimary?.recovering ? undefined : oldPrimary?.received;
   if (end) {
     const full = answered.filter(({received}) => {
       return comparePositions(received!, end) >= 0;
@@ -40,10 +47,12 @@
     const heir = best(full);
     if (heir) return {kind: 'promote', instance: heir.instance};
   }
-  if (answered.length < replicas.length) {
-    const missing = replicas.filter(({received}) => received === undefined);
+  const missing = replicas.filter(({received, recovering}) => {
+    return received === undefined || recovering;
+  });
+  if (missing.length > 0) {
     const names = missing.map(({instance}) => instance).join(' ');
-    return {kind: 'wait', reason: `no answer of ${names}`};
+    return {kind: 'wait', reason: `no proof by the logs of ${names}`};
   }
   const heir = best(answered);
   if (!heir) return {kind: 'wait', reason: 'no replica is known'};
--- a/src/services/promotion/common/verdict.ts
+++ b/src/services/promotion/common/verdict.ts
@@ -5,6 +5,8 @@
   /** Whether connections to it are refused: its process is gone. */
   readonly refused: boolean;
   readonly draining: boolean;
+  /** Its own word, asked for lately, that it does not lead. */
+  readonly denies: boolean;
   /** Proxies that are attached to control. */
   readonly proxies: number;
   /** Those that say they cannot use it. */
@@ -30,6 +32,9 @@
  */
 export function judgePrimary(view: PrimaryView): Verdict {
   const {proxies, complaints, refused, silentMs} = view;
+  // Guard: a primary that starts again does so as a replica. It answers and is
+  // not leaving, but nobody would ever serve writes again.
+  if (view.denies) return {kind: 'replace', reason: 'it does not lead'};
   if (view.draining) return {kind: 'replace', reason: 'it is leaving'};
   const half = complaints * 2 >= proxies;
   const isGone = refused && silentMs >= REFUSED_MS;
--- a/src/services/promotion/node/member_watch.ts
+++ b/src/services/promotion/node/member_watch.ts
@@ -47,6 +47,8 @@
   private lastAnswerAt: number;
   private isRefused = false;
   private highestTerm = 0;
+  private openings = 0;
+  private openedAt = -Infinity;
 
   constructor(
     readonly member: Member,
@@ -71,6 +73,11 @@
     return this.isRefused;
   }
 
+  /** When it was connected again after a loss; -Infinity for the first time. */
+  get reopenedAt(): number {
+    return this.openings > 1 ? this.openedAt : -Infinity;
+  }
+
   /** The highest term that its log has shown. */
   get term(): number {
     return this.highestTerm;
@@ -136,6 +143,8 @@
         }
         const link = outcome.value;
         this.link = link;
+        this.openings++;
+        this.openedAt = this.clock.now();
         this.onAnswer(link.openedAt);
         link.onDidClose(() => {
           if (this.link === link) this.link = undefined;
--- a/src/services/promotion/node/promotion_authority.ts
+++ b/src/services/promotion/node/promotion_authority.ts
@@ -13,15 +13,22 @@
   | 'accepted'
   /** Refused: a newer order was seen, or the member is not running. */
   | 'refused'
-  /** Asked too often, or not able to now; nothing was done. */
+  /** Not sent, asked too often, or not able to now; nothing was done. */
   | 'not now'
   /** No answer: it may still be carried out, seconds later. */
   | 'unknown';
 
 /** Whoever carries promotions out. */
 export interface PromotionAuthority {
+  /**
+   * Sends an order.
+   *
+   * @param isFresh Asked right before the order goes out; where it says no,
+   *     the order is not sent.
+   */
   promote(
     order: PromotionOrder,
+    isFresh: () => boolean,
     signal: AbortSignal,
   ): Promise<PromotionOutcome>;
 }
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -1,61 +1,34 @@
-import type {Clock} from '../../../base/common/clock';
-import type {Result} from '../../../base/common/outcome';
-import type {Log} from '../../../base/node/log';
 import {pause, settled, startTask, type Task} from '../../../base/node/task';
-import type {Member} from '../../../schema/generated/fleet';
-import {chooseHeir, type MemberAnswer} from '../common/heir';
+import type {Member, ServiceLead} from '../../../schema/generated/fleet';
+import {ClaimedRole} from '../../../schema/generated/fleet';
 import {judgePrimary} from '../common/verdict';
-import type {MemberStatus, MemberWatch} from './member_watch';
-import type {PromotionAuthority} from './promotion_authority';
-
-/** What proxies say of a service's primary. */
-export interface Complaints {
-  readonly proxies: number;
-  readonly complaints: number;
-  /** For how long at least half complained, in milliseconds. */
-  readonly complainedMs: number;
-}
-
-/** What a driver is built on; it lives as long as one leadership. */
-export interface PromotionSurroundings {
-  readonly service: string;
-  readonly holder: string;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly authority: PromotionAuthority;
-  /** Members whose logs count, by the control log and their announcements. */
-  members(): readonly Member[];
-  /** The member that leads, as far as is known. */
-  primary(): Member | undefined;
-  watchOf(member: Member): MemberWatch;
-  complaintsOf(instance: string): Complaints;
-  /** Puts the intent into the control log; its index is the token. */
-  begin(): Promise<Result<number, string>>;
-  onDidPromote(instance: string): void;
-}
+import {findHeir, orderAll, type HeirFinding} from './heir_search';
+import {ORDER_FRESH_MS, PromotionOrdering} from './promotion_order';
+import type {PromotionSurroundings} from './promotion_surroundings';
 
 const LOOK_MS = 100;
-/** An order without an answer is repeated, in milliseconds. */
-const REPEAT_MS = 250;
-/** After an accepted order the member shows that it leads within this. */
-const SETTLE_MS = 4_000;
-const SETTLE_LOOK_MS = 50;
 /** The same reason to wait is logged at most this often, in milliseconds. */
 const SAY_AGAIN_MS = 2_000;
 /** A new leader first lets the proxies come and say what they see, in ms. */
 const WARM_UP_MS = 700;
-/** A primary that was silent for longer is not asked to step down, in ms. */
-const STEP_DOWN_SILENCE_MS = 400;
+/** Leases are looked at this often while they are waited for, in ms. */
+const LEASE_LOOK_MS = 10;
+/** A member that answered within this is there to take over, in ms. */
+const PRESENT_MS = 500;
 
 /** The task that replaces the primary of one service when it has to be. */
 export class PromotionDriver {
   private said = {text: '', at: -Infinity};
   private readonly startedAt: number;
+  private readonly ordering: PromotionOrdering;
   /** Replicas may be stopped by this leader or by one before it. */
   private mayBeStopped = true;
+  /** The newest lead that was seen to lead after its order. */
+  private carriedOut = 0;
 
   constructor(private readonly around: PromotionSurroundings) {
     this.startedAt = around.clock.now();
+    this.ordering = new PromotionOrdering(around);
   }
 
   start(signal: AbortSignal): Promise<void> {
@@ -66,150 +39,191 @@
   private *run(signal: AbortSignal): Task<void> {
     while (!signal.aborted) {
       yield* pause(LOOK_MS);
-      const reason = this.reasonToReplace();
-      if (reason) yield* this.replace(reason, signal);
-      else if (this.mayBeStopped) yield* this.resume();
+      yield* this.look(signal);
+    }
+  }
+
+  private *look(signal: AbortSignal): Task<void> {
+    const lead = this.around.lead();
+    if (!lead) return yield* this.nameFirst();
+    if (lead.pending && this.carriedOut !== lead.epoch) {
+      return yield* this.finish(lead, signal);
+    }
+    if (lead.pending) yield* this.settle(lead);
+    const reason = yield* this.reasonToReplace(lead);
+    if (reason) return yield* this.replace(lead, reason, signal);
+    if (this.around.isSpent()) yield* this.keep(lead);
+    else if (this.mayBeStopped) yield* this.resume(lead);
+  }
+
+  /** Before the first promotion the member leads that says so. */
+  private *nameFirst(): Task<void> {
+    const claimant = this.around.claimant();
+    if (!claimant) return;
+    const {instance} = claimant;
+    yield* settled(this.around.nameLead(instance, false));
+  }
+
+  private get isWarm(): boolean {
+    return this.around.clock.now() - this.startedAt >= WARM_UP_MS;
+  }
+
+  /**
+   * Takes up an order that may not have been carried out, perhaps by an
+   * earlier leader. The same member is ordered again: nothing was acknowledged
+   * since it was chosen but by itself.
+   */
+  private *finish(lead: ServiceLead, signal: AbortSignal): Task<void> {
+    const {instance, epoch} = lead;
+    if (yield* this.ordering.leads(instance)) {
+      this.carriedOut = epoch;
+      return this.around.onDidPromote(instance);
     }
+    if (!this.isWarm) return;
+    const heir = this.memberOf(instance);
+    const isPresent =
+      heir !== undefined &&
+      !heir.recovering &&
+      this.around.watchOf(heir).silentMs < PRESENT_MS;
+    if (isPresent) yield* this.promote(instance, signal);
+    else yield* this.replace(lead, 'the heir was lost', signal);
   }
 
-  private reasonToReplace(): string | undefined {
-    const primary = this.around.primary();
-    const warm = this.around.clock.now() - this.startedAt >= WARM_UP_MS;
-    if (!primary) return undefined;
+  private *settle({epoch}: ServiceLead): Task<void> {
+    const {orders} = this.around;
+    if (!orders.areFenced && !this.ordering.isSettled) return;
+    yield* settled(this.around.settleLead(epoch));
+  }
+
+  private *reasonToReplace({instance}: ServiceLead): Task<string | undefined> {
+    const primary = this.memberOf(instance);
+    if (!primary) return this.isWarm ? 'it has left' : undefined;
     const watch = this.around.watchOf(primary);
     const verdict = judgePrimary({
       silentMs: watch.silentMs,
       refused: watch.refused,
       draining: primary.draining,
-      ...this.around.complaintsOf(primary.instance),
+      denies: yield* this.denies(primary),
+      ...this.around.complaintsOf(instance),
     });
     if (verdict.kind === 'keep') return undefined;
-    return warm || primary.draining ? verdict.reason : undefined;
+    return this.isWarm || primary.draining ? verdict.reason : undefined;
+  }
+
+  /** Its announcement may be older than its lead; its own answer decides. */
+  private *denies(primary: Member): Task<boolean> {
+    const {around} = this;
+    if (primary.role === ClaimedRole.CLAIMED_ROLE_PRIMARY) return false;
+    const [status] = yield* orderAll(around, [primary], {kind: 'status'});
+    if (status?.leads) around.onDidPromote(primary.instance);
+    return status !== undefined && !status.leads;
+  }
+
+  /** Proxies may rely again on a primary that was to be replaced and is not. */
+  private *keep({instance}: ServiceLead): Task<void> {
+    if (!(yield* this.ordering.leads(instance))) return;
+    const {service, log} = this.around;
+    const named = yield* settled(this.around.nameLead(instance, false));
+    const done = 'value' in named && named.value.isOk;
+    log.info('Keeps a primary.', {service, instance, done});
+    this.mayBeStopped = true;
   }
 
   /** Replicas that were stopped for a change that did not come receive again. */
-  private *resume(): Task<void> {
-    const primary = this.around.primary();
-    if (!primary) return;
-    const others = this.around
-      .members()
-      .filter(({instance}) => instance !== primary.instance);
-    const statuses = yield* this.orderAll(others, {kind: 'resume'});
+  private *resume({instance}: ServiceLead): Task<void> {
+    const others = this.othersThan(instance);
+    const statuses = yield* orderAll(this.around, others, {kind: 'resume'});
     this.mayBeStopped = statuses.some(status => status === undefined);
   }
 
-  private *replace(reason: string, signal: AbortSignal): Task<void> {
+  private *replace(
+    lead: ServiceLead,
+    reason: string,
+    signal: AbortSignal,
+  ): Task<void> {
     const {around} = this;
-    const old = around.primary()!;
-    const fields = {service: around.service, primary: old.instance, reason};
-    const begun = yield* settled(around.begin());
-    if (!('value' in begun) || begun.value.isErr) {
-      return this.say('Cannot begin a promotion without a majority.', fields);
+    const {service, log} = around;
+    const fields = {service, primary: lead.instance, reason};
+    if (!this.hasSuccessor(lead)) {
+      const why = 'no other member answers';
+      return this.say('Cannot promote safely.', {...fields, why});
     }
-    const token = begun.value.value;
     this.mayBeStopped = true;
-    const heir = yield* this.findHeir(old, fields);
-    if (!heir || signal.aborted) return;
-    around.log.info('Promotes.', {...fields, heir, token});
-    yield* this.promote(heir, token, signal);
+    around.revoke();
+    const found = yield* findHeir(around, lead.instance);
+    const {answers} = found;
+    if (found.kind === 'wait') {
+      const why = found.reason;
+      return this.say('Cannot promote safely.', {...fields, why, answers});
+    }
+    const {instance: heir} = found;
+    log.info('Compared the logs.', {...fields, answers, heir});
+    if (!(yield* this.mayOrder(lead, found, fields, signal))) return;
+    yield* this.promote(heir, signal);
   }
 
-  private *findHeir(
-    old: Member,
-    fields: Record<string, string>,
-  ): Task<string | undefined> {
-    const {around} = this;
-    const members = around.members();
-    const terms = members.map(member => around.watchOf(member).term);
-    const term = Math.max(0, ...terms) + 1;
-    const stepped = yield* this.stepDown(old, term);
-    const hasSteppedDown = stepped !== undefined && !stepped.leads;
-    const others = members.filter(({instance}) => instance !== old.instance);
-    // After the old primary stepped down nothing new is acknowledged, and its
-    // replicas may catch up; otherwise they have to stop before they count.
-    const statuses = yield* this.orderAll(
-      others,
-      hasSteppedDown ? {kind: 'status'} : {kind: 'pause', term},
-    );
-    const replicas = others.map((member, index) => {
-      return answerOf(member, statuses[index]);
+  private hasSuccessor({instance}: ServiceLead): boolean {
+    return this.othersThan(instance).some(member => {
+      return this.around.watchOf(member).silentMs < PRESENT_MS;
     });
-    const oldPrimary = answerOf(old, hasSteppedDown ? stepped : undefined);
-    const choice = chooseHeir({oldPrimary, replicas});
-    const answers = [oldPrimary, ...replicas].map(describe).join(' ');
-    if (choice.kind === 'wait') {
-      const why = choice.reason;
-      this.say('Cannot promote safely.', {...fields, why, answers});
-      return undefined;
-    }
-    const {log} = around;
-    log.info('Compared the logs.', {...fields, answers, heir: choice.instance});
-    return choice.instance;
   }
 
-  private *stepDown(old: Member, term: number): Task<MemberStatus | undefined> {
-    const watch = this.around.watchOf(old);
-    // Waiting for the word of one that is gone would only add to the gap.
-    if (watch.silentMs > STEP_DOWN_SILENCE_MS) return undefined;
-    const [status] = yield* this.orderAll([old], {kind: 'stepDown', term});
-    return status;
+  /** Waits until nobody can rely on the old lead; false where it may not. */
+  private *mayOrder(
+    lead: ServiceLead,
+    found: HeirFinding & {kind: 'heir'},
+    fields: Record<string, string>,
+    signal: AbortSignal,
+  ): Task<boolean> {
+    const {around, ordering} = this;
+    const isOther = found.instance !== lead.instance;
+    // Guard: an order whose answer was lost can be carried out seconds later.
+    // Where nobody refuses it then, it would depose the member that is chosen
+    // now, and what that one acknowledged meanwhile would be lost.
+    const isOpen = lead.pending && !ordering.isSettled;
+    if (isOther && isOpen && !around.orders.areFenced) {
+      const why = 'an earlier order may still be carried out';
+      this.say('Cannot promote safely.', {...fields, why});
+      return false;
+    }
+    const startedAt = around.clock.now();
+    if (!found.hasSteppedDown) {
+      while (around.relying().length > 0 && !signal.aborted) {
+        yield* pause(LEASE_LOOK_MS);
+      }
+    }
+    const waitedMs = Math.round(around.clock.now() - startedAt);
+    around.log.info('Leases are over.', {...fields, waitedMs});
+    return !signal.aborted;
   }
 
-  private *orderAll(
-    members: readonly Member[],
-    statement: Parameters<MemberWatch['order']>[0],
-  ): Task<(MemberStatus | undefined)[]> {
-    const orders = members.map(member => {
-      return this.around.watchOf(member).order(statement);
-    });
-    const statuses: (MemberStatus | undefined)[] = [];
-    for (const order of orders) {
-      const done = yield* settled(order);
-      statuses.push('value' in done ? done.value : undefined);
+  private *promote(heir: string, signal: AbortSignal): Task<void> {
+    const {around, ordering} = this;
+    const {service, log} = around;
+    // An order of the leader before this one may go out for so long.
+    const fresh = this.startedAt + ORDER_FRESH_MS - around.clock.now();
+    if (fresh > 0) yield* pause(fresh);
+    const provenAt = around.orders.clock.now();
+    const lead = around.lead();
+    const named = yield* settled(around.nameLead(heir, true));
+    if (!('value' in named) || named.value.isErr) {
+      return this.say('Cannot name a lead without a majority.', {service});
     }
-    return statuses;
+    const token = named.value.value;
+    log.info('Promotes.', {service, heir, token});
+    if (lead?.instance !== heir) ordering.begin();
+    const outcome = yield* ordering.carryOut(heir, token, provenAt, signal);
+    if (outcome !== 'leads') return;
+    this.carriedOut = token;
+    around.onDidPromote(heir);
   }
 
-  /**
-   * Repeats one order until it is answered or the member leads. The same token
-   * each time: a copy that is carried out late names the same member, and the
-   * next decision's higher token shuts it out.
-   */
-  private *promote(
-    instance: string,
-    token: number,
-    signal: AbortSignal,
-  ): Task<void> {
-    const {service, holder, clock, log, authority} = this.around;
-    const order = {service, instance, holder, token};
-    const until = clock.now() + SETTLE_MS;
-    let accepted = false;
-    let next = -Infinity;
-    while (clock.now() < until && !signal.aborted) {
-      if (!accepted && clock.now() >= next) {
-        const done = yield* settled(authority.promote(order, signal));
-        const outcome = 'value' in done ? done.value : 'unknown';
-        log.info('Ordered a promotion.', {service, instance, token, outcome});
-        if (outcome === 'refused') return;
-        accepted = outcome === 'accepted';
-        next = clock.now() + REPEAT_MS;
-      }
-      if (yield* this.leads(instance)) {
-        log.info('A member leads.', {service, instance, token});
-        this.around.onDidPromote(instance);
-        return;
-      }
-      yield* pause(SETTLE_LOOK_MS);
-    }
+  private memberOf(instance: string): Member | undefined {
+    return this.around.members().find(other => other.instance === instance);
   }
 
-  private *leads(instance: string): Task<boolean> {
-    const member = this.around.members().find(other => {
-      return other.instance === instance;
-    });
-    if (!member) return false;
-    const [status] = yield* this.orderAll([member], {kind: 'status'});
-    return status?.leads === true;
+  private othersThan(instance: string): readonly Member[] {
+    return this.around.members().filter(other => other.instance !== instance);
   }
 
   private say(sentence: string, fields: Record<string, string>): void {
@@ -220,15 +234,3 @@
     this.around.log.warn(sentence, fields);
   }
 }
-
-function answerOf(
-  {instance, draining}: Member,
-  status: MemberStatus | undefined,
-): MemberAnswer {
-  return {instance, draining, received: status?.received};
-}
-
-function describe({instance, received}: MemberAnswer): string {
-  const at = received ? `${received.term}/${received.offset}` : 'silent';
-  return `${instance}:${at}`;
-}
--- a/src/services/promotion/test/common/heir.test.ts
+++ b/src/services/promotion/test/common/heir.test.ts
@@ -8,6 +8,7 @@
 ): MemberAnswer => ({
   instance,
   draining: false,
+  recovering: false,
   received: offset === undefined ? undefined : {term: 3, offset},
   ...more,
 });
@@ -31,7 +32,7 @@
       oldPrimary: silent('a'),
       replicas: [answer('b', 7), silent('c')],
     });
-    expect(choice).toEqual({kind: 'wait', reason: 'no answer of c'});
+    expect(choice).toEqual({kind: 'wait', reason: 'no proof by the logs of c'});
   });
 
   it('does without the others where one reached the end of the log', () => {
@@ -42,6 +43,41 @@
     expect(choice).toEqual({kind: 'promote', instance: 'b'});
   });
 
+  it('takes no proof from one that started again without its log', () => {
+    // Replica b confirmed a commit that c never got, starts again with an
+    // empty log, and the primary is lost. Both answer, but the commit is only
+    // where the primary is: promoting c would lose a booking.
+    const choice = chooseHeir({
+      oldPrimary: silent('a'),
+      replicas: [answer('b', 0, {recovering: true}), answer('c', 9)],
+    });
+    expect(choice).toEqual({
+      kind: 'wait',
+      reason: 'no proof by the logs of b',
+    });
+  });
+
+  it('lets one lead that started again once it holds everything', () => {
+    const choice = chooseHeir({
+      oldPrimary: answer('a', 9),
+      replicas: [answer('b', 9, {recovering: true}), silent('c')],
+    });
+    expect(choice).toEqual({kind: 'promote', instance: 'b'});
+  });
+
+  it('takes no end of the log from a primary that started again', () => {
+    // The primary crashes and starts again empty before anyone notices. Its
+    // log ends below what its replicas hold; the most of them must lead.
+    const choice = chooseHeir({
+      oldPrimary: answer('a', 0, {recovering: true}),
+      replicas: [answer('b', 7), silent('c')],
+    });
+    expect(choice).toEqual({
+      kind: 'wait',
+      reason: 'no proof by the logs of c',
+    });
+  });
+
   it('compares terms before numbers', () => {
     const old = answer('b', 50, {received: {term: 2, offset: 50}});
     const choice = chooseHeir({
--- a/src/services/promotion/test/common/verdict.test.ts
+++ b/src/services/promotion/test/common/verdict.test.ts
@@ -5,6 +5,7 @@
   silentMs: 0,
   refused: false,
   draining: false,
+  denies: false,
   proxies: 6,
   complaints: 0,
   complainedMs: 0,
--- a/src/services/roster/common/roster.ts
+++ b/src/services/roster/common/roster.ts
@@ -4,7 +4,7 @@
 /** One announcement of a member. */
 export interface Announcement {
   readonly member: Member;
-  /** Increases with each announcement of a member. */
+  /** Increases with each announcement of one life of a member. */
   readonly sequence: number;
 }
 
@@ -50,11 +50,11 @@
 
   /**
    * Takes an announcement. One that was overtaken on its way is ignored: it
-   * would undo a drain or a change of role.
+   * would undo a drain or a change of role, or bring back an earlier life.
    */
   announce({member, sequence}: Announcement, now: number): void {
     const known = this.entries.get(member.instance);
-    if (known && sequence <= known.sequence) return;
+    if (known && isOvertaken(known, member, sequence)) return;
     const isNews = !known || !isSame(known.member, member);
     this.entries.set(member.instance, {member, sequence, heardAt: now});
     if (isNews) this.changes++;
@@ -79,12 +79,19 @@
   }
 }
 
+/** A process that starts again counts its announcements from the start. */
+function isOvertaken(known: Entry, {born}: Member, sequence: number): boolean {
+  if (born !== known.member.born) return born < known.member.born;
+  return sequence <= known.sequence;
+}
+
 function isSame(a: Member, b: Member): boolean {
   return (
     a.address === b.address &&
     a.draining === b.draining &&
     a.role === b.role &&
     a.slots === b.slots &&
+    a.born === b.born &&
     a.service === b.service &&
     a.site === b.site
   );
