Let new leaders of control know how many proxies there usually are

Cause: after a full stop a new leader names no number for a second, and each proxy may open 14 connections to a member that takes 16. Ruled out: members that refuse for other reasons (299 of 299 failed openings were 'too many connections'); the pause after a refusal (100 ms). Change: the count that held for 5 s stands in the control log and is told until the leader has counted itself.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -18,6 +18,7 @@
 import {LeadBoard} from '../../lease/common/lead_board';
 import {LeaseHolders} from '../../lease/common/lease_holders';
 import {Roster, type Announcement} from '../../roster/common/roster';
+import {UsualCount} from '../common/usual_count';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
 /** Why control cannot answer for certain now. */
@@ -58,6 +59,8 @@
   private changingMembers = false;
   private planner = new PoolerPlanner(0);
   private namingPoolers = false;
+  private usualCount = new UsualCount();
+  private notingCount = false;
   private leadingSince = Infinity;
   private leadBoard = new LeadBoard();
   private leaseHolders = new LeaseHolders(Infinity);
@@ -115,6 +118,7 @@
     this.roster = new Roster();
     this.planner = new PoolerPlanner(this.around.clock.now());
     this.leadingSince = isLeader ? this.around.clock.now() : Infinity;
+    this.usualCount = new UsualCount();
     this.leadBoard = new LeadBoard();
     this.leaseHolders = new LeaseHolders(this.leadingSince);
     // Proxies that wait here for an election stay while this instance stands
@@ -233,6 +237,7 @@
     this.forgetSilent();
     this.promotions?.tendRecovering();
     this.tendPoolers();
+    this.tendCount();
     this.drive();
   }
 
@@ -322,6 +327,21 @@
     });
   }
 
+  /** Notes how many proxies there usually are. */
+  private tendCount(): void {
+    if (this.notingCount || !this.leader) return;
+    const {machine, node, clock, log} = this.around;
+    const {length} = this.leader.attached;
+    const proxies = this.usualCount.look(length, machine.proxies, clock.now());
+    if (proxies === undefined) return;
+    this.notingCount = true;
+    const body = {$case: 'countProxies', value: {proxies}} as const;
+    void node.propose(encodeCommand(body)).then(done => {
+      this.notingCount = false;
+      log.info('Notes the number of proxies.', {proxies, done: done.isOk});
+    });
+  }
+
   private tendVoters(): void {
     const {node, wantedVoters, clock} = this.around;
     const {core} = node;
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -41,6 +41,8 @@
   membersRevision(): number;
   poolers(): readonly PoolerEntry[];
   poolersRevision(): number;
+  /** How many proxies there usually are; 0 where that is not known. */
+  usualProxies(): number;
   leads(): LeadBoard;
   holders(): LeaseHolders;
   /** Proves by a majority that this instance led after the call. */
@@ -160,8 +162,9 @@
   /**
    * Counts the proxies, at most once in a while: the count goes to all of them
    * with the list of members, and told at each arrival it cost 63 proxies that
-   * came together 4,000 lists. A new leader tells none until they had time to
-   * come: told that they are few, each would open the connections of all.
+   * came together 4,000 lists. A new leader tells the usual number until they
+   * had time to come: told that they are few, each would open the connections
+   * of all.
    */
   private countProxies(): void {
     const now = this.clock.now();
@@ -287,7 +290,7 @@
   }
 
   private pushMembers(follower: Follower): void {
-    const {proxies} = this;
+    const proxies = this.proxies || this.source.usualProxies();
     const revision = `${this.source.membersRevision()} ${proxies}`;
     if (follower.membersRevision === revision) return;
     follower.membersRevision = revision;
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -29,6 +29,7 @@
   poolers: PoolerEntry[] = [];
   members: Member[] = [];
   isConfirmed = true;
+  usualProxies = 0;
   readonly board = new LeadBoard();
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
@@ -44,6 +45,7 @@
         membersRevision: () => 1,
         poolers: () => this.poolers,
         poolersRevision: () => this.poolers.length,
+        usualProxies: () => this.usualProxies,
         leads: () => this.board,
         holders: () => this.holders,
         confirm: () => Promise.resolve(this.isConfirmed),
@@ -271,3 +273,13 @@
   await new Promise(resolve => setTimeout(resolve, 300));
   expect(leases.isHeld('books', 7)).toBe(false);
 });
+
+it('tells the usual number of proxies before they have come', async () => {
+  // All machines restart. The first proxies to come back would take the
+  // connections of those that are still starting.
+  first.usualProxies = 9;
+  first.leads = true;
+  follow();
+  await until(() => counts.length > 0);
+  expect(counts[0]).toBe(9);
+});
--- a/src/services/fleet_state/common/fleet_machine.ts
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -29,6 +29,7 @@
   private registered: Member[] = [];
   private named: readonly PoolerEntry[] = [];
   private namedAt = 0;
+  private proxyCount = 0;
   private readonly leadOf = new Map<string, ServiceLead>();
 
   /** Outcomes of the newest entries, for those who proposed them. */
@@ -58,6 +59,11 @@
     return this.namedAt;
   }
 
+  /** How many proxies there usually are; 0 where that is not known. */
+  get proxies(): number {
+    return this.proxyCount;
+  }
+
   /** Who leads each service, by the newest decision. */
   get leads(): readonly ServiceLead[] {
     return [...this.leadOf.values()];
@@ -99,6 +105,9 @@
         this.named = body.value.poolers;
         this.namedAt = index;
         return;
+      case 'countProxies':
+        this.proxyCount = body.value.proxies;
+        return;
       case 'nameLead':
         return this.nameLead(index, body.value);
       case 'settleLead':
@@ -116,13 +125,15 @@
       poolers: [...this.named],
       poolersIndex: this.namedAt,
       leads: [...this.leads],
+      proxies: this.proxyCount,
     };
     return Buffer.from(FleetState.encode(state).finish());
   }
 
   restore(state: Buffer): void {
-    const {version, source, members, poolers, poolersIndex, leads} =
+    const {version, source, members, poolers, poolersIndex, leads, proxies} =
       FleetState.decode(state);
+    this.proxyCount = proxies;
     this.leadOf.clear();
     for (const lead of leads) this.leadOf.set(lead.service, lead);
     this.named = poolers;
