--- a/src/services/lease/common/lead_leases.ts
+++ b/src/services/lease/common/lead_leases.ts
@@ -24,6 +24,8 @@
 interface Lead {
   instance: string;
   epoch: number;
+  /** Named by the leader of control that this proxy follows now. */
+  isTold: boolean;
   readonly lease: TermLease;
 }
 
@@ -62,8 +64,8 @@
     const askedAt = this.asked.get(number);
     if (askedAt === undefined) return;
     this.forgetQuestions(number);
-    for (const {epoch, lease, instance} of this.leads.values()) {
-      if (instance !== '') lease.extend(epoch, askedAt, LEASE_MS);
+    for (const {epoch, lease, isTold} of this.leads.values()) {
+      if (isTold) lease.extend(epoch, askedAt, LEASE_MS);
     }
     this.settleWaiters();
   }
@@ -75,9 +77,14 @@
     return returned.map(({service, epoch}) => ({service, epoch}));
   }
 
-  /** No answer to earlier questions counts any more. */
+  /**
+   * No answer to earlier questions counts any more. Guard: a lead that an old
+   * leader named would else be leased by the next one, before its own word
+   * that another member leads.
+   */
   onDidDetach(): void {
     this.asked.clear();
+    for (const lead of this.leads.values()) lead.isTold = false;
   }
 
   isHeld(service: string, epoch: number): boolean {
@@ -107,17 +114,23 @@
     if (instance === '') {
       lease.giveUpBelow(epoch + 1);
       lead.instance = '';
+      lead.isTold = false;
+      return false;
+    }
+    if (epoch < lease.term) {
+      lead.isTold = false;
       return false;
     }
-    if (epoch < lease.term) return false;
     lease.giveUpBelow(epoch);
     lead.instance = instance;
     lead.epoch = epoch;
+    lead.isTold = true;
     return true;
   }
 
   private track(service: string): Lead {
-    const lead = {instance: '', epoch: 0, lease: new TermLease(this.clock)};
+    const lease = new TermLease(this.clock);
+    const lead = {instance: '', epoch: 0, isTold: false, lease};
     this.leads.set(service, lead);
     return lead;
   }
--- a/src/services/lease/test/common/lead_leases.test.ts
+++ b/src/services/lease/test/common/lead_leases.test.ts
@@ -58,6 +58,18 @@
     expect(leases.isHeld('books', 8)).toBe(true);
   });
 
+  it('come by no leader that did not name the lead itself', () => {
+    // A proxy follows an old leader and then the next one, under which another
+    // member leads. The answer to its question overtakes that news.
+    const {leases} = setUp();
+    leases.onDidDetach();
+    renew(leases);
+    expect(leases.isHeld('books', 7)).toBe(false);
+    leases.onLeads([makeLead('m1', 7)]);
+    renew(leases);
+    expect(leases.isHeld('books', 7)).toBe(true);
+  });
+
   it('come by no answer to a question on an earlier stream', () => {
     const {leases} = setUp();
     const number = leases.ask();
