Name a pooler in each site even where connections are few

Ruled out: poolers at three places only (each would carry 160 KB/s both ways of the 250 a link takes); replicas that lag (1,343 further tries, served). Change: each site gets a pooler as long as three connections are left to it. Plans of the other sites are the same as before by their tests.

--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -22,6 +22,13 @@
  * statements would keep a pooler's own queue waiting while slots are free.
  */
 const POOLER_SHARE = 5;
+/**
+ * Where that makes fewer poolers than sites, each site still gets one as long
+ * as this many connections are left to it. With none, 68 proxies before 23
+ * connections refused a sixth of a calm day's requests: nearly all for want of
+ * a connection to a primary.
+ */
+const LEAST_SHARE = 3;
 /**
  * Poolers are named where there are so many times more proxies at least. Each
  * instance that opens connections takes 12 to 27 ms of a slot for each, and
@@ -88,12 +95,12 @@
   private countFor({connections}: PooledService, services: number): number {
     const proxies = this.candidates.size;
     const shared = sharedConnections(connections);
-    const count = Math.min(
-      Math.floor(shared / POOLER_SHARE),
-      Math.max(this.sites, Math.floor(proxies / services)),
-    );
-    // A site without a pooler would send all its work to another region.
-    if (count < this.sites) return 0;
+    const {sites} = this;
+    // A site without a pooler would send all its work to another one.
+    if (Math.floor(shared / sites) < LEAST_SHARE) return 0;
+    const ample = Math.floor(shared / POOLER_SHARE);
+    const busy = Math.max(sites, Math.floor(proxies / services));
+    const count = Math.max(sites, Math.min(ample, busy));
     return proxies >= count * LEAST_PROXIES_A_POOLER ? count : 0;
   }
 
--- a/src/services/pooler/test/common/pooler_plan.test.ts
+++ b/src/services/pooler/test/common/pooler_plan.test.ts
@@ -55,6 +55,20 @@
     expect(new Set(plan.map(({instance}) => instance)).size).toBe(36);
   });
 
+  it('gives each site a pooler though each gets few connections', () => {
+    // 68 proxies of six sites share 21 connections to a primary. Five for each
+    // pooler made four poolers, which is none at all: each proxy opened and
+    // closed its own, and half of the bookings found no connection in time.
+    const plan = planPoolers(makeServices(6, 23), makeProxies(68), []);
+    expect(plan).toHaveLength(36);
+    const sites = plan.filter(({service}) => service === 's0');
+    expect(new Set(sites.map(({site}) => site)).size).toBe(6);
+  });
+
+  it('names none where a site would be left with too few', () => {
+    expect(planPoolers(makeServices(6, 19), makeProxies(68), [])).toEqual([]);
+  });
+
   it('leaves a plan as it is while nothing changes', () => {
     // Control looks at the plan several times a second. If a proxy's second
     // part went elsewhere at each look, its connections would be opened anew.
