Tell proxies of an heir only once it was seen to lead

Traced with sizes of samples: the lead of the heir was told when its promotion was ordered. A read went out at 6.210 s and ran at 6.217 s on a replica that had applied 27 of 100 commits; the promotion took effect, and the begin behind the read was accepted at 6.225 s, under a lease on the same epoch. Change: a lead whose order may not have been carried out is not told; what control saw lead is. Epochs stay pending while a copy of an order for the same member may be on its way. Leases on a lead that nobody was told of are nobody's.

--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -202,6 +202,8 @@
         return (await this.propose({$case: 'settleLead', value})).isOk;
       },
       onDidPromote: instance => {
+        const lead = machine.lead(service);
+        if (lead?.instance === instance) leads.confirm(lead);
         roster.setPrimary(service, instance);
         leader.push();
       },
--- a/src/services/fleet_state/common/fleet_machine.ts
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -163,7 +163,11 @@
   }
 
   private nameLead(epoch: number, {service, instance, ordered}: NameLead) {
-    this.leadOf.set(service, {service, instance, epoch, pending: ordered});
+    const known = this.leadOf.get(service);
+    // A copy of an earlier order for the same member may still be on its way.
+    const wasOrdered = known?.instance === instance && known.pending;
+    const pending = ordered || wasOrdered;
+    this.leadOf.set(service, {service, instance, epoch, pending});
   }
 
   private settleLead(service: string, epoch: number): void {
--- a/src/services/fleet_state/test/common/fleet_machine.test.ts
+++ b/src/services/fleet_state/test/common/fleet_machine.test.ts
@@ -56,3 +56,44 @@
     expect(copy.members).toEqual([]);
   });
 });
+
+describe('leads in the control log', () => {
+  const name = (
+    machine: FleetMachine,
+    index: number,
+    instance: string,
+    ordered: boolean,
+  ) => {
+    const value = {service: 's', holder: 'c1', instance, ordered};
+    machine.apply(index, encodeCommand({$case: 'nameLead', value}));
+    return machine.lead('s');
+  };
+
+  it('are by the newest decision, whose index is the epoch', () => {
+    const machine = new FleetMachine();
+    expect(name(machine, 4, 'm1', false)).toMatchObject({epoch: 4});
+    expect(name(machine, 7, 'm2', true)).toMatchObject({
+      instance: 'm2',
+      epoch: 7,
+      pending: true,
+    });
+    const copy = new FleetMachine();
+    copy.restore(machine.snapshot());
+    expect(copy.lead('s')).toEqual(machine.lead('s'));
+  });
+
+  it('stay pending until no copy of an order is on its way', () => {
+    // An order got no answer and may be carried out seconds later. Control
+    // names the same member again meanwhile. Taken for settled, another member
+    // could be ordered, and the late copy would depose it.
+    const machine = new FleetMachine();
+    name(machine, 7, 'm2', true);
+    expect(name(machine, 8, 'm2', false)?.pending).toBe(true);
+    const settle = {service: 's', epoch: 7};
+    machine.apply(9, encodeCommand({$case: 'settleLead', value: settle}));
+    expect(machine.lead('s')?.pending).toBe(true);
+    const newest = {service: 's', epoch: 8};
+    machine.apply(10, encodeCommand({$case: 'settleLead', value: newest}));
+    expect(machine.lead('s')?.pending).toBe(false);
+  });
+});
--- a/src/services/lease/common/lead_board.ts
+++ b/src/services/lease/common/lead_board.ts
@@ -23,8 +23,20 @@
       .map(({lead}) => lead);
   }
 
-  /** Takes a lead of the control log; nothing changes at a known epoch. */
+  /**
+   * Takes a lead of the control log; nothing changes at a known epoch.
+   *
+   * Guard: one whose order may not have been carried out is not told yet. A
+   * proxy would send reads to the heir while that is still a replica; it led
+   * by the time it was asked behind the read, and the read was of a log that
+   * it had not applied.
+   */
   name(lead: ServiceLead): void {
+    if (!lead.pending) this.confirm(lead);
+  }
+
+  /** Takes a lead of the control log whose member was seen to lead. */
+  confirm(lead: ServiceLead): void {
     const known = this.notices.get(lead.service)?.lead;
     if (!known || lead.epoch > known.epoch) this.put(lead);
   }
--- a/src/services/lease/common/lease_holders.ts
+++ b/src/services/lease/common/lease_holders.ts
@@ -50,7 +50,9 @@
   relyingOn(service: string, epoch: number, now: number): string[] {
     const {since} = this;
     const bounds = {since, boundMs: LEASE_BOUND_MS};
-    const relying = [...this.holders]
+    // Before this leader told of a lead, it granted no lease on it.
+    const granted = epoch > 0 ? [...this.holders] : [];
+    const relying = granted
       .filter(([, {lastGrantAt, handedBackBelow}]) => {
         const below = handedBackBelow.get(service) ?? 0;
         const holding = {lastGrantAt, handedBackBelow: below};
--- a/src/services/lease/test/common/lease_holders.test.ts
+++ b/src/services/lease/test/common/lease_holders.test.ts
@@ -27,6 +27,15 @@
     expect(holders.relyingOn('books', 7, 1_000 + OVER)).toEqual([]);
   });
 
+  it('hold no lease on a lead that nobody told them of', () => {
+    // A new leader finds a lead whose order may not have been carried out, and
+    // tells nobody of it. Proxies renew leases on other leads all the time; if
+    // they counted, it could never order another member.
+    const holders = new LeaseHolders(LONG_AGO);
+    holders.onRenewed('p1', 0);
+    expect(holders.relyingOn('books', 0, 10)).toEqual([]);
+  });
+
   it('have spent an epoch once one of them returned it', () => {
     const holders = new LeaseHolders(LONG_AGO);
     expect(holders.isSpent('books', 7)).toBe(false);
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -126,6 +126,7 @@
     const named = yield* settled(this.around.nameLead(instance, false));
     const done = 'value' in named && named.value.isOk;
     log.info('Keeps a primary.', {service, instance, done});
+    if (done) this.around.onDidPromote(instance);
     this.mayBeStopped = true;
   }
 
--- a/src/services/promotion/node/promotion_surroundings.ts
+++ b/src/services/promotion/node/promotion_surroundings.ts
@@ -48,5 +48,6 @@
   /** Puts a decision into the control log; its index is epoch and token. */
   nameLead(instance: string, ordered: boolean): Promise<Result<number, string>>;
   settleLead(epoch: number): Promise<boolean>;
+  /** The member of the lead in force was seen to lead. */
   onDidPromote(instance: string): void;
 }
