Derive what the leases, turns and orders kept twice

Cause: the last read of the change. A lead kept its instance, which nobody read, and its epoch, which is its lease's term wherever it counts; a turn copied two fields of its place; an order's type was spelled out beside PromotionOrder; the place among the voters was worked out at each event of the log for a timer that starts once; the timer of an order outlived the order. Change: no behaviour meant. Three guards follow their text.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -154,10 +154,10 @@
 
   /** Takes one event at a time of the monotonic clock, in milliseconds. */
   step(event: ConsensusEvent, now: number): Effect[] {
-    this.election.startTimer(
-      now,
-      voterPlace(this.configuration.peers, this.id),
-    );
+    if (!this.election.isStarted) {
+      const {peers} = this.configuration;
+      this.election.startTimer(now, voterPlace(peers, this.id));
+    }
     this.now = now;
     this.handle(event);
     return this.effects.takeAll();
--- a/src/services/consensus/common/election.ts
+++ b/src/services/consensus/common/election.ts
@@ -26,6 +26,11 @@
     private readonly random: SeededRandom,
   ) {}
 
+  /** Whether the timer runs, from the first event on. */
+  get isStarted(): boolean {
+    return this.deadline !== 0;
+  }
+
   /** The votes are for a pre-vote, which changes no term. */
   get isPre(): boolean {
     return this.pre;
@@ -41,7 +46,6 @@
    * others hear it and grant no pre-vote.
    */
   startTimer(now: number, place: number): void {
-    if (this.deadline !== 0) return;
     this.startedAt = now;
     const part = Math.min(1, FIRST_WAIT + FIRST_WAIT_STEP * place);
     this.deadline = now + this.electionMs * part;
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -34,16 +34,19 @@
 /** A session's hold on a connection, from its grant to its return. */
 export class MemberTurn {
   private returned = false;
-  readonly grant: Grant;
-  readonly waitedMs: number;
 
   constructor(
     private readonly place: TurnPlace,
     private readonly dispatcher: ServiceDispatcher,
     private readonly around: TurnSurroundings,
-  ) {
-    this.grant = place.grant;
-    this.waitedMs = place.waitedMs;
+  ) {}
+
+  get grant(): Grant {
+    return this.place.grant;
+  }
+
+  get waitedMs(): number {
+    return this.place.waitedMs;
   }
 
   get instance(): string {
--- a/src/services/lease/common/lead_leases.ts
+++ b/src/services/lease/common/lead_leases.ts
@@ -22,11 +22,10 @@
 }
 
 interface Lead {
-  instance: string;
-  epoch: number;
-  /** Named by the leader of control that this proxy follows now. */
-  isTold: boolean;
+  /** Its term is the newest epoch that this proxy heard of. */
   readonly lease: TermLease;
+  /** The leader of control that this proxy follows named that epoch. */
+  isTold: boolean;
 }
 
 interface Waiter {
@@ -64,8 +63,8 @@
     const askedAt = this.asked.get(number);
     if (askedAt === undefined) return;
     this.forgetQuestions(number);
-    for (const {epoch, lease, isTold} of this.leads.values()) {
-      if (isTold) lease.extend(epoch, askedAt, LEASE_MS);
+    for (const {lease, isTold} of this.leads.values()) {
+      if (isTold) lease.extend(lease.term, askedAt, LEASE_MS);
     }
     this.settleWaiters();
   }
@@ -111,26 +110,14 @@
   private take({service, instance, epoch}: ServiceLead): boolean {
     const lead = this.leads.get(service) ?? this.track(service);
     const {lease} = lead;
-    if (instance === '') {
-      lease.giveUpBelow(epoch + 1);
-      lead.instance = '';
-      lead.isTold = false;
-      return false;
-    }
-    if (epoch < lease.term) {
-      lead.isTold = false;
-      return false;
-    }
-    lease.giveUpBelow(epoch);
-    lead.instance = instance;
-    lead.epoch = epoch;
-    lead.isTold = true;
-    return true;
+    const isNamed = instance !== '' && epoch >= lease.term;
+    lease.giveUpBelow(instance === '' ? epoch + 1 : epoch);
+    lead.isTold = isNamed;
+    return isNamed;
   }
 
   private track(service: string): Lead {
-    const lease = new TermLease(this.clock);
-    const lead = {instance: '', epoch: 0, isTold: false, lease};
+    const lead = {lease: new TermLease(this.clock), isTold: false};
     this.leads.set(service, lead);
     return lead;
   }
--- a/src/services/promotion/node/promotion_order.ts
+++ b/src/services/promotion/node/promotion_order.ts
@@ -1,6 +1,6 @@
 import {pause, settled, type Task} from '../../../base/node/task';
 import {orderAll} from './heir_search';
-import type {PromotionOutcome} from './promotion_authority';
+import type {PromotionOrder, PromotionOutcome} from './promotion_authority';
 import type {PromotionSurroundings} from './promotion_surroundings';
 
 /** An order without an answer is repeated, in milliseconds. */
@@ -80,15 +80,14 @@
   }
 
   private *send(
-    order: {service: string; instance: string; holder: string; token: number},
+    order: PromotionOrder,
     provenAt: number,
     signal: AbortSignal,
   ): Task<PromotionOutcome> {
     const {clock, orders} = this.around;
     const isFresh = () => orders.clock.now() - provenAt < ORDER_FRESH_MS;
-    const sentAt = clock.now();
     const before = this.lateUntil;
-    this.lateUntil = sentAt + LATE_ORDER_MS;
+    this.lateUntil = clock.now() + LATE_ORDER_MS;
     const done = yield* settled(
       orders.authority.promote(order, isFresh, signal),
     );
