Carry messages between the programs of a fleet without gRPC

Cause: on machines with a third of a core gRPC costs more than what it carries.

Change: MessageLink, messages of the schema behind their size on a TCP socket, framed by the codec's own library; one port for proxies, control and poolers. The five PostgreSQL programs keep gRPC.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -22,20 +22,20 @@
   emptyState,
 } from '../../services/consensus/common/initial_state';
 import {ConsensusNode} from '../../services/consensus/node/consensus_node';
+import {keepJoining} from '../../services/consensus/node/joining';
 import {LogStorage} from '../../services/consensus/node/log_storage';
 import {
   formatFault,
   type Settings,
 } from '../../services/settings/common/settings';
 import {loadSettings} from '../../services/settings/node/settings_files';
-import {AnnouncementService} from '../../schema/generated/announcement';
+import {AnnouncementService} from '../../schema/generated/announcement_service';
 import {
   ConsensusService,
   type ConsensusServer,
-} from '../../schema/generated/consensus';
+} from '../../schema/generated/consensus_service';
 import {ControlService} from '../../schema/generated/control';
 import {ControlStateMachine} from './control_state_machine';
-import {keepJoining} from './joining';
 import {Leadership} from './leadership';
 import {OperatorService} from './operator_service';
 import {PeerTransport} from './peer_transport';
@@ -135,7 +135,9 @@
   every(signal, TEND_MS, () => leadership?.tend());
   const joiner = {id: core.id, address: self.address};
   const others = own.control.filter(other => other !== self);
-  keepJoining(joiner, others, () => isSettled(core, self.address), signal);
+  const addresses = others.map(({address}) => address);
+  const settled = () => isSettled(core, self.address);
+  keepJoining(joiner, addresses, settled, transport, signal);
   log.info('Ready.', {id: core.id, address: self.address});
   await node.start(signal);
 }
--- a/src/control/node/peer_transport.ts
+++ b/src/control/node/peer_transport.ts
@@ -1,13 +1,19 @@
 import {Metadata} from '@grpc/grpc-js';
 import {deadlineIn, LINK_CREDENTIALS, LINK_OPTIONS} from '../../base/node/grpc';
 import type {ConsensusTransport} from '../../services/consensus/node/consensus_node';
-import {
-  ConsensusClient,
-  type Configuration,
-  type ConsensusMessage,
+import type {JoinCalls} from '../../services/consensus/node/joining';
+import {PeerAddresses} from '../../services/consensus/node/peer_addresses';
+import type {
+  Configuration,
+  ConsensusMessage,
+  JoinReply,
+  JoinRequest,
 } from '../../schema/generated/consensus';
+import {ConsensusClient} from '../../schema/generated/consensus_service';
 
 const DELIVERY_MS = 1_000;
+/** As often as it is asked. */
+const JOIN_MS = 500;
 /** Messages under way to one peer; more are dropped, as a network would. */
 const MOST_UNDER_WAY = 64;
 
@@ -16,11 +22,10 @@
   underWay: number;
 }
 
-/** Carries consensus messages to peers; late ones are given up. */
-export class PeerTransport implements ConsensusTransport {
+/** Carries consensus messages to peers over gRPC; late ones are given up. */
+export class PeerTransport implements ConsensusTransport, JoinCalls {
   private readonly links = new Map<string, Link>();
-
-  private readonly addresses = new Map<string, string>();
+  private readonly addresses = new PeerAddresses();
 
   constructor(
     private readonly ownAddress: string,
@@ -32,13 +37,12 @@
   }
 
   /** Takes note of where a peer that sent something is answered. */
-  learn({from, fromAddress}: ConsensusMessage): void {
-    if (fromAddress !== '') this.addresses.set(from, fromAddress);
+  learn(message: ConsensusMessage): void {
+    this.addresses.learn(message);
   }
 
   send(message: ConsensusMessage, configuration: Configuration): void {
-    const peer = configuration.peers.find(({id}) => id === message.to);
-    const address = peer?.address ?? this.addresses.get(message.to);
+    const address = this.addresses.of(message.to, configuration);
     if (address === undefined) return;
     const link = this.linkTo(address);
     const signed = {...message, fromAddress: this.ownAddress};
@@ -51,6 +55,18 @@
     });
   }
 
+  join(
+    address: string,
+    request: JoinRequest,
+    onDidAnswer: (reply: JoinReply) => void,
+  ): void {
+    const options = {deadline: deadlineIn(JOIN_MS)};
+    const {client} = this.linkTo(address);
+    client.join(request, new Metadata(), options, (...[, reply]) => {
+      if (reply) onDidAnswer(reply);
+    });
+  }
+
   private linkTo(address: string): Link {
     const known = this.links.get(address);
     if (known) return known;
--- a/src/proxy/node/main.ts
+++ b/src/proxy/node/main.ts
@@ -26,7 +26,7 @@
   loadSettings,
   readSource,
 } from '../../services/settings/node/settings_files';
-import {AnnouncementService} from '../../schema/generated/announcement';
+import {AnnouncementService} from '../../schema/generated/announcement_service';
 import {CallerServer} from './caller_server';
 import {ControlLink} from './control_link';
 import {ProxyServices} from './proxy_services';
--- a/src/services/announcement/node/announcement_observer.ts
+++ b/src/services/announcement/node/announcement_observer.ts
@@ -3,7 +3,6 @@
 import {instanceId, serviceName} from '../../../base/common/ids';
 import {every} from '../../../base/node/timers';
 import type {
-  AnnouncementServer,
   ObserverMessage,
   Order,
   OrderResult,
@@ -11,6 +10,7 @@
   TargetMessage,
   TargetStatus,
 } from '../../../schema/generated/announcement';
+import type {AnnouncementServer} from '../../../schema/generated/announcement_service';
 import type {
   PositionSample,
   TargetDirectory,
--- a/src/services/announcement/node/announcer.ts
+++ b/src/services/announcement/node/announcer.ts
@@ -1,14 +1,14 @@
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import {LINK_CREDENTIALS, LINK_OPTIONS} from '../../../base/node/grpc';
 import {after, every} from '../../../base/node/timers';
-import {
-  AnnouncementClient,
-  type ObserverMessage,
-  type Order,
-  type OrderResult,
-  type TargetMessage,
-  type TargetStatus,
+import type {
+  ObserverMessage,
+  Order,
+  OrderResult,
+  TargetMessage,
+  TargetStatus,
 } from '../../../schema/generated/announcement';
+import {AnnouncementClient} from '../../../schema/generated/announcement_service';
 
 const RECONNECT_MS = 100;
 /** A stream on which no ping came for this long is opened anew. */
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -1,13 +1,14 @@
-import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
+import type {MessageLink} from '../../../base/node/message_link';
+import type {MessageServer} from '../../../base/node/message_server';
 import {every} from '../../../base/node/timers';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
+import {FLEET_PROTOCOL} from './fleet_protocol';
 import {SharedMessage} from './shared_message';
 import type {
   Catalog,
-  FleetServer,
   FollowerMessage,
   LeaderMessage,
   Member,
@@ -15,10 +16,10 @@
   PrimaryReport,
 } from '../../../schema/generated/fleet';
 
-type Stream = ServerDuplexStream<FollowerMessage, LeaderMessage>;
+type Link = MessageLink<LeaderMessage, FollowerMessage>;
 
 interface Follower {
-  readonly stream: Stream;
+  readonly link: Link;
   instance: string;
   site: string;
   address: string;
@@ -83,8 +84,9 @@
     private readonly log: Log,
   ) {}
 
-  get handlers(): FleetServer {
-    return {follow: stream => this.onFollow(stream)};
+  /** Takes the links of proxies. */
+  serve(server: MessageServer): void {
+    server.serve(FLEET_PROTOCOL, link => this.onFollow(link));
   }
 
   start(signal: AbortSignal): void {
@@ -174,9 +176,9 @@
     this.proxies = Math.max(1, this.attached.length);
   }
 
-  private onFollow(stream: Stream): void {
+  private onFollow(link: Link): void {
     const follower: Follower = {
-      stream,
+      link,
       instance: '',
       site: '',
       address: '',
@@ -188,11 +190,10 @@
       complaints: new Map(),
     };
     this.followers.add(follower);
-    stream.on('data', message => this.onMessage(follower, message));
-    const leave = () => this.leave(follower);
-    stream.on('end', leave);
-    stream.on('error', leave);
-    stream.on('cancelled', leave);
+    link.start({
+      onDidReceive: message => this.onMessage(follower, message),
+      onDidEnd: () => this.leave(follower),
+    });
   }
 
   private onMessage(follower: Follower, {body}: FollowerMessage): void {
@@ -249,14 +250,14 @@
         // Counted before it goes out: a lease must never be longer than known.
         holders.onRenewed(follower.instance, this.clock.now());
         const value = {number};
-        follower.stream.write({body: {$case: 'renewed', value}});
+        follower.link.write({body: {$case: 'renewed', value}});
       }
     });
   }
 
   private sendOn(follower: Follower): void {
     const value = {leaderAddress: this.source.leaderAddress()};
-    follower.stream.write({body: {$case: 'notLeading', value}});
+    follower.link.write({body: {$case: 'notLeading', value}});
     this.leave(follower);
   }
 
@@ -275,7 +276,7 @@
     const message = this.catalogMessage.of(`${catalog.version}`, () => {
       return {$case: 'catalog', value: catalog};
     });
-    follower.stream.write(message);
+    follower.link.writeFrame(message);
   }
 
   private pushPoolers(follower: Follower): void {
@@ -286,7 +287,7 @@
       const value = {poolers: [...this.source.poolers()]};
       return {$case: 'poolers', value};
     });
-    follower.stream.write(message);
+    follower.link.writeFrame(message);
   }
 
   private pushMembers(follower: Follower): void {
@@ -298,7 +299,7 @@
       const value = {members: [...this.source.members()], proxies};
       return {$case: 'members', value};
     });
-    follower.stream.write(message);
+    follower.link.writeFrame(message);
   }
 
   private pushLeads(follower: Follower): void {
@@ -306,12 +307,12 @@
     const leads = board.since(follower.leadsRevision);
     if (leads.length === 0) return;
     follower.leadsRevision = board.revision;
-    follower.stream.write({body: {$case: 'leads', value: {leads}}});
+    follower.link.write({body: {$case: 'leads', value: {leads}}});
   }
 
   private leave(follower: Follower): void {
     if (!this.followers.delete(follower)) return;
-    follower.stream.end();
+    follower.link.finish();
     const {instance} = follower;
     this.log.info('A proxy is detached.', {instance});
   }
--- a/src/services/fleet_link/node/follower_stream.ts
+++ b/src/services/fleet_link/node/follower_stream.ts
@@ -1,11 +1,10 @@
-import {Metadata, type ClientDuplexStream} from '@grpc/grpc-js';
-import {FOLLOW_OPTIONS, LINK_CREDENTIALS} from '../../../base/node/grpc';
-import {after, childController} from '../../../base/node/timers';
-import {
-  FleetClient,
-  type FollowerMessage,
-  type LeaderMessage,
+import {openLink, type MessageLink} from '../../../base/node/message_link';
+import {after} from '../../../base/node/timers';
+import type {
+  FollowerMessage,
+  LeaderMessage,
 } from '../../../schema/generated/fleet';
+import {FLEET_PROTOCOL} from './fleet_protocol';
 
 /**
  * A stream that said nothing after this long is given up, in milliseconds: an
@@ -22,51 +21,37 @@
 
 /** A proxy's stream to one instance of control. */
 export class FollowerStream {
-  private readonly client: FleetClient;
-  private readonly stream: ClientDuplexStream<FollowerMessage, LeaderMessage>;
-  private readonly ended;
+  private readonly link: MessageLink<FollowerMessage, LeaderMessage>;
 
   constructor(
     readonly address: string,
-    private readonly listener: StreamListener,
+    listener: StreamListener,
     signal: AbortSignal,
   ) {
-    this.ended = childController(signal);
-    this.client = new FleetClient(address, LINK_CREDENTIALS, FOLLOW_OPTIONS);
-    this.stream = this.client.follow(new Metadata());
-    const giveUp = () => this.onLost();
-    const cancelWait = after(this.ended.signal, FIRST_WORD_MS, giveUp);
-    this.stream.on('data', message => {
-      cancelWait();
-      if (this.isEnded) return;
-      this.listener.onDidReceive(this, message);
+    this.link = openLink(address, FLEET_PROTOCOL, signal);
+    const cancelWait = after(signal, FIRST_WORD_MS, () => {
+      if (this.link.isEnded) return;
+      this.link.end();
+      listener.onDidEnd(this);
+    });
+    this.link.start({
+      onDidReceive: message => {
+        cancelWait();
+        listener.onDidReceive(this, message);
+      },
+      onDidEnd: () => {
+        cancelWait();
+        listener.onDidEnd(this);
+      },
     });
-    this.stream.on('error', giveUp);
-    this.stream.on('end', giveUp);
-    this.ended.signal.addEventListener('abort', () => this.close());
-  }
-
-  get isEnded(): boolean {
-    return this.ended.signal.aborted;
   }
 
   write(body: NonNullable<FollowerMessage['body']>): void {
-    if (!this.isEnded) this.stream.write({body});
+    this.link.write({body});
   }
 
   /** Ends it; its owner is not called back. */
   end(): void {
-    this.ended.abort();
-  }
-
-  private onLost(): void {
-    if (this.isEnded) return;
-    this.end();
-    this.listener.onDidEnd(this);
-  }
-
-  private close(): void {
-    this.stream.cancel();
-    this.client.close();
+    this.link.end();
   }
 }
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
 import {MonotonicClock} from '../../../../base/node/monotonic_clock';
-import {createServer, listen} from '../../../../base/node/grpc';
+import {MessageServer} from '../../../../base/node/message_server';
 import {
   type Catalog,
   type Member,
@@ -18,7 +18,6 @@
 import {makeLead} from '../../../lease/test/common/lease_fixture';
 import {FleetFollower} from '../../node/fleet_follower';
 import {FleetLeader} from '../../node/fleet_leader';
-import {SHARED_FLEET_SERVICE} from '../../node/shared_message';
 
 /** A control instance, as far as its proxies see it. */
 class Instance {
@@ -56,9 +55,9 @@
   }
 
   async start(signal: AbortSignal): Promise<void> {
-    const server = createServer();
-    server.addService(SHARED_FLEET_SERVICE, this.leader.handlers);
-    const port = await listen(server, '127.0.0.1:0', signal);
+    const server = new MessageServer(makeLog().log);
+    this.leader.serve(server);
+    const port = await server.listen('127.0.0.1:0', signal);
     if (port.isErr) throw port.error;
     this.address = `127.0.0.1:${port.value}`;
     this.leader.start(signal);
--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -1,17 +1,14 @@
-import {Metadata, type ClientDuplexStream} from '@grpc/grpc-js';
 import type {Clock} from '../../../base/common/clock';
-import {LINK_CREDENTIALS, PEER_OPTIONS} from '../../../base/node/grpc';
 import type {Log} from '../../../base/node/log';
+import {openLink, type MessageLink} from '../../../base/node/message_link';
 import {childController, every} from '../../../base/node/timers';
-import {
-  PoolerClient,
-  type PoolerRequest,
-  type PoolerResponse,
-  type WorkReply,
-  type WorkRequest,
+import type {
+  PoolerRequest,
+  PoolerResponse,
+  WorkReply,
+  WorkRequest,
 } from '../../../schema/generated/pooler';
-
-type Stream = ClientDuplexStream<PoolerRequest, PoolerResponse>;
+import {POOLER_PROTOCOL} from './pooler_protocol';
 
 /** What is known of a pooler through its link. */
 export type LinkState =
@@ -57,8 +54,7 @@
 
 /** This proxy's stream to one pooler. */
 export class PoolerLink {
-  private readonly client: PoolerClient;
-  private readonly stream: Stream;
+  private readonly link: MessageLink<PoolerRequest, PoolerResponse>;
   private readonly waiting = new Map<number, Waiting>();
   private readonly ended;
   private heardAt: number;
@@ -78,11 +74,11 @@
   ) {
     this.ended = childController(signal);
     this.heardAt = clock.now();
-    this.client = new PoolerClient(address, LINK_CREDENTIALS, PEER_OPTIONS);
-    this.stream = this.client.serve(new Metadata());
-    this.stream.on('data', message => this.onMessage(message));
-    this.stream.on('error', error => this.end(error.message));
-    this.stream.on('end', () => this.end('ended'));
+    this.link = openLink(address, POOLER_PROTOCOL, signal);
+    this.link.start({
+      onDidReceive: message => this.onMessage(message),
+      onDidEnd: reason => this.end(reason),
+    });
     this.ended.signal.addEventListener('abort', () => this.end('stopped'));
     every(this.ended.signal, LOOK_MS, () => this.look());
     this.askForSign();
@@ -188,7 +184,7 @@
   }
 
   private write(body: PoolerRequest['body']): void {
-    if (!this.closed) this.stream.write({body});
+    if (!this.closed) this.link.write({body});
   }
 
   private end(reason: string): void {
@@ -199,8 +195,7 @@
     if (this.heard) this.log.info('Lost a pooler.', {address, reason, work});
     for (const id of [...this.waiting.keys()]) this.settle(id, undefined);
     this.ended.abort();
-    this.stream.cancel();
-    this.client.close();
+    this.link.end();
     this.onDidClose();
   }
 }
--- a/src/services/pooler/node/pooler_server.ts
+++ b/src/services/pooler/node/pooler_server.ts
@@ -1,17 +1,18 @@
-import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Log} from '../../../base/node/log';
+import type {MessageLink} from '../../../base/node/message_link';
+import type {MessageServer} from '../../../base/node/message_server';
 import {childController} from '../../../base/node/timers';
 import type {
   PoolerRequest,
   PoolerResponse,
-  PoolerServer as PoolerHandlers,
   WorkRequest,
 } from '../../../schema/generated/pooler';
 import type {Gateway} from '../../gateway/node/gateway';
 import {encodeReply} from '../common/pooler_messages';
 import {PooledWork} from './pooled_work';
+import {POOLER_PROTOCOL} from './pooler_protocol';
 
-type Stream = ServerDuplexStream<PoolerRequest, PoolerResponse>;
+type Link = MessageLink<PoolerResponse, PoolerRequest>;
 
 /** A pooler's side: serves the proxies that send it their callers' work. */
 export class PoolerServer {
@@ -24,8 +25,9 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  get handlers(): PoolerHandlers {
-    return {serve: stream => this.onServe(stream)};
+  /** Takes the links of other proxies. */
+  serve(server: MessageServer): void {
+    server.serve(POOLER_PROTOCOL, link => this.onServe(link));
   }
 
   /** Statements and transactions of other proxies that are under way. */
@@ -46,40 +48,35 @@
     for (const peer of this.peers) peer.giveUpAll('this instance stops');
   }
 
-  private onServe(stream: Stream): void {
-    const peer = new Peer(stream, this.gateway, this.signal);
+  private onServe(link: Link): void {
+    const peer = new Peer(link, this.gateway, this.signal);
     this.peers.add(peer);
-    const address = stream.getPeer();
+    const address = link.peer;
     this.log.info('A proxy sends its work here.', {address});
-    let ended = false;
-    const end = () => {
-      if (ended) return;
-      ended = true;
-      this.peers.delete(peer);
-      const {workCount} = peer;
-      this.log.info('A proxy left.', {address, work: workCount});
-      peer.end();
-      stream.end();
-    };
-    stream.on('end', end);
-    stream.on('error', end);
-    stream.on('cancelled', end);
+    link.start({
+      onDidReceive: message => peer.onMessage(message),
+      onDidEnd: reason => {
+        this.peers.delete(peer);
+        const {workCount} = peer;
+        this.log.info('A proxy left.', {address, reason, work: workCount});
+        peer.end();
+      },
+    });
     if (this.leaving) peer.sayLeaving();
   }
 }
 
-/** One proxy's stream and the work that came on it. */
+/** One proxy's link and the work that came on it. */
 class Peer {
   private readonly works = new Map<number, PooledWork>();
   private readonly ended;
 
   constructor(
-    private readonly stream: Stream,
+    private readonly link: Link,
     private readonly gateway: Gateway,
     signal: AbortSignal,
   ) {
     this.ended = childController(signal);
-    stream.on('data', (message: PoolerRequest) => this.onMessage(message));
   }
 
   get workCount(): number {
@@ -104,7 +101,7 @@
     this.ended.abort();
   }
 
-  private onMessage({body}: PoolerRequest): void {
+  onMessage({body}: PoolerRequest): void {
     switch (body?.$case) {
       case 'work':
         return this.onWork(body.value);
@@ -131,7 +128,6 @@
   }
 
   private write(body: PoolerResponse['body']): void {
-    if (this.ended.signal.aborted || this.stream.destroyed) return;
-    this.stream.write({body});
+    if (!this.ended.signal.aborted) this.link.write({body});
   }
 }
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -1,13 +1,11 @@
-import type {ServerDuplexStream} from '@grpc/grpc-js';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {createServer, listen, PEER_OPTIONS} from '../../../../base/node/grpc';
+import type {
+  LinkProtocol,
+  MessageLink,
+} from '../../../../base/node/message_link';
+import {MessageServer} from '../../../../base/node/message_server';
 import {ownController} from '../../../../base/node/timers';
 import {Consistency} from '../../../../schema/generated/fleet';
-import {
-  PoolerService,
-  type PoolerRequest,
-  type PoolerResponse,
-} from '../../../../schema/generated/pooler';
 import {FakeGroup} from '../../../gateway/test/node/fake_group';
 import {
   BEGIN,
@@ -33,13 +31,34 @@
   }),
 ]);
 
+/** Takes links whose messages can be left unread. */
+class FreezableServer extends MessageServer {
+  private readonly onDidFreeze: (() => void)[] = [];
+
+  override serve<Q, A>(
+    protocol: LinkProtocol<Q, A>,
+    onDidConnect: (link: MessageLink<A, Q>) => void,
+  ): void {
+    super.serve(protocol, (link: MessageLink<A, Q>) => {
+      onDidConnect(link);
+      // A frozen process reads nothing; what its peers say waits for it.
+      const unread = {onDidReceive: () => {}, onDidEnd: () => {}};
+      this.onDidFreeze.push(() => link.start(unread));
+    });
+  }
+
+  freeze(): void {
+    for (const listener of this.onDidFreeze) listener();
+  }
+}
+
 /** A proxy that keeps connections for others. */
 class TestPooler {
   readonly stop = ownController();
   readonly gateway: TestGateway;
   readonly server: PoolerServer;
   address = '';
-  private readonly onDidFreeze: (() => void)[] = [];
+  private readonly links: FreezableServer;
 
   constructor(
     readonly instance: string,
@@ -52,19 +71,12 @@
       logged.log,
       this.stop.signal,
     );
+    this.links = new FreezableServer(logged.log);
   }
 
   async start(): Promise<void> {
-    const server = createServer(PEER_OPTIONS);
-    const {serve} = this.server.handlers;
-    server.addService(PoolerService, {
-      serve: (stream: ServerDuplexStream<PoolerRequest, PoolerResponse>) => {
-        serve(stream);
-        // A frozen process reads nothing; bytes of its peers wait for it.
-        this.onDidFreeze.push(() => stream.removeAllListeners('data'));
-      },
-    });
-    const port = await listen(server, '127.0.0.1:0', this.stop.signal);
+    this.server.serve(this.links);
+    const port = await this.links.listen('127.0.0.1:0', this.stop.signal);
     if (port.isErr) throw port.error;
     this.address = `127.0.0.1:${port.value}`;
   }
@@ -76,7 +88,7 @@
 
   /** Takes requests and neither runs nor answers them. */
   freeze(): void {
-    for (const listener of this.onDidFreeze) listener();
+    this.links.freeze();
   }
 
   end(): void {
