Go on to replace a silent primary whose lead was revoked

The first search for an heir found a replica too busy to answer. By then the proxies had been told to rely on nobody, so none complained of the primary any more; the verdict needs the complaints of half of them, so it became "keep". No search followed, and the service had no primary from 4.2 to 10.2 s.

Ruled out: a driver that hangs (its task went on; each order is given up).

Change: a revoked lead counts as complained of by all; control's own eyes decide, and a primary that answers is still kept.

Test: red without the change.

--- a/src/services/promotion/common/verdict.ts
+++ b/src/services/promotion/common/verdict.ts
@@ -13,6 +13,8 @@
   readonly complaints: number;
   /** For how long at least half of the proxies complained, in ms. */
   readonly complainedMs: number;
+  /** Proxies were told to rely on nobody, and so complain of nobody. */
+  readonly isRevoked: boolean;
 }
 
 /** Whether a primary is to be replaced, and why. */
@@ -36,7 +38,10 @@
   // not leaving, but nobody would ever serve writes again.
   if (view.denies) return {kind: 'replace', reason: 'it does not lead'};
   if (view.draining) return {kind: 'replace', reason: 'it is leaving'};
-  const half = complaints * 2 >= proxies;
+  // Guard: where no heir was found at once, a silent primary whose lead was
+  // revoked would be kept for want of complaints, and nobody would lead until
+  // it came back.
+  const half = view.isRevoked || complaints * 2 >= proxies;
   const isGone = refused && silentMs >= REFUSED_MS;
   if ((isGone || silentMs >= SILENT_MS) && half) {
     const reason = refused ? 'it refuses connections' : 'it is silent';
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -105,6 +105,7 @@
       draining: primary.draining,
       denies: yield* this.denies(primary),
       ...this.around.complaintsOf(instance),
+      isRevoked: this.around.isSpent(),
     });
     if (verdict.kind === 'keep') return undefined;
     return this.isWarm || primary.draining ? verdict.reason : undefined;
--- a/src/services/promotion/test/common/verdict.test.ts
+++ b/src/services/promotion/test/common/verdict.test.ts
@@ -9,6 +9,7 @@
   proxies: 6,
   complaints: 0,
   complainedMs: 0,
+  isRevoked: false,
   ...over,
 });
 
@@ -42,4 +43,20 @@
     const gone = {refused: true, silentMs: 200, complaints: 6};
     expect(isReplaced(gone)).toBe(true);
   });
+
+  it('goes on to replace one whose lead was revoked', () => {
+    // A primary is cut off together with some proxies, and a replica is too
+    // busy to answer the first search for an heir. The proxies were told to
+    // rely on nobody meanwhile, and do not complain of nobody. Control took
+    // that for content: for 6 s no search followed, and nobody led until the
+    // cut healed.
+    const revoked = {isRevoked: true, complaints: 0};
+    expect(isReplaced({...revoked, silentMs: 1_400})).toBe(true);
+    const gone = {refused: true, silentMs: 200};
+    expect(isReplaced({...revoked, ...gone})).toBe(true);
+  });
+
+  it('keeps one whose lead was revoked and that answers again', () => {
+    expect(isReplaced({isRevoked: true, silentMs: 100})).toBe(false);
+  });
 });
