Stop and start replicas only after a majority confirmed the leader

At 8.94 s the former leader of control woke from 6.4 s of suspension. All members seemed silent to it and no proxy was attached any more, so "half of the proxies complain" held with nobody there; it paused one replica of each of three services, and heard 0.01 s later that it was deposed. Its successor knew nothing of these pauses and resumed nobody: the replicas stood still and reads piled up elsewhere. Orders of promotion were guarded against this, pauses were not.

Change: a round of the log before replicas are stopped or told to receive again. It also keeps a deposed leader from starting replicas whose logs its successor compares. Price: one round trip of the log in a gap of some 1.8 s.

--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -133,6 +133,7 @@
 
   /** Replicas that were stopped for a change that did not come receive again. */
   private *resume({instance}: ServiceLead): Task<void> {
+    if (!(yield* this.provesLead())) return;
     const others = this.othersThan(instance);
     const statuses = yield* orderAll(this.around, others, {kind: 'resume'});
     this.mayBeStopped = statuses.some(status => status === undefined);
@@ -150,6 +151,10 @@
       const why = 'no other member answers';
       return this.say('Cannot promote safely.', {...fields, why});
     }
+    if (!(yield* this.provesLead())) {
+      const why = 'no majority confirms this instance';
+      return this.say('Cannot promote safely.', {...fields, why});
+    }
     this.mayBeStopped = true;
     around.revoke();
     const found = yield* findHeir(around, lead.instance);
@@ -164,6 +169,17 @@
     yield* this.promote(heir, signal);
   }
 
+  /**
+   * Guard: a leader of control that was suspended finds every member silent
+   * when it wakes, before it hears of its successor. It would stop replicas of
+   * healthy services that nobody starts again, or start those whose logs the
+   * successor is comparing. Costs a round of the log before each try.
+   */
+  private *provesLead(): Task<boolean> {
+    const done = yield* settled(this.around.confirm());
+    return 'value' in done && done.value;
+  }
+
   private hasSuccessor({instance}: ServiceLead): boolean {
     return this.othersThan(instance).some(member => {
       return this.around.watchOf(member).silentMs < PRESENT_MS;
