Tell control of trouble and its end only; make a tagged log once

Each log line made a new instance of the logger.

Change: FleetFollower reports trouble and the end of trouble it reported before. createLog keeps its tagged logger.

Test: red without the change.

--- a/src/base/node/log.ts
+++ b/src/base/node/log.ts
@@ -100,7 +100,15 @@
 
 /** The log of one part. */
 export function createLog(prefix: string): Log {
-  const at = () => root.withTag(prefix);
+  let base = root;
+  let tagged = root.withTag(prefix);
+  // An instance for each line would cost more than the line.
+  const at = () => {
+    if (base === root) return tagged;
+    base = root;
+    tagged = root.withTag(prefix);
+    return tagged;
+  };
   return {
     info: (sentence, fields) => at().info(sentence, fields),
     warn: (sentence, fields) => at().warn(sentence, fields),
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -77,9 +77,16 @@
     });
   }
 
-  /** Tells control of the primary of a service, now and after reconnects. */
+  /**
+   * Tells control of trouble with the primary of a service and of its end, now
+   * and after reconnects. Without this, 191 proxies before 14 services told a
+   * leader that just took over 5,300 times that all is well.
+   */
   report(report: PrimaryReport): void {
-    this.reports.set(report.service, report);
+    const {service, trouble} = report;
+    const hadTrouble = (this.reports.get(service)?.trouble ?? '') !== '';
+    this.reports.set(service, report);
+    if (trouble === '' && !hadTrouble) return;
     this.attached?.write({$case: 'report', value: report});
   }
 
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -32,6 +32,7 @@
   readonly board = new LeadBoard();
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
+  readonly logged = makeLog();
   readonly leader: FleetLeader;
 
   constructor() {
@@ -50,7 +51,7 @@
         confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
-      makeLog().log,
+      this.logged.log,
     );
   }
 
@@ -241,6 +242,24 @@
   expect(first.leader.complaintsOf('books', 'm1').proxies).toBe(1);
 });
 
+it('tells control of trouble and of its end, and of nothing else', async () => {
+  // All proxies of a fleet come back at once to a leader that just took over.
+  // With a line for each service that is well, they kept it busy for most of a
+  // second in which none of them had members to serve from.
+  first.leads = true;
+  const follower = follow();
+  await until(() => follower.isAttached);
+  follower.report({service: 'books', instance: 'm1', trouble: ''});
+  follower.report({service: 'films', instance: 'm2', trouble: 'unreachable'});
+  follower.report({service: 'films', instance: 'm2', trouble: ''});
+  const judged = () => {
+    const {lines} = first.logged;
+    return lines.filter(line => line.startsWith('A proxy judges.'));
+  };
+  await until(() => judged().length === 2);
+  expect(judged().join()).not.toContain('books');
+});
+
 it('leases leads to proxies and takes them back', async () => {
   // A primary is cut off from control and goes on answering some proxies. They
   // may rely on it only while control confirms its lead, and must say at once
