Let the members prove a lead while control cannot be reached

Cause: a proxy whose leases ran out served no primary and, for want of position samples, soon no bounded read.

Ruled out: going through another proxy.

--- a/src/services/dispatch/node/primary_probe.ts
+++ b/src/services/dispatch/node/primary_probe.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '../../../base/common/clock';
 import type {TargetReply} from '../../statement/common/statement';
-import type {Observation, Return} from './service_dispatcher';
+import type {Observation, Return} from './dispatcher_messages';
 import type {PooledLink} from './member_pool';
 
 /** How long a probe may take, in milliseconds. */
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -1,5 +1,3 @@
-import type {Clock} from '../../../base/common/clock';
-import type {Log} from '../../../base/node/log';
 import {Mailbox, startTask, type Task} from '../../../base/node/task';
 import {every} from '../../../base/node/timers';
 import {
@@ -9,9 +7,7 @@
   type ServiceLead,
 } from '../../../schema/generated/fleet';
 import {PositionSamples} from '../../freshness/common/position_samples';
-import type {LeadProofs} from '../../lease/common/lead_leases';
 import {laterPosition, type Position} from '../../position/common/position';
-import type {TargetConnector} from '../../target_link/common/target_link';
 import {PrimaryBelief} from '../common/primary_belief';
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
@@ -19,77 +15,35 @@
 import type {PlaceRequest} from '../common/place_request';
 import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
+import type {
+  DispatcherMessage,
+  DispatcherSurroundings,
+  Grant,
+  Observation,
+  ProofWish,
+  Return,
+} from './dispatcher_messages';
+import {LeadWitness, type WitnessedLead} from './lead_witness';
 import {MemberPool, type PooledLink} from './member_pool';
 import {PrimaryProbe} from './primary_probe';
 
-/** A connection for one transaction. */
-export interface Grant {
-  readonly pooled: PooledLink;
-  readonly isPrimary: boolean;
-  /** The decision that the member leads by, where it is the primary. */
-  readonly epoch: number;
-  /** What the member's log must hold; undefined: proof of lead is needed. */
-  readonly after: Position | undefined;
-}
-
-/** A connection that comes back. */
-export interface Return {
-  readonly pooled: PooledLink;
-  /** Outside a transaction, with nothing of the session running. */
-  readonly clean: boolean;
-}
-
-/** What the last statement on a connection told of its member. */
-export interface Observation {
-  readonly instance: string;
-  readonly askedAt: number;
-  readonly answeredAt: number;
-  readonly position: Position | undefined;
-  /** The decision that the member led by when it was asked. */
-  readonly epoch: number;
-  readonly kind:
-    | 'answered'
-    /** Answered, and said after `askedAt` that it leads. */
-    | 'leads'
-    | 'not primary'
-    /** It had no room for the statement. */
-    | 'busy'
-    | 'silent';
-}
-
-/** What the dispatcher is told. */
-export type DispatcherMessage =
-  | {readonly kind: 'request'; readonly request: PlaceRequest<Grant>}
-  | {readonly kind: 'return'; readonly returned: Return}
-  | {readonly kind: 'observed'; readonly observation: Observation}
-  | {
-      readonly kind: 'members';
-      readonly members: readonly Member[];
-      readonly proxies: number;
-    }
-  | {readonly kind: 'definition'; readonly definition: ServiceEntry}
-  | {readonly kind: 'lead'; readonly lead: ServiceLead}
-  | {readonly kind: 'changed'}
-  | {readonly kind: 'tick'};
-
-/** What a dispatcher is built on. */
-export interface DispatcherSurroundings {
-  readonly service: string;
-  readonly region: string;
-  regionOf(site: string): string;
-  readonly connector: TargetConnector;
-  readonly leases: LeadProofs;
-  readonly clock: Clock;
-  readonly log: Log;
-  /** Trouble with the primary began (a text) or ended (''). */
-  onDidJudgePrimary(instance: string, trouble: string): void;
-}
-
 const TICK_MS = 50;
 /** Without a sample this new, the primary is asked for one, in ms. */
 const SAMPLE_EVERY_MS = 400;
-/** Samples are asked for only while reads came in so lately, in ms. */
-const READ_INTEREST_MS = 2_000;
+/** Samples and proofs are asked for only while requests come, in ms. */
+const INTEREST_MS = 2_000;
+/**
+ * Members prove a lead for so long after the last lease on it, in milliseconds:
+ * in that time no member that this instance never heard of can have come,
+ * caught up and taken the lead from all that it knows.
+ */
+const WITNESS_MS = 8_000;
+/**
+ * A lease that ran out is mostly renewed within this, in milliseconds. Later,
+ * no work goes to a primary that the members do not prove to lead: it would
+ * take slots there, and its answers would be of no use.
+ */
+const LAPSE_MS = 300;
 /** While there is no primary, members are asked this often, in ms. */
 const SEARCH_EVERY_MS = 150;
 
@@ -104,7 +58,9 @@
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
   private lastRead = -Infinity;
+  private lastRequest = -Infinity;
   private readonly probe: PrimaryProbe;
+  private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
   private judged = '';
   private changedQueued = false;
@@ -119,6 +75,20 @@
       this.mailbox.post({kind: 'observed', observation});
       this.mailbox.post({kind: 'return', returned});
     });
+    this.witness = new LeadWitness(
+      service,
+      around.statusReader,
+      {
+        instances: () => [...this.pools.keys()],
+        take: instance => this.takeForWitness(instance),
+        giveBack: (pooled, clean) => {
+          this.mailbox.post({kind: 'return', returned: {pooled, clean}});
+        },
+      },
+      around.clock,
+      around.log,
+      lead => this.onWitnessed(lead),
+    );
   }
 
   start(signal: AbortSignal): Promise<void> {
@@ -157,6 +127,8 @@
         return;
       case 'lead':
         return this.onLead(message.lead);
+      case 'witness':
+        return this.onProofWish(message.wish);
       case 'changed':
         this.changedQueued = false;
         return this.dispatch();
@@ -169,6 +141,7 @@
 
   private onRequest(request: PlaceRequest<Grant>): void {
     const now = this.now();
+    this.lastRequest = now;
     if (request.need.kind === 'read') this.lastRead = now;
     this.waiting.add(request, now);
     this.dispatch();
@@ -185,7 +158,10 @@
     const {own} = need;
     const floor =
       covering && own ? laterPosition(covering, own.position) : covering;
-    if (!floor) this.probePrimary();
+    if (!floor) {
+      this.probePrimary();
+      if (!this.isProvable) return undefined;
+    }
     const views = this.views();
     const {passed} = request;
     const newest = Math.max(need.coversTime, own?.at ?? -Infinity);
@@ -198,7 +174,7 @@
   }
 
   private placeOnPrimary(request: PlaceRequest<Grant>): Grant | undefined {
-    if (!this.belief.isStanding) return undefined;
+    if (!this.belief.isStanding || !this.isProvable) return undefined;
     return this.take(this.belief.instance, request, undefined);
   }
 
@@ -316,6 +292,54 @@
     this.restore('its own answer');
   }
 
+  // ---- Proof without control ----
+
+  private onProofWish({epoch, term, timeMs, settle}: ProofWish): void {
+    const until = this.now() + timeMs;
+    this.witness.add({epoch, term, until, settle});
+    this.tendWitness();
+  }
+
+  /** Whether control's leases ran out, and the members may speak for them. */
+  private get needsWitness(): boolean {
+    const {leases, service} = this.around;
+    if (!this.belief.isStanding) return false;
+    const lapsedMs = leases.lapsedMs(service, this.belief.epoch);
+    return lapsedMs > 0 && lapsedMs < WITNESS_MS;
+  }
+
+  private get isAsked(): boolean {
+    return this.now() - this.lastRequest < INTEREST_MS;
+  }
+
+  /** Whether an answer of the primary could be proved at present. */
+  private get isProvable(): boolean {
+    const {leases, service} = this.around;
+    const lapsedMs = leases.lapsedMs(service, this.belief.epoch);
+    const isLapsed = lapsedMs > LAPSE_MS && lapsedMs !== Infinity;
+    if (isLapsed && lapsedMs >= WITNESS_MS) return false;
+    return !isLapsed || !this.witness.isFailing;
+  }
+
+  private tendWitness(): void {
+    if (!this.needsWitness) return this.witness.giveUp();
+    const isOld = this.now() - this.witness.lastProofAt > SAMPLE_EVERY_MS;
+    this.witness.tend(this.belief, this.isAsked && isOld);
+  }
+
+  private takeForWitness(instance: string): PooledLink | undefined {
+    const pool = this.pools.get(instance);
+    const pooled = pool?.checkout(NO_VALUES);
+    if (!pooled && pool?.size === 0 && pool.mayOpen(1)) pool.open();
+    return pooled;
+  }
+
+  private onWitnessed({instance, epoch, askedAt, status}: WitnessedLead): void {
+    if (!this.isPrimary(instance) || epoch !== this.belief.epoch) return;
+    this.samples.add(askedAt, status.received);
+    this.noteChange();
+  }
+
   private restore(source: string): void {
     if (this.belief.confirm(this.belief.instance)) this.noteBelief(source);
     this.judgePrimary();
@@ -395,7 +419,7 @@
     const pool = this.pools.get(instance);
     // While control replaces a primary it names nobody for a moment.
     const isReplaced = instance === '' && this.belief.epoch > 0;
-    const isLost = pool ? pool.isFailing : !isReplaced;
+    const isLost = pool ? pool.isFailing || !this.isProvable : !isReplaced;
     const state = isStanding ? 'serving' : 'deposed';
     this.outage.note(isLost ? 'lost' : state, this.now());
     const trouble = pool?.isFailing ? 'unreachable' : '';
@@ -417,7 +441,8 @@
     this.judgePrimary();
     this.searchPrimary(now);
     this.waiting.giveUp(now);
-    const wanted = now - this.lastRead < READ_INTEREST_MS;
+    this.tendWitness();
+    const wanted = now - this.lastRead < INTEREST_MS;
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
     if (wanted && isOld) this.probePrimary();
     this.dispatch();
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -13,14 +13,12 @@
 import type {FleetLeader} from '../../fleet_link/node/fleet_leader';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
-import {
-  MemberWatch,
-  type StatusReader,
-} from '../../promotion/node/member_watch';
+import {MemberWatch} from '../../promotion/node/member_watch';
 import {PromotionDriver} from '../../promotion/node/promotion_driver';
 import type {PromotionOrders} from '../../promotion/node/promotion_surroundings';
 import {comparePositions} from '../../position/common/position';
 import type {Roster} from '../../roster/common/roster';
+import type {StatusReader} from '../../target_link/common/member_status';
 import type {TargetConnector} from '../../target_link/common/target_link';
 
 /** How members are reached and promoted. */
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -14,6 +14,7 @@
 import {CatalogIndex} from '../../catalog/common/catalog';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {LeadProofs} from '../../lease/common/lead_leases';
+import type {StatusReader} from '../../target_link/common/member_status';
 import type {TargetConnector} from '../../target_link/common/target_link';
 import type {CallerReply} from '../../statement/common/statement';
 import type {CallerChannel} from '../common/caller_channel';
@@ -22,6 +23,7 @@
 import {GatewaySession} from './gateway_session';
 import {RequestJournal} from './request_journal';
 import type {SessionContext} from './session_context';
+import {WitnessedLeads} from './witnessed_leads';
 import {LOCAL_RUNNER, type WorkRunner} from './work_runner';
 
 /** What a gateway is built on. */
@@ -30,6 +32,7 @@
   regionOf(site: string): string;
   readonly connector: TargetConnector;
   readonly leases: LeadProofs;
+  readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
   readonly meter: GatewayMeter;
@@ -51,6 +54,7 @@
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
+  private readonly proofs: LeadProofs;
   private waitingForCatalog: (() => void)[] = [];
   private stopping = false;
   private draining = false;
@@ -60,6 +64,9 @@
     private readonly signal: AbortSignal,
   ) {
     this.journal = new RequestJournal(around.log, around.meter);
+    this.proofs = new WitnessedLeads(around.leases, service => {
+      return this.dispatcherOf(service);
+    });
   }
 
   get catalogVersion(): number {
@@ -155,7 +162,7 @@
       caller,
       memory,
       clock: this.around.clock,
-      leases: this.around.leases,
+      leases: this.proofs,
       journal: this.journal,
       signal,
       route,
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -1,10 +1,7 @@
 import {after} from '../../../base/node/timers';
 import {settled, type Task} from '../../../base/node/task';
-import type {
-  Grant,
-  Observation,
-  ServiceDispatcher,
-} from '../../dispatch/node/service_dispatcher';
+import type {Grant, Observation} from '../../dispatch/node/dispatcher_messages';
+import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {
   TargetCall,
   TargetReply,
@@ -94,12 +91,15 @@
    * a lease that ran out for a time at most. Asked once an answer has come:
    * then it held while the answer was made, whatever froze in between.
    */
-  *confirmLead(timeMs: number): Task<boolean> {
+  *confirmLead(timeMs: number, answer: TurnReply | undefined): Task<boolean> {
     const {leases} = this.around;
     const {service} = this.place;
     const {epoch} = this.grant;
     if (leases.isHeld(service, epoch)) return true;
-    const done = yield* settled(leases.confirm(service, epoch, timeMs));
+    const at = answer?.kind === 'answer' ? answer.position : undefined;
+    const done = yield* settled(
+      leases.confirm(service, epoch, timeMs, at?.term),
+    );
     return 'value' in done && done.value;
   }
 
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -160,7 +160,9 @@
     turn.observe(askedAt, reply!, leads ? 'leads' : undefined);
     if (isDone(reply)) {
       const left = deadline - context.clock.now();
-      if (!plain || (yield* turn.confirmLead(left))) return undefined;
+      if (!plain || (yield* turn.confirmLead(left, reply))) {
+        return undefined;
+      }
       turn.end(false);
       return 'the lead is not proved';
     }
@@ -249,7 +251,7 @@
       if (result.kind === 'done') {
         if (!this.wrote) return result;
         const left = deadline - clock.now();
-        if (!(yield* turn.confirmLead(left))) {
+        if (!(yield* turn.confirmLead(left, reply))) {
           return this.unproven(requestId, turn);
         }
         memory.onCommit(position, clock.now());
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -7,10 +7,8 @@
   PlaceNeed,
   PlaceRefusal,
 } from '../../dispatch/common/place_request';
-import type {
-  Grant,
-  ServiceDispatcher,
-} from '../../dispatch/node/service_dispatcher';
+import type {Grant} from '../../dispatch/node/dispatcher_messages';
+import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import {failure, type StatementResult} from '../../statement/common/statement';
 import type {SessionMemory} from '../common/session_memory';
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -150,7 +150,7 @@
   const {result, position} = reply;
   if (result.kind === 'done') {
     const left = timeMs - (context.clock.now() - askedAt);
-    if (!(yield* turn.confirmLead(left))) {
+    if (!(yield* turn.confirmLead(left, reply))) {
       return {kind: 'final', result: unprovenCommit(context, request, turn)};
     }
     context.memory.onCommit(position, context.clock.now());
@@ -208,7 +208,7 @@
   if (result.kind === 'done') {
     if (after) return {kind: 'final', result};
     const left = timeMs - (clock.now() - askedAt);
-    const proved = leads && (yield* turn.confirmLead(left));
+    const proved = leads && (yield* turn.confirmLead(left, proof));
     if (proved) return {kind: 'final', result};
     return again('the lead is not proved', {mayHaveRun: true});
   }
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -9,6 +9,10 @@
   type TargetReply,
   type TransactionState,
 } from '../../../statement/common/statement';
+import type {
+  MemberStatus,
+  StatusReader,
+} from '../../../target_link/common/member_status';
 import type {
   ConnectFailure,
   TargetAddress,
@@ -43,7 +47,7 @@
 }
 
 /** A group of members in memory, behind the seam that sessions see. */
-export class FakeGroup implements TargetConnector {
+export class FakeGroup implements TargetConnector, StatusReader {
   readonly runs: Run[] = [];
   readonly members = new Map<string, FakeMember>();
   mostConnections = 16;
@@ -85,6 +89,13 @@
       .map(({instance, text}) => `${instance} ${text}`);
   }
 
+  /** Reads the row that a member answers to a question for its status. */
+  read(result: StatementResult): MemberStatus | undefined {
+    if (result.kind !== 'done') return undefined;
+    const {isPrimary, position} = this.member(result.rows[0]!);
+    return {leads: isPrimary, term: position.term, received: position};
+  }
+
   connect(target: TargetAddress): Promise<Result<TargetLink, ConnectFailure>> {
     const member = this.members.get(target.instance);
     if (!member || member.isDown) return Promise.resolve(err('refused'));
@@ -186,6 +197,8 @@
       case 'prepare':
         this.prepared.set(statement.name, statement.action);
         return DONE_HERE;
+      case 'status':
+        return {kind: 'done', rows: [member.instance], signature: ''};
       default:
         return this.runInSlot(requestId ?? '-', statement);
     }
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -363,6 +363,42 @@
   });
 });
 
+describe('a proxy that lost control', () => {
+  // A part of the machines is cut off together with no instance of control.
+  // All members of a service are in reach. The leases of the proxies there ran
+  // out after 1.2 s, and they refused every service for as long as the cut
+  // lasted: 7 s of two thirds of the callers.
+  const LAPSED_MS = 1_700;
+
+  function setUpLost() {
+    const leases = new LeadLeases(new MonotonicClock());
+    const {group, caller} = setUpLeased(leases, makeRoute(PRIMARY));
+    renew(leases);
+    return {group, caller};
+  }
+
+  it('serves what the members prove', async () => {
+    const {caller} = setUpLost();
+    await pause(LAPSED_MS);
+    expect((await caller.ask(READ)).result.kind).toBe('done');
+    expect((await caller.ask(WRITE)).result.kind).toBe('done');
+  });
+
+  it('gives no answer of a primary that was replaced meanwhile', async () => {
+    const {group, caller} = setUpLost();
+    group.promoteBesides('b');
+    await pause(LAPSED_MS);
+    expect((await caller.ask(READ)).result.kind).toBe('error');
+  });
+
+  it('gives none while a member that may lead is silent', async () => {
+    const {group, caller} = setUpLost();
+    group.member('c').isSilent = true;
+    await pause(LAPSED_MS);
+    expect((await caller.ask(READ)).result.kind).toBe('error');
+  });
+});
+
 describe('connections that several instances share', () => {
   it('are taken by half beyond a share that suffices, at most', async () => {
     // Six poolers share 30 connections to a primary. Those near it come first
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -133,6 +133,7 @@
         region: 'region-a',
         regionOf: () => 'region-a',
         connector: group,
+        statusReader: group,
         leases: this.leases,
         clock: this.clock,
         log: this.logged.log,
--- a/src/services/lease/common/lead_leases.ts
+++ b/src/services/lease/common/lead_leases.ts
@@ -17,8 +17,23 @@
 export interface LeadProofs {
   /** Whether no order to replace the lead of an epoch can have gone out yet. */
   isHeld(service: string, epoch: number): boolean;
-  /** The same, after waiting for a lease that ran out, for a time at most. */
-  confirm(service: string, epoch: number, timeMs: number): Promise<boolean>;
+  /**
+   * The same, after waiting for a lease that ran out, for a time at most.
+   *
+   * @param term The term of the member's log when it answered, if it said so.
+   */
+  confirm(
+    service: string,
+    epoch: number,
+    timeMs: number,
+    term?: number,
+  ): Promise<boolean>;
+  /**
+   * For how long the lease on an epoch has been over, in milliseconds; below 0
+   * while it is held, Infinity where there never was one or another lead is
+   * known.
+   */
+  lapsedMs(service: string, epoch: number): number;
 }
 
 interface Lead {
@@ -91,6 +106,11 @@
     return lead?.lease.isHeld(epoch, this.clock.now()) ?? false;
   }
 
+  lapsedMs(service: string, epoch: number): number {
+    const lead = this.leads.get(service);
+    return lead?.lease.lapsedMs(epoch, this.clock.now()) ?? Infinity;
+  }
+
   confirm(service: string, epoch: number, timeMs: number): Promise<boolean> {
     if (this.isHeld(service, epoch)) return Promise.resolve(true);
     if (this.isOver(service, epoch)) return Promise.resolve(false);
--- a/src/services/lease/common/term_lease.ts
+++ b/src/services/lease/common/term_lease.ts
@@ -48,6 +48,11 @@
     return this.held === term && now < this.expiresAt;
   }
 
+  /** For how long the lease on a term has been over, in milliseconds. */
+  lapsedMs(term: number, now: number): number {
+    return this.held === term ? now - this.expiresAt : Infinity;
+  }
+
   /** Notes an acknowledgement; false where the lease does not allow it. */
   acknowledge(position: Position, now: number): boolean {
     if (!this.isHeld(position.term, now)) return false;
--- a/src/services/promotion/node/heir_search.ts
+++ b/src/services/promotion/node/heir_search.ts
@@ -1,7 +1,8 @@
 import {settled, type Task} from '../../../base/node/task';
 import type {Member} from '../../../schema/generated/fleet';
 import {chooseHeir, type MemberAnswer} from '../common/heir';
-import type {MemberStatus, MemberWatch} from './member_watch';
+import type {MemberStatus} from '../../target_link/common/member_status';
+import type {MemberWatch} from './member_watch';
 
 /** A primary that was silent for longer is not asked to step down, in ms. */
 const STEP_DOWN_SILENCE_MS = 400;
--- a/src/services/promotion/node/member_watch.ts
+++ b/src/services/promotion/node/member_watch.ts
@@ -4,10 +4,13 @@
 import type {Member} from '../../../schema/generated/fleet';
 import type {Position} from '../../position/common/position';
 import type {
-  StatementResult,
   TargetReply,
   TargetStatement,
 } from '../../statement/common/statement';
+import type {
+  MemberStatus,
+  StatusReader,
+} from '../../target_link/common/member_status';
 import type {
   ConnectFailure,
   TargetConnector,
@@ -24,18 +27,6 @@
 /** An order is repeated for so long, in milliseconds. */
 const ORDER_MS = 700;
 
-/** What a member says of itself. */
-export interface MemberStatus {
-  readonly leads: boolean;
-  readonly term: number;
-  readonly received: Position;
-}
-
-/** Reads what members answer to a question for their status. */
-export interface StatusReader {
-  read(result: StatementResult): MemberStatus | undefined;
-}
-
 /**
  * Control's own connection to one member: tells whether it answers and carries
  * orders to it. The question is one that takes no slot of the member.
--- a/src/services/promotion/test/node/ordered_group.ts
+++ b/src/services/promotion/test/node/ordered_group.ts
@@ -13,7 +13,10 @@
   TargetConnector,
   TargetLink,
 } from '../../../target_link/common/target_link';
-import type {MemberStatus, StatusReader} from '../../node/member_watch';
+import type {
+  MemberStatus,
+  StatusReader,
+} from '../../../target_link/common/member_status';
 
 /** A member as control meets it: answers questions and takes orders. */
 export class OrderedMember {
--- /dev/null
+++ b/src/services/target_link/common/member_status.ts
@@ -0,0 +1,14 @@
+import type {Position} from '../../position/common/position';
+import type {StatementResult} from '../../statement/common/statement';
+
+/** What a member says of itself. */
+export interface MemberStatus {
+  readonly leads: boolean;
+  readonly term: number;
+  readonly received: Position;
+}
+
+/** Reads what members answer to a question for their status. */
+export interface StatusReader {
+  read(result: StatementResult): MemberStatus | undefined;
+}
