Send proxies what changed in a catalog instead of all of it

Ruled out: compression (2 to 3 times less, for processor time of each proxy).

Change: the leader keeps the last 8 catalogs and sends the difference from the version that a proxy has, encoded once for all that have it; whole catalogs go to proxies that are new or far behind. A difference applies to its base only; a proxy with another one opens a new stream and says what it has.

--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -2,12 +2,14 @@
 import {after, every} from '../../../base/node/timers';
 import type {
   Catalog,
+  CatalogDelta,
   LeaderMessage,
   MemberList,
   PoolerList,
   PrimaryReport,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import {applyCatalogDelta} from '../../catalog/common/catalog_delta';
 import {RENEW_EVERY_MS, type LeadLeases} from '../../lease/common/lead_leases';
 import {FollowerStream} from './follower_stream';
 
@@ -27,7 +29,6 @@
   readonly address: string;
   /** Addresses of control instances; asked anew at each try. */
   addresses(): readonly string[];
-  catalogVersion(): number;
   readonly leases: LeadLeases;
 }
 
@@ -51,6 +52,8 @@
 export class FleetFollower {
   private readonly attempts = new Map<string, FollowerStream>();
   private attached: FollowerStream | undefined;
+  /** The newest catalog that came. */
+  private catalog: Catalog | undefined;
   private readonly reports = new Map<string, PrimaryReport>();
   private tries = 0;
   private redirects = 0;
@@ -115,7 +118,7 @@
 
   private greet(stream: FollowerStream): void {
     const {instance, site, address} = this.options;
-    const catalogVersion = this.options.catalogVersion();
+    const catalogVersion = this.catalog?.version ?? 0;
     const hello = {instance, site, catalogVersion, address};
     stream.write({$case: 'hello', value: hello});
     // Asked at once: a proxy that starts serves primaries a way sooner.
@@ -135,7 +138,10 @@
         return this.open(body.value.leaderAddress);
       case 'catalog':
         this.attach(stream);
-        return this.listener.onDidReceiveCatalog(body.value);
+        return this.onCatalog(body.value);
+      case 'catalogDelta':
+        this.attach(stream);
+        return this.onCatalogDelta(stream, body.value);
       case 'members':
         this.attach(stream);
         return this.listener.onDidReceiveMembers(body.value);
@@ -151,6 +157,28 @@
     }
   }
 
+  /** One that is older than what is known changes nothing. */
+  private onCatalog(catalog: Catalog): void {
+    if (catalog.version <= (this.catalog?.version ?? 0)) return;
+    this.catalog = catalog;
+    this.listener.onDidReceiveCatalog(catalog);
+  }
+
+  private onCatalogDelta(stream: FollowerStream, delta: CatalogDelta): void {
+    const next = this.catalog && applyCatalogDelta(this.catalog, delta);
+    if (next) return this.onCatalog(next);
+    const known = this.catalog?.version ?? 0;
+    const {baseVersion: base, version} = delta;
+    this.log.warn('Cannot apply a change of the catalog.', {
+      base,
+      version,
+      known,
+    });
+    // A new stream begins with what this proxy has.
+    this.drop(stream);
+    this.tryNext();
+  }
+
   private onLeads(stream: FollowerStream, leads: readonly ServiceLead[]): void {
     for (const returned of this.options.leases.onLeads(leads)) {
       stream.write({$case: 'returned', value: returned});
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -5,6 +5,7 @@
 import {every} from '../../../base/node/timers';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
+import {CatalogMessages} from './catalog_messages';
 import {FLEET_PROTOCOL} from './fleet_protocol';
 import {SharedMessage} from './shared_message';
 import type {
@@ -67,7 +68,7 @@
 /** Control's side of the exchange with proxies. */
 export class FleetLeader {
   private readonly followers = new Set<Follower>();
-  private readonly catalogMessage = new SharedMessage();
+  private readonly catalogMessages = new CatalogMessages();
   private readonly poolersMessage = new SharedMessage();
   private membersMessage = new SharedMessage();
   private proxies = 0;
@@ -272,11 +273,10 @@
   private pushCatalog(follower: Follower): void {
     const catalog = this.source.catalog();
     if (!catalog || catalog.version <= follower.catalogVersion) return;
+    const {catalogVersion} = follower;
+    const frame = this.catalogMessages.frameFrom(catalogVersion, catalog);
     follower.catalogVersion = catalog.version;
-    const message = this.catalogMessage.of(`${catalog.version}`, () => {
-      return {$case: 'catalog', value: catalog};
-    });
-    follower.link.writeFrame(message);
+    follower.link.writeFrame(frame);
   }
 
   private pushPoolers(follower: Follower): void {
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -24,6 +24,7 @@
   leads = false;
   knownLeader = '';
   version = 1;
+  routes = [makeRoute()];
   address = '';
   poolers: PoolerEntry[] = [];
   members: Member[] = [];
@@ -40,7 +41,7 @@
       {
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
-        catalog: () => makeCatalog([makeRoute()], {version: this.version}),
+        catalog: () => makeCatalog(this.routes, {version: this.version}),
         members: () => this.members,
         membersRevision: () => 1,
         poolers: () => this.poolers,
@@ -96,7 +97,6 @@
       site: 'a',
       address: `${instance}:1`,
       addresses: () => [first.address, second.address],
-      catalogVersion: () => catalogs.at(-1)?.version ?? 0,
       leases,
     },
     {
@@ -242,6 +242,22 @@
   expect(first.leader.complaintsOf('books', 'm1').proxies).toBe(1);
 });
 
+it('tells proxies what changed in a catalog, and new ones all of it', async () => {
+  first.leads = true;
+  follow('p1');
+  await until(() => catalogs.length === 1);
+  first.version = 2;
+  first.routes = [makeRoute(), makeRoute({database: 'films', name: 'r2'})];
+  first.leader.push();
+  await until(() => catalogs.length === 2);
+  follow('p2');
+  await until(() => catalogs.length === 3);
+  expect(catalogs[1]).toEqual(catalogs[2]);
+  expect(catalogs[1]!.routes).toHaveLength(2);
+  // Only what did not change is the same object: it was not sent again.
+  expect(catalogs[1]!.routes[0]).toBe(catalogs[0]!.routes[0]);
+});
+
 it('tells control of trouble and of its end, and of nothing else', async () => {
   // All proxies of a fleet come back at once to a leader that just took over.
   // With a line for each service that is well, they kept it busy for most of a
