Drop options of links that nothing uses; one rule for a lapsed lease

FOLLOW_OPTIONS, PEER_OPTIONS and the parameter that took them were left dead by the message links. TermLease said in two places when a lease is over, and ServiceDispatcher looked it up in two. The retry of a proxy's stream gives its grounds. No behaviour is meant to change: the same comparison, written once.

--- a/src/base/node/grpc.ts
+++ b/src/base/node/grpc.ts
@@ -27,32 +27,12 @@
   'grpc.use_local_subchannel_pool': 1,
 };
 
-/**
- * A proxy's link to the leader of control: whoever leads after a leader that
- * froze is elected within 1 s, and proxies should not hear of it much later.
- */
-export const FOLLOW_OPTIONS: ChannelOptions = {
-  ...LINK_OPTIONS,
-  'grpc.keepalive_time_ms': 700,
-  'grpc.keepalive_timeout_ms': 600,
-};
-
-/**
- * Links between proxies, which are many and watch their own silence while they
- * have work: the keepalive only ends idle links to a peer that vanished.
- */
-export const PEER_OPTIONS: ChannelOptions = {
-  ...LINK_OPTIONS,
-  'grpc.keepalive_time_ms': 4_000,
-  'grpc.keepalive_timeout_ms': 2_000,
-};
-
 /** The place where TLS between the system's processes will be set. */
 export const LINK_CREDENTIALS = credentials.createInsecure();
 
 /** A gRPC server of one process. */
-export function createServer(options: ChannelOptions = LINK_OPTIONS): Server {
-  return new Server(options);
+export function createServer(): Server {
+  return new Server(LINK_OPTIONS);
 }
 
 /** Starts listening; the bound port. The server closes with the signal. */
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -300,12 +300,16 @@
     this.tendWitness();
   }
 
+  /** For how long the lease on the lead in force has been over, in ms. */
+  private get lapsedMs(): number {
+    const {leases, service} = this.around;
+    return leases.lapsedMs(service, this.belief.epoch);
+  }
+
   /** Whether control's leases ran out, and the members may speak for them. */
   private get needsWitness(): boolean {
-    const {leases, service} = this.around;
-    if (!this.belief.isStanding) return false;
-    const lapsedMs = leases.lapsedMs(service, this.belief.epoch);
-    return lapsedMs > 0 && lapsedMs < WITNESS_MS;
+    const {lapsedMs} = this;
+    return this.belief.isStanding && lapsedMs > 0 && lapsedMs < WITNESS_MS;
   }
 
   private get isAsked(): boolean {
@@ -314,11 +318,9 @@
 
   /** Whether an answer of the primary could be proved at present. */
   private get isProvable(): boolean {
-    const {leases, service} = this.around;
-    const lapsedMs = leases.lapsedMs(service, this.belief.epoch);
-    const isLapsed = lapsedMs > LAPSE_MS && lapsedMs !== Infinity;
-    if (isLapsed && lapsedMs >= WITNESS_MS) return false;
-    return !isLapsed || !this.witness.isFailing;
+    const {lapsedMs} = this;
+    if (lapsedMs <= LAPSE_MS || lapsedMs === Infinity) return true;
+    return lapsedMs < WITNESS_MS && !this.witness.isFailing;
   }
 
   private tendWitness(): void {
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -32,7 +32,10 @@
   readonly leases: LeadLeases;
 }
 
-/** Pause before another control instance is tried, in milliseconds. */
+/**
+ * Pause before another control instance is tried, in milliseconds. Proxies run
+ * 0.1 s before control after a common restart and are refused until then.
+ */
 const RETRY_MS = 60;
 /**
  * Without a word from those that were asked, one more control instance is asked
--- a/src/services/lease/common/term_lease.ts
+++ b/src/services/lease/common/term_lease.ts
@@ -45,7 +45,7 @@
   }
 
   isHeld(term: number, now: number): boolean {
-    return this.held === term && now < this.expiresAt;
+    return this.lapsedMs(term, now) < 0;
   }
 
   /** For how long the lease on a term has been over, in milliseconds. */
