--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -10,6 +10,8 @@
 export type ServiceName = Branded<string, 'ServiceName'>;
 /** A customer whose sessions the proxy serves; the PostgreSQL user name. */
 export type CallerName = Branded<string, 'CallerName'>;
+/** The name under which a connection to a member is opened. */
+export type MemberUser = Branded<string, 'MemberUser'>;
 /** A kind of request with its own accepted age, priority and deadline. */
 export type ClassName = Branded<string, 'ClassName'>;
 /** An operator's name for one change of settings. */
@@ -23,6 +25,7 @@
 export const siteId = (text: string) => text as SiteId;
 export const serviceName = (text: string) => text as ServiceName;
 export const callerName = (text: string) => text as CallerName;
+export const memberUser = (text: string) => text as MemberUser;
 export const className = (text: string) => text as ClassName;
 export const changeId = (text: string) => text as ChangeId;
 export const requestKey = (text: string) => text as RequestKey;
--- a/src/services/catalog/common/catalog.ts
+++ b/src/services/catalog/common/catalog.ts
@@ -1,5 +1,10 @@
 import {err, ok, type Result} from '../../../base/common/outcome';
-import type {Catalog, DatabaseRoute} from '../../../schema/generated/fleet';
+import type {
+  AccountEntry,
+  Catalog,
+  DatabaseRoute,
+} from '../../../schema/generated/fleet';
+import {AccountIndex} from '../../account/common/account_index';
 
 /** Why a catalog cannot be taken. */
 export interface CatalogFault {
@@ -44,21 +49,44 @@
       return fault(`route ${name} gives statements no time`);
     }
   }
-  return ok(catalog);
+  return checkAccounts(catalog.accounts).map(() => catalog);
+}
+
+/** A key tells which account a caller is: two cannot hold the same one. */
+function checkAccounts(
+  accounts: readonly AccountEntry[],
+): Result<void, CatalogFault> {
+  const names = new Set<string>();
+  const holders = new Map<string, string>();
+  for (const {account, keyDigests} of accounts) {
+    if (account === '') return fault('an account without a name');
+    if (names.has(account)) return fault(`account ${account} stands twice`);
+    names.add(account);
+    for (const digest of keyDigests) {
+      const holder = holders.get(digest) ?? account;
+      if (holder !== account) {
+        return fault(`accounts ${holder} and ${account} share a key`);
+      }
+      holders.set(digest, account);
+    }
+  }
+  return ok(undefined);
 }
 
 function fault(reason: string): Result<never, CatalogFault> {
   return err({reason});
 }
 
-/** A catalog that is looked up by database name. */
+/** A catalog that is looked up by database name, and by key. */
 export class CatalogIndex {
   private readonly byDatabase: ReadonlyMap<string, DatabaseRoute>;
+  readonly accounts: AccountIndex;
 
   constructor(readonly catalog: Catalog) {
     this.byDatabase = new Map(
       catalog.routes.map(route => [route.database, route]),
     );
+    this.accounts = new AccountIndex(catalog.accounts);
   }
 
   get version(): number {
--- a/src/services/catalog/common/catalog_delta.ts
+++ b/src/services/catalog/common/catalog_delta.ts
@@ -1,4 +1,5 @@
 import type {
+  AccountEntry,
   Catalog,
   CatalogDelta,
   DatabaseRoute,
@@ -12,22 +13,24 @@
  * catalog is 60 for each route, on links of 2 Mbit/s and between regions.
  */
 export function catalogDelta(base: Catalog, next: Catalog): CatalogDelta {
-  const before = new Map(base.routes.map(route => [route.database, route]));
-  const after = new Set(next.routes.map(({database}) => database));
-  const changed = next.routes.filter(route => {
-    const known = before.get(route.database);
-    return known === undefined || !isSameRoute(known, route);
-  });
-  const dropped = [...before.keys()].filter(database => !after.has(database));
+  const routes = changesOf(base.routes, next.routes, databaseOf, isSameRoute);
+  const accounts = changesOf(
+    base.accounts,
+    next.accounts,
+    accountOf,
+    isSameAccount,
+  );
   const keepsServices = isSameList(base.services, next.services);
   return {
     baseVersion: base.version,
     version: next.version,
-    changed,
-    dropped,
+    changed: routes.changed,
+    dropped: routes.dropped,
     services: keepsServices ? [] : next.services,
     keepsServices,
     transactionIdleMs: next.transactionIdleMs,
+    changedAccounts: accounts.changed,
+    droppedAccounts: accounts.dropped,
   };
 }
 
@@ -42,17 +45,70 @@
   delta: CatalogDelta,
 ): Catalog | undefined {
   if (base.version !== delta.baseVersion) return undefined;
-  const routes = new Map(base.routes.map(route => [route.database, route]));
-  for (const database of delta.dropped) routes.delete(database);
-  for (const route of delta.changed) routes.set(route.database, route);
+  const {changed, dropped, changedAccounts, droppedAccounts} = delta;
   return {
     version: delta.version,
-    routes: [...routes.values()],
+    routes: applyChanges(base.routes, {changed, dropped}, databaseOf),
     services: delta.keepsServices ? base.services : delta.services,
     transactionIdleMs: delta.transactionIdleMs,
+    accounts: applyChanges(
+      base.accounts,
+      {changed: changedAccounts, dropped: droppedAccounts},
+      accountOf,
+    ),
   };
 }
 
+/** What turns one list of named entries into another. */
+interface ListChanges<T> {
+  readonly changed: T[];
+  /** Names of the entries that are gone. */
+  readonly dropped: string[];
+}
+
+function changesOf<T>(
+  base: readonly T[],
+  next: readonly T[],
+  nameOf: (entry: T) => string,
+  isSame: (a: T, b: T) => boolean,
+): ListChanges<T> {
+  const before = new Map(base.map(entry => [nameOf(entry), entry]));
+  const after = new Set(next.map(nameOf));
+  const changed = next.filter(entry => {
+    const known = before.get(nameOf(entry));
+    return known === undefined || !isSame(known, entry);
+  });
+  const dropped = [...before.keys()].filter(name => !after.has(name));
+  return {changed, dropped};
+}
+
+function applyChanges<T>(
+  base: readonly T[],
+  {changed, dropped}: ListChanges<T>,
+  nameOf: (entry: T) => string,
+): T[] {
+  const entries = new Map(base.map(entry => [nameOf(entry), entry]));
+  for (const name of dropped) entries.delete(name);
+  for (const entry of changed) entries.set(nameOf(entry), entry);
+  return [...entries.values()];
+}
+
+function databaseOf({database}: DatabaseRoute): string {
+  return database;
+}
+
+function accountOf({account}: AccountEntry): string {
+  return account;
+}
+
+function isSameAccount(a: AccountEntry, b: AccountEntry): boolean {
+  return (
+    a.limit?.perSecond === b.limit?.perSecond &&
+    a.limit?.burst === b.limit?.burst &&
+    a.keyDigests.join() === b.keyDigests.join()
+  );
+}
+
 function isSameRoute(a: DatabaseRoute, b: DatabaseRoute): boolean {
   return (
     a.database === b.database &&
@@ -62,7 +118,8 @@
     a.stalenessMs === b.stalenessMs &&
     a.statementMs === b.statementMs &&
     a.objectiveMs === b.objectiveMs &&
-    a.priority === b.priority
+    a.priority === b.priority &&
+    a.keyed === b.keyed
   );
 }
 
--- a/src/services/catalog/test/common/catalog_delta.test.ts
+++ b/src/services/catalog/test/common/catalog_delta.test.ts
@@ -2,6 +2,7 @@
 import {SeededRandom} from '../../../../base/common/random';
 import {
   CatalogDelta,
+  type AccountEntry,
   type Catalog,
   type DatabaseRoute,
 } from '../../../../schema/generated/fleet';
@@ -25,15 +26,30 @@
     const connections = random.integer(8, 40);
     services = [{service: 'books', connections, confirmations: 1}];
   }
+  const {accounts} = changeAccounts(catalog, random);
   const version = catalog.version + random.integer(1, 5);
-  return {...catalog, version, routes, services};
+  return {...catalog, version, routes, services, accounts};
 }
 
-/** A catalog without the order of its routes, which says nothing. */
-function contentOf({routes, ...rest}: Catalog) {
+function changeAccounts(
+  {accounts}: Catalog,
+  random: SeededRandom,
+): {accounts: AccountEntry[]} {
+  const account = `a${random.integer(0, 6)}`;
+  const others = accounts.filter(other => other.account !== account);
+  if (random.integer(0, 2) === 0) return {accounts: others};
+  const keyDigests = [`d${random.integer(0, 3)} of ${account}`];
+  const limit = {perSecond: random.integer(1, 9), burst: 3};
+  return {accounts: [...others, {account, keyDigests, limit}]};
+}
+
+/** A catalog without the order of its lists, which says nothing. */
+function contentOf({routes, accounts, ...rest}: Catalog) {
   const byDatabase = new Map<string, DatabaseRoute>();
   for (const route of routes) byDatabase.set(route.database, route);
-  return {...rest, byDatabase, count: routes.length};
+  const byAccount = new Map(accounts.map(entry => [entry.account, entry]));
+  const counts = [routes.length, accounts.length];
+  return {...rest, byDatabase, byAccount, counts};
 }
 
 describe('a change of the catalog', () => {
--- a/src/services/dispatch/common/choose_member.ts
+++ b/src/services/dispatch/common/choose_member.ts
@@ -14,6 +14,8 @@
   readonly latencyMs: number;
   /** Whether a connection is free, or one may be opened. */
   readonly hasRoom: boolean;
+  /** No connection of the account is free: one has to be opened first. */
+  readonly needsOpening: boolean;
   /** How far behind it was seen lately, in milliseconds. */
   readonly lagMs: number;
   readonly sameRegion: boolean;
@@ -37,6 +39,8 @@
 const FAR_PENALTY_MS = 25;
 /** Reads leave the primary's slots to writes while a replica is as quick. */
 const PRIMARY_PENALTY_MS = 15;
+/** An opening takes 12 to 27 ms of a slot, and two ways. */
+const OPENING_PENALTY_MS = 20;
 
 /**
  * The member with the least expected time for a read, or undefined where none
@@ -70,5 +74,6 @@
   const load = (member.running + 1) / Math.max(1, member.slots);
   const far = member.sameRegion ? 0 : FAR_PENALTY_MS;
   const lead = member.isPrimary ? PRIMARY_PENALTY_MS : 0;
-  return member.latencyMs * Math.max(1, load) + far + lead;
+  const opening = member.needsOpening ? OPENING_PENALTY_MS : 0;
+  return member.latencyMs * Math.max(1, load) + far + lead + opening;
 }
--- a/src/services/dispatch/common/connection_share.ts
+++ b/src/services/dispatch/common/connection_share.ts
@@ -42,6 +42,8 @@
 
 /** What decides whether a connection to a member is kept without work. */
 export interface StandbyView {
+  /** Connections belong to accounts: one kept for nobody serves nobody. */
+  readonly servesAccounts: boolean;
   readonly equal: number;
   readonly isPrimary: boolean;
   readonly sameRegion: boolean;
@@ -55,5 +57,6 @@
  * common restart those of the dead processes left little room.
  */
 export function keepsStandby(view: StandbyView): boolean {
-  return view.equal >= 1 && (view.isPrimary || view.sameRegion);
+  if (view.servesAccounts || view.equal < 1) return false;
+  return view.isPrimary || view.sameRegion;
 }
--- a/src/services/dispatch/common/place_request.ts
+++ b/src/services/dispatch/common/place_request.ts
@@ -1,4 +1,4 @@
-import type {CallerName} from '../../../base/common/ids';
+import type {CallerName, MemberUser} from '../../../base/common/ids';
 import type {Result} from '../../../base/common/outcome';
 import type {Waiting} from '../../admission/common/fair_queue';
 import type {Position} from '../../position/common/position';
@@ -25,6 +25,8 @@
 /** A transaction that waits for a connection to a member. */
 export interface PlaceRequest<G> extends Waiting {
   readonly caller: CallerName;
+  /** Whose connections it may use. */
+  readonly user: MemberUser;
   readonly need: PlaceNeed;
   /** Session values, to prefer a connection that has them. */
   readonly values: ReadonlyMap<string, string>;
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -1,11 +1,18 @@
+import type {MemberUser} from '../../../base/common/ids';
 import type {Clock} from '../../../base/common/clock';
 import type {Member} from '../../../schema/generated/fleet';
+import {
+  LeastRecentlyUsed,
+  type ConnectionNeed,
+  type ConnectionPolicy,
+} from '../common/connection_policy';
 import {ConcurrencyWindow} from '../common/concurrency_window';
 import type {Position} from '../../position/common/position';
-import type {
-  ConnectFailure,
-  TargetConnector,
-  TargetLink,
+import {
+  SHARED_USER,
+  type ConnectFailure,
+  type TargetConnector,
+  type TargetLink,
 } from '../../target_link/common/target_link';
 
 /** An opening that takes longer than this has failed, in milliseconds. */
@@ -27,11 +34,12 @@
  */
 const SCARCE_CLOSE_MS = 120;
 /**
- * Connections that are opened at once. Each takes 12 to 27 ms of one of a
- * member's few slots: after a common restart, openings side by side by all
- * instances kept the members busy with nothing else for most of a second.
+ * One that belongs to an account serves nobody else, and is closed for another
+ * account when that needs room; until then it saves its next opening, in ms.
  */
-const MOST_OPENING = 1;
+const ACCOUNT_CLOSE_MS = 30_000;
+/** The same for what is beyond the equal share of this instance. */
+const ACCOUNT_SURPLUS_CLOSE_MS = 1_000;
 /**
  * After a member said that it is full, none is opened for so long, in ms. The
  * pause doubles up to the most for connections beyond the equal share: many
@@ -63,6 +71,7 @@
 export interface PooledLink {
   readonly link: TargetLink;
   readonly instance: string;
+  readonly user: MemberUser;
   /** Session values that are set on it. */
   readonly values: Map<string, string>;
   /** Names of statements prepared on it, by what they do. */
@@ -82,7 +91,9 @@
 export class MemberPool {
   private idle: PooledLink[] = [];
   private readonly all = new Set<PooledLink>();
-  private opening = 0;
+  /** Connections that are being opened, by their users. */
+  private readonly openings = new Map<MemberUser, number>();
+  private readonly policy: ConnectionPolicy = new LeastRecentlyUsed();
   private pausedUntil = 0;
   private pauseMs = FIRST_PAUSE_MS;
   private fullPauseMs = FULL_PAUSE_MS;
@@ -110,6 +121,10 @@
     return this.latency;
   }
 
+  private get opening(): number {
+    return [...this.openings.values()].reduce((sum, one) => sum + one, 0);
+  }
+
   /** Connections that are open or being opened. */
   get size(): number {
     return this.all.size + this.opening;
@@ -125,13 +140,25 @@
     return this.isConfirmed || suspected >= SUSPICION_MS;
   }
 
-  hasIdle(): boolean {
-    return this.idle.length > 0;
+  hasIdle(user: MemberUser): boolean {
+    return this.idle.some(pooled => pooled.user === user);
   }
 
-  mayOpen(limit: number): boolean {
-    if (this.size >= limit || this.opening >= MOST_OPENING) return false;
-    return this.clock.now() >= this.pausedUntil;
+  isOpeningFor(user: MemberUser): boolean {
+    return this.openings.has(user);
+  }
+
+  /** Whether one more may be opened, in the place of another user's or not. */
+  mayOpen(limit: number, user = SHARED_USER): boolean {
+    if (this.clock.now() < this.pausedUntil) return false;
+    const counts = {
+      open: this.all.size,
+      opening: this.opening,
+      openingForUser: this.openings.get(user) ?? 0,
+      limit,
+    };
+    const victim = this.policy.victim(this.idle, user);
+    return this.policy.mayOpen(counts, victim !== undefined);
   }
 
   /** Whether the member takes one more transaction, as far as it showed. */
@@ -139,14 +166,19 @@
     return this.window.allows(this.running);
   }
 
-  /** Takes a free connection, one with these session values if there is. */
-  checkout(values: ReadonlyMap<string, string>): PooledLink | undefined {
-    const fitting = this.idle.findLastIndex(item => {
-      return hasSameValues(item.values, values);
-    });
-    const at = fitting >= 0 ? fitting : this.idle.length - 1;
-    const [found] = at < 0 ? [] : this.idle.splice(at, 1);
-    return found;
+  /** Takes a free connection of a user, with the session's values if there is. */
+  checkout(need: ConnectionNeed): PooledLink | undefined {
+    return this.takeIdle(this.policy.choose(this.idle, need));
+  }
+
+  /** Takes any free connection, for questions to the member itself. */
+  checkoutAny(): PooledLink | undefined {
+    return this.takeIdle(this.idle.at(-1));
+  }
+
+  private takeIdle(pooled: PooledLink | undefined): PooledLink | undefined {
+    if (pooled) this.idle.splice(this.idle.indexOf(pooled), 1);
+    return pooled;
   }
 
   /** Takes a connection back; one that is not clean is closed. */
@@ -192,7 +224,7 @@
     // Guard: connections can go silent for good while new ones work; those
     // that rested beside a silent one would each cost a request its time.
     for (const pooled of this.idle.splice(0)) this.drop(pooled);
-    if (this.opening === 0) this.open();
+    if (this.opening === 0) this.open(SHARED_USER);
   }
 
   private clearSuspicion(): void {
@@ -200,20 +232,33 @@
     this.isConfirmed = false;
   }
 
-  open(): void {
-    this.opening++;
+  /** Opens a connection, in the place of another user's where it has to. */
+  openWithin(limit: number, user: MemberUser): void {
+    const victim = this.policy.victim(this.idle, user);
+    if (this.size >= limit && victim) this.drop(victim);
+    this.open(user);
+  }
+
+  open(user: MemberUser): void {
+    this.countOpening(user, 1);
     const {service, instance, address} = this.member;
-    const target = {service, instance, address};
+    const target = {service, user, instance, address};
     void this.connector
       .connect(target, CONNECT_MS, this.signal)
       .then(outcome => {
-        this.opening--;
-        if (outcome.isErr) this.onFailedOpening(outcome.error);
-        else this.onOpened(outcome.value);
+        this.countOpening(user, -1);
+        if (outcome.isErr) this.onFailedOpening(outcome.error, user);
+        else this.onOpened(outcome.value, user);
         this.listener.onDidChange();
       });
   }
 
+  private countOpening(user: MemberUser, change: number): void {
+    const count = (this.openings.get(user) ?? 0) + change;
+    if (count > 0) this.openings.set(user, count);
+    else this.openings.delete(user);
+  }
+
   /**
    * Closes idle connections that nobody used for a while, but for one that is
    * kept for work to come. A share below one says that there are more
@@ -225,13 +270,17 @@
     for (const pooled of [...this.idle]) {
       if (this.all.size === 1 && keepsStandby) return;
       const rested = now - pooled.idleSince;
-      if (rested > this.mostRest(keepsStandby)) this.drop(pooled);
+      if (rested > this.mostRest(pooled, keepsStandby)) this.drop(pooled);
     }
   }
 
-  private mostRest(keepsStandby: boolean): number {
+  private mostRest({user}: PooledLink, keepsStandby: boolean): number {
     if (this.equalShare < 1) return SCARCE_CLOSE_MS;
-    if (this.all.size > this.equalShare) return SURPLUS_CLOSE_MS;
+    const isSurplus = this.all.size > this.equalShare;
+    if (user !== SHARED_USER) {
+      return isSurplus ? ACCOUNT_SURPLUS_CLOSE_MS : ACCOUNT_CLOSE_MS;
+    }
+    if (isSurplus) return SURPLUS_CLOSE_MS;
     return keepsStandby ? IDLE_CLOSE_MS : RARE_CLOSE_MS;
   }
 
@@ -239,12 +288,13 @@
     for (const pooled of [...this.all]) this.drop(pooled);
   }
 
-  private onOpened(link: TargetLink): void {
+  private onOpened(link: TargetLink, user: MemberUser): void {
     if (this.signal.aborted) return link.close();
     const {instance} = this.member;
     const pooled: PooledLink = {
       link,
       instance,
+      user,
       values: new Map(),
       prepared: new Map(),
       idleSince: this.clock.now(),
@@ -261,13 +311,16 @@
     this.listener.onDidOpen(instance, link.openedAt);
   }
 
-  private onFailedOpening(failure: ConnectFailure): void {
+  private onFailedOpening(failure: ConnectFailure, user: MemberUser): void {
     const now = this.clock.now();
     if (failure === 'too many connections') {
       const isBelowShare = this.size < Math.floor(this.equalShare);
       const pauseMs = isBelowShare ? FULL_PAUSE_MS : this.fullPauseMs;
       this.pausedUntil = now + pauseMs;
       this.fullPauseMs = Math.min(pauseMs * 2, MOST_FULL_PAUSE_MS);
+      // The next try finds room where a resting one made place.
+      const victim = this.policy.victim(this.idle, user);
+      if (victim) this.drop(victim);
     } else {
       this.suspectedSince ??= now;
       this.isConfirmed = true;
@@ -283,11 +336,3 @@
     pooled.link.close();
   }
 }
-
-function hasSameValues(
-  a: ReadonlyMap<string, string>,
-  b: ReadonlyMap<string, string>,
-): boolean {
-  if (a.size !== b.size) return false;
-  return [...a].every(([name, value]) => b.get(name) === value);
-}
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -6,6 +6,7 @@
   type ServiceEntry,
   type ServiceLead,
 } from '../../../schema/generated/fleet';
+import {SHARED_USER} from '../../target_link/common/target_link';
 import {PositionSamples} from '../../freshness/common/position_samples';
 import {laterPosition, type Position} from '../../position/common/position';
 import {PrimaryBelief} from '../common/primary_belief';
@@ -44,6 +45,12 @@
  * take slots there, and its answers would be of no use.
  */
 const LAPSE_MS = 300;
+/**
+ * A request waits so long for the connection that is opened for it before one to
+ * another member is, in milliseconds: three ways between regions and a turn of
+ * a slot.
+ */
+const OPENING_WAIT_MS = 150;
 /** While there is no primary, members are asked this often, in ms. */
 const SEARCH_EVERY_MS = 150;
 
@@ -57,8 +64,15 @@
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
+  /** Connections that are being opened for waiting requests. */
+  private readonly openings = new WeakMap<
+    PlaceRequest<Grant>,
+    {readonly instance: string; readonly since: number}
+  >();
   private lastRead = -Infinity;
   private lastRequest = -Infinity;
+  /** Work of accounts came, which cannot use a connection kept for anybody. */
+  private servesAccounts = false;
   private readonly probe: PrimaryProbe;
   private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
@@ -142,6 +156,7 @@
   private onRequest(request: PlaceRequest<Grant>): void {
     const now = this.now();
     this.lastRequest = now;
+    this.servesAccounts ||= request.user !== SHARED_USER;
     if (request.need.kind === 'read') this.lastRead = now;
     this.waiting.add(request, now);
     this.dispatch();
@@ -162,7 +177,7 @@
       this.probePrimary();
       if (!this.isProvable) return undefined;
     }
-    const views = this.views();
+    const views = this.views(request);
     const {passed} = request;
     const newest = Math.max(need.coversTime, own?.at ?? -Infinity);
     const mostLagMs = this.now() - newest;
@@ -185,9 +200,9 @@
   ): Grant | undefined {
     const pool = this.pools.get(instance);
     if (!pool) return undefined;
-    const pooled = pool.hasWindow && pool.checkout(request.values);
+    const pooled = pool.hasWindow && pool.checkout(request);
     if (!pooled) {
-      if (pool.mayOpen(this.limit)) pool.open();
+      this.openFor(request, pool);
       return undefined;
     }
     const isPrimary = this.isPrimary(instance);
@@ -195,29 +210,52 @@
     return {pooled, isPrimary, epoch, after};
   }
 
-  private views(): MemberView[] {
+  private openFor(request: PlaceRequest<Grant>, pool: MemberPool): void {
+    const {user} = request;
+    if (this.awaitsOpening(request) || !pool.mayOpen(this.limit, user)) return;
+    pool.openWithin(this.limit, user);
+    const {instance} = pool.member;
+    this.openings.set(request, {instance, since: this.now()});
+  }
+
+  /**
+   * Whether a connection is being opened for a request already. Guard: one of
+   * an account that has none anywhere would else be opened to each member of
+   * the service, one after the other, while the first one is on its way.
+   */
+  private awaitsOpening(request: PlaceRequest<Grant>): boolean {
+    if (request.user === SHARED_USER) return false;
+    const opening = this.openings.get(request);
+    if (!opening || this.now() - opening.since > OPENING_WAIT_MS) return false;
+    return (
+      this.pools.get(opening.instance)?.isOpeningFor(request.user) ?? false
+    );
+  }
+
+  private views(request: PlaceRequest<Grant>): MemberView[] {
+    const {user} = request;
+    const mayOpen = !this.awaitsOpening(request);
     return [...this.pools.values()].map(pool => {
       const {member} = pool;
+      const hasIdle = pool.hasIdle(user);
       return {
         instance: member.instance,
         isPrimary: this.isPrimary(member.instance),
         draining: member.draining,
-        avoided: pool.isFailing && !pool.hasIdle(),
+        avoided: pool.isFailing && !hasIdle,
         running: pool.running,
         slots: member.slots,
         latencyMs: pool.latencyMs,
-        hasRoom: this.hasRoom(pool),
+        hasRoom:
+          pool.hasWindow &&
+          (hasIdle || (mayOpen && pool.mayOpen(this.limit, user))),
+        needsOpening: !hasIdle && user !== SHARED_USER,
         lagMs: pool.lagMs,
         sameRegion: this.isNear(member),
       };
     });
   }
 
-  private hasRoom(pool: MemberPool): boolean {
-    if (!pool.hasWindow) return false;
-    return pool.hasIdle() || pool.mayOpen(this.limit);
-  }
-
   /** Connections to one member that all instances together may have. */
   private get sharedConnections(): number {
     return sharedConnections(this.definition.connections);
@@ -239,6 +277,7 @@
 
   private keepsStandby({member}: MemberPool): boolean {
     return keepsStandby({
+      servesAccounts: this.servesAccounts,
       equal: this.equalShare,
       isPrimary: this.isPrimary(member.instance),
       sameRegion: this.isNear(member),
@@ -331,8 +370,8 @@
 
   private takeForWitness(instance: string): PooledLink | undefined {
     const pool = this.pools.get(instance);
-    const pooled = pool?.checkout(NO_VALUES);
-    if (!pooled && pool?.size === 0 && pool.mayOpen(1)) pool.open();
+    const pooled = pool?.checkoutAny();
+    if (!pooled && pool?.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
     return pooled;
   }
 
@@ -407,7 +446,7 @@
       this.signal,
     );
     this.pools.set(instance, pool);
-    if (this.keepsStandby(pool)) pool.open();
+    if (this.keepsStandby(pool)) pool.open(SHARED_USER);
   }
 
   private noteChange(): void {
@@ -438,7 +477,7 @@
     for (const pool of this.pools.values()) {
       const isKept = this.keepsStandby(pool);
       pool.maintain(this.equalShare, isKept);
-      if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open();
+      if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
     }
     this.judgePrimary();
     this.searchPrimary(now);
@@ -472,9 +511,9 @@
 
   private probeMember(pool: MemberPool): void {
     if (this.probe.isRunning(pool.member.instance)) return;
-    const pooled = pool.checkout(NO_VALUES);
+    const pooled = pool.checkoutAny();
     if (pooled) return this.probe.start(pooled, this.belief.epoch);
-    if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open();
+    if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open(SHARED_USER);
   }
 
   private now(): number {
@@ -484,7 +523,6 @@
 
 /** Members that do not lead do so by no decision. */
 const NO_EPOCH = -1;
-const NO_VALUES: ReadonlyMap<string, string> = new Map();
 const NO_MEMBERS: ReadonlySet<string> = new Set();
 
 function claimsToLead({role}: Member): boolean {
--- a/src/services/dispatch/test/common/choose_member.test.ts
+++ b/src/services/dispatch/test/common/choose_member.test.ts
@@ -10,6 +10,7 @@
   slots: 2,
   latencyMs: 20,
   hasRoom: true,
+  needsOpening: false,
   lagMs: 0,
   sameRegion: true,
   ...over,
--- a/src/services/dispatch/test/common/connection_share.test.ts
+++ b/src/services/dispatch/test/common/connection_share.test.ts
@@ -28,16 +28,24 @@
   });
 
   it('are kept idle to primaries and in the own region only', () => {
-    const view = {equal: 1.6, isPrimary: false, sameRegion: false};
+    const place = {isPrimary: false, sameRegion: false};
+    const view = {servesAccounts: false, equal: 1.6, ...place};
     expect(keepsStandby(view)).toBe(false);
     expect(keepsStandby({...view, isPrimary: true})).toBe(true);
     expect(keepsStandby({...view, sameRegion: true})).toBe(true);
   });
+
+  it('are not kept idle for nobody where they belong to accounts', () => {
+    const place = {isPrimary: true, sameRegion: true};
+    const view = {servesAccounts: true, equal: 1.6, ...place};
+    expect(keepsStandby(view)).toBe(false);
+  });
 });
 
 describe('the connections of more instances than there are', () => {
   it('are never kept idle', () => {
-    const view = {equal: 0.5, isPrimary: true, sameRegion: true};
+    const place = {isPrimary: true, sameRegion: true};
+    const view = {servesAccounts: false, equal: 0.5, ...place};
     expect(keepsStandby(view)).toBe(false);
   });
 
--- a/src/services/dispatch/test/common/waiting_requests.test.ts
+++ b/src/services/dispatch/test/common/waiting_requests.test.ts
@@ -1,3 +1,4 @@
+import {SHARED_USER} from '../../../target_link/common/target_link';
 import {describe, expect, it} from 'vitest';
 import {callerName} from '../../../../base/common/ids';
 import type {Result} from '../../../../base/common/outcome';
@@ -56,6 +57,7 @@
       since,
       patienceMs: PATIENCE_MS,
       need,
+      user: SHARED_USER,
       values: new Map(),
       passed: new Set(),
       settle: outcome => this.onSettled(since, waitedBeforeMs, outcome),
--- a/src/services/dispatch/test/node/lead_witness.test.ts
+++ b/src/services/dispatch/test/node/lead_witness.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '../../../../base/common/clock';
 import {FakeGroup} from '../../../gateway/test/node/fake_group';
 import {makeLog} from '../../../gateway/test/node/session_fixture';
+import {SHARED_USER} from '../../../target_link/common/target_link';
 import {LeadWitness, type WitnessedLead} from '../../node/lead_witness';
 import type {PooledLink} from '../../node/member_pool';
 
@@ -17,11 +18,13 @@
 async function connectAll(): Promise<Map<string, PooledLink>> {
   const links = new Map<string, PooledLink>();
   for (const instance of group.instances) {
-    const target = {service: 'books', instance, address: `${instance}:1`};
+    const user = SHARED_USER;
+    const address = `${instance}:1`;
+    const target = {service: 'books', user, instance, address};
     const link = (await group.connect(target)).unwrapOr(undefined);
     if (!link) continue;
     const known = {values: new Map(), prepared: new Map(), idleSince: 0};
-    links.set(instance, {link, instance, ...known});
+    links.set(instance, {link, instance, user, ...known});
   }
   return links;
 }
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -4,11 +4,13 @@
   Catalog,
   CatalogDelta,
   LeaderMessage,
+  LeasesRenewed,
   MemberList,
   PoolerList,
   PrimaryReport,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import type {CatalogLease} from '../../account/common/catalog_lease';
 import {applyCatalogDelta} from '../../catalog/common/catalog_delta';
 import {RENEW_EVERY_MS, type LeadLeases} from '../../lease/common/lead_leases';
 import {FollowerStream} from './follower_stream';
@@ -19,6 +21,8 @@
   onDidReceiveMembers(members: MemberList): void;
   onDidReceivePoolers(poolers: PoolerList): void;
   onDidReceiveLeads(leads: readonly ServiceLead[]): void;
+  /** A majority confirmed that the newest catalog of all is known here. */
+  onDidConfirmCatalog(): void;
 }
 
 /** Who a proxy is, and where control may be. */
@@ -30,6 +34,7 @@
   /** Addresses of control instances; asked anew at each try. */
   addresses(): readonly string[];
   readonly leases: LeadLeases;
+  readonly catalogLease: CatalogLease;
 }
 
 /**
@@ -156,10 +161,19 @@
         return this.onLeads(stream, body.value.leads);
       case 'renewed':
         if (stream !== this.attached) return;
-        return this.options.leases.onRenewed(body.value.number);
+        return this.onRenewed(body.value);
     }
   }
 
+  private onRenewed({number, catalogVersion}: LeasesRenewed): void {
+    const {leases, catalogLease} = this.options;
+    const askedAt = leases.onRenewed(number);
+    const holdsNewest = (this.catalog?.version ?? 0) >= catalogVersion;
+    if (askedAt === undefined || !holdsNewest) return;
+    catalogLease.extend(askedAt);
+    this.listener.onDidConfirmCatalog();
+  }
+
   /** One that is older than what is known changes nothing. */
   private onCatalog(catalog: Catalog): void {
     if (catalog.version <= (this.catalog?.version ?? 0)) return;
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -250,7 +250,10 @@
         if (!this.followers.has(follower)) continue;
         // Counted before it goes out: a lease must never be longer than known.
         holders.onRenewed(follower.instance, this.clock.now());
-        const value = {number};
+        // Its lease on the catalog counts only with the newest one.
+        this.pushCatalog(follower);
+        const {catalogVersion} = follower;
+        const value = {number, catalogVersion};
         follower.link.write({body: {$case: 'renewed', value}});
       }
     });
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -12,6 +12,7 @@
   makeLog,
   makeRoute,
 } from '../../../gateway/test/node/session_fixture';
+import {CatalogLease} from '../../../account/common/catalog_lease';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeadLeases} from '../../../lease/common/lead_leases';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
@@ -74,6 +75,7 @@
 let counts: number[];
 let rosters: string[];
 let leases: LeadLeases;
+let catalogLease: CatalogLease;
 
 beforeEach(async () => {
   stop = new AbortController();
@@ -82,6 +84,7 @@
   counts = [];
   rosters = [];
   leases = new LeadLeases(new MonotonicClock());
+  catalogLease = new CatalogLease(5_000, new MonotonicClock());
   first = new Instance();
   second = new Instance();
   await first.start(stop.signal);
@@ -98,6 +101,7 @@
       address: `${instance}:1`,
       addresses: () => [first.address, second.address],
       leases,
+      catalogLease,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
@@ -106,6 +110,7 @@
         rosters.push(members.map(({instance}) => instance).join(' '));
       },
       onDidReceiveLeads: () => {},
+      onDidConfirmCatalog: () => {},
       onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
--- /dev/null
+++ b/src/services/gateway/node/catalog_access.ts
@@ -0,0 +1,80 @@
+import {
+  callerName,
+  memberUser,
+  type CallerName,
+} from '../../../base/common/ids';
+import {err, ok, type Result} from '../../../base/common/outcome';
+import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import type {CatalogLease} from '../../account/common/catalog_lease';
+import {digestOfKey} from '../../account/node/key_digest';
+import type {CatalogIndex} from '../../catalog/common/catalog';
+import {SHARED_USER} from '../../target_link/common/target_link';
+import type {
+  AccessControl,
+  AccessDenial,
+  Admission,
+} from '../common/session_access';
+
+/** Tells by the catalog in force who a caller is and what it may do. */
+export class CatalogAccess implements AccessControl {
+  constructor(
+    private readonly catalog: () => CatalogIndex | undefined,
+    private readonly lease: CatalogLease,
+  ) {}
+
+  /**
+   * Tells nothing of a database to a caller without a key of an account, not
+   * even whether there is one of that name.
+   */
+  admit(database: string, credential: string): Result<Admission, AccessDenial> {
+    const route = this.route(database);
+    if (route && !route.keyed) return ok(this.admitAnybody(credential, route));
+    const accounts = this.catalog()?.accounts;
+    if (route && !this.lease.isHeld) return err('unconfirmed');
+    const digest = digestOfKey(credential);
+    const holder = accounts?.holderOf(digest);
+    if (!holder) {
+      const isKeyed = accounts !== undefined && !accounts.isEmpty;
+      return err(isKeyed ? 'not authorized' : 'unknown database');
+    }
+    if (!route) return err('unknown database');
+    const caller = callerName(holder.account);
+    return ok({
+      database,
+      caller,
+      user: memberUser(holder.account),
+      denial: () => this.denialOf(route, caller, digest),
+    });
+  }
+
+  private admitAnybody(
+    credential: string,
+    {database}: DatabaseRoute,
+  ): Admission {
+    return {
+      database,
+      caller: callerName(credential),
+      user: SHARED_USER,
+      denial: () => {
+        return this.route(database)?.keyed ? 'route changed' : undefined;
+      },
+    };
+  }
+
+  /** A dropped route is told of by whoever looks for it next. */
+  private denialOf(
+    {database}: DatabaseRoute,
+    caller: CallerName,
+    digest: string,
+  ): AccessDenial | undefined {
+    const route = this.route(database);
+    if (route && !route.keyed) return 'route changed';
+    const holder = this.catalog()?.accounts.holderOf(digest);
+    if (holder?.account !== caller) return 'not authorized';
+    return this.lease.isHeld ? undefined : 'unconfirmed';
+  }
+
+  private route(database: string): DatabaseRoute | undefined {
+    return this.catalog()?.route(database);
+  }
+}
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -1,4 +1,5 @@
-import {callerName, type CallerName} from '../../../base/common/ids';
+import type {CallerName, MemberUser} from '../../../base/common/ids';
+import type {Result} from '../../../base/common/outcome';
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import type {
@@ -11,6 +12,7 @@
   ServiceEntry,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import type {CatalogLease} from '../../account/common/catalog_lease';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {LeadProofs} from '../../lease/common/lead_leases';
@@ -18,7 +20,9 @@
 import type {TargetConnector} from '../../target_link/common/target_link';
 import type {CallerReply} from '../../statement/common/statement';
 import type {CallerChannel} from '../common/caller_channel';
+import type {AccessDenial, Admission} from '../common/session_access';
 import {SessionMemory} from '../common/session_memory';
+import {CatalogAccess} from './catalog_access';
 import type {GatewayMeter} from './gateway_meter';
 import {GatewaySession} from './gateway_session';
 import {RequestJournal} from './request_journal';
@@ -32,6 +36,8 @@
   regionOf(site: string): string;
   readonly connector: TargetConnector;
   readonly leases: LeadProofs;
+  /** For how long control's word on keys is good. */
+  readonly catalogLease: CatalogLease;
   readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
@@ -43,6 +49,12 @@
   onDidJudgePrimary(report: PrimaryReport): void;
 }
 
+/** Who the work of a session is for. */
+export interface SessionIdentity {
+  readonly caller: CallerName;
+  readonly user: MemberUser;
+}
+
 /** The part of a proxy that serves callers by the catalog in force. */
 export class Gateway {
   private index: CatalogIndex | undefined;
@@ -55,7 +67,9 @@
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
   private readonly proofs: LeadProofs;
-  private waitingForCatalog: (() => void)[] = [];
+  private readonly access: CatalogAccess;
+  private waitingToKnow: (() => void)[] = [];
+  private informedOnce = false;
   private stopping = false;
   private draining = false;
 
@@ -64,6 +78,7 @@
     private readonly signal: AbortSignal,
   ) {
     this.journal = new RequestJournal(around.log, around.meter);
+    this.access = new CatalogAccess(() => this.index, around.catalogLease);
     this.proofs = new WitnessedLeads(around.leases, service => {
       return this.dispatcherOf(service);
     });
@@ -75,20 +90,24 @@
 
   /** Whether it knows what to serve, and with whom. */
   get isReady(): boolean {
-    return (
-      !this.stopping && this.index !== undefined && this.members.length > 0
-    );
+    return !this.stopping && this.isInformed && this.members.length > 0;
+  }
+
+  /** Whether it can tell callers what they may do. */
+  get isInformed(): boolean {
+    if (this.index === undefined) return false;
+    return this.index.accounts.isEmpty || this.around.catalogLease.isHeld;
   }
 
   get sessionCount(): number {
     return this.sessions.size;
   }
 
-  /** Calls back once a catalog is known; the result takes the call back. */
-  onceCatalogKnown(listener: () => void): () => void {
-    this.waitingForCatalog.push(listener);
+  /** Calls back once it is informed; the result takes the call back. */
+  onceInformed(listener: () => void): () => void {
+    this.waitingToKnow.push(listener);
     return () => {
-      this.waitingForCatalog = this.waitingForCatalog.filter(other => {
+      this.waitingToKnow = this.waitingToKnow.filter(other => {
         return other !== listener;
       });
     };
@@ -99,10 +118,14 @@
     const {version} = catalog;
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
-    for (const listener of this.waitingForCatalog.splice(0)) listener();
-    const {routes, services} = catalog;
-    const count = routes.length;
-    this.around.log.info('A catalog is in force.', {version, routes: count});
+    this.greetWaiting();
+    const {routes, services, accounts} = catalog;
+    this.around.log.info('A catalog is in force.', {
+      version,
+      routes: routes.length,
+      accounts: accounts.length,
+    });
+    for (const session of this.sessions) session.post({kind: 'check'});
     this.definitions = new Map(services.map(one => [one.service, one]));
     for (const definition of services) {
       const {service} = definition;
@@ -114,6 +137,22 @@
     }
   }
 
+  /** Takes note that control confirmed the catalog in force. */
+  onDidConfirmCatalog(): void {
+    this.greetWaiting();
+  }
+
+  /** Whether it could tell callers once; from then on it refuses at once. */
+  get wasInformed(): boolean {
+    return this.informedOnce;
+  }
+
+  private greetWaiting(): void {
+    if (!this.isInformed) return;
+    this.informedOnce = true;
+    for (const listener of this.waitingToKnow.splice(0)) listener();
+  }
+
   setMembers({members, proxies}: MemberList): void {
     this.members = members;
     if (proxies > 0) this.proxies = proxies;
@@ -151,7 +190,7 @@
 
   /** What the work of one session needs, for work of other proxies too. */
   makeContext(
-    caller: CallerName,
+    {caller, user}: SessionIdentity,
     memory: SessionMemory,
     route: () => DatabaseRoute | undefined,
     signal: AbortSignal,
@@ -160,6 +199,7 @@
     return {
       greetingMs,
       caller,
+      user,
       memory,
       clock: this.around.clock,
       leases: this.proofs,
@@ -171,9 +211,12 @@
     };
   }
 
-  /** Whether callers may connect to a database. */
-  knows(database: string): boolean {
-    return this.index?.route(database) !== undefined;
+  /** Finds out who a caller of a database is. */
+  admit(database: string, credential: string): Result<Admission, AccessDenial> {
+    return this.access.admit(database, credential).mapErr(denial => {
+      this.journal.onDenied(database, denial);
+      return denial;
+    });
   }
 
   /**
@@ -183,14 +226,14 @@
    */
   openSession(
     database: string,
-    caller: string,
+    admission: Admission,
     channel: CallerChannel,
     signal: AbortSignal,
     greetingMs = 0,
   ): GatewaySession {
     let isAnswered = false;
     const context = this.makeContext(
-      callerName(caller),
+      admission,
       new SessionMemory(),
       () => this.index?.route(database),
       signal,
@@ -203,7 +246,7 @@
       },
       close: () => channel.close(),
     };
-    const session = new GatewaySession(context, answered, () => {
+    const session = new GatewaySession(context, admission, answered, () => {
       return this.index?.catalog.transactionIdleMs ?? 0;
     });
     this.sessions.add(session);
--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -8,6 +8,7 @@
   type StatementResult,
 } from '../../statement/common/statement';
 import type {CallerChannel, CallerRequest} from '../common/caller_channel';
+import type {AccessDenial, Admission} from '../common/session_access';
 import {BEGUN, type TransactionStep} from './open_transaction';
 import type {SessionContext} from './session_context';
 import type {WorkStatement} from './statement_on_link';
@@ -22,6 +23,8 @@
     }
   /** The transaction rested too long. */
   | {readonly kind: 'rested'; readonly transaction: WorkTransaction}
+  /** What its caller may do may have changed. */
+  | {readonly kind: 'check'}
   /** End as soon as nothing of the session is under way. */
   | {readonly kind: 'drain'}
   /** End the open transaction too. */
@@ -30,6 +33,12 @@
 /** Requests that a caller may send ahead of their answers. */
 const MOST_AHEAD = 64;
 
+/**
+ * An instance that lost control asks for it again at least as often, in
+ * milliseconds; nobody knows when it will be there.
+ */
+const UNCONFIRMED_MS = 300;
+
 /** The task of one caller's session. */
 export class GatewaySession {
   private readonly mailbox = new Mailbox<SessionMessage>(MOST_AHEAD);
@@ -40,6 +49,7 @@
 
   constructor(
     private readonly context: SessionContext,
+    private readonly admission: Pick<Admission, 'database' | 'denial'>,
     private readonly channel: CallerChannel,
     private readonly restLimitMs: () => number,
   ) {}
@@ -84,6 +94,8 @@
       case 'rested':
         if (message.transaction !== this.transaction) return;
         return this.transaction.giveUp('it rested too long');
+      case 'check':
+        return this.checkAccess();
       case 'drain':
         this.draining = true;
         return;
@@ -100,7 +112,9 @@
     since: number,
   ): Task<void> {
     this.cancelRest();
-    const {result, state} = yield* this.stepOf(requestId, statement, since);
+    const denied = this.deny(requestId);
+    const {result, state} =
+      denied ?? (yield* this.stepOf(requestId, statement, since));
     if (state !== 'idle') this.watchRest();
     const position = this.context.memory.own?.position;
     // What follows a prepared statement or a value is on its way already.
@@ -112,6 +126,45 @@
     this.context.journal.onAnswered(route, result, tookMs);
   }
 
+  /**
+   * Refuses a statement that its caller may not run. Looked at once it is
+   * handled, after whatever it waited for: a key that was withdrawn meanwhile
+   * no longer counts.
+   */
+  private deny(requestId: string): TransactionStep | undefined {
+    const denial = this.admission.denial();
+    if (!denial) return undefined;
+    this.context.journal.onForbidden(requestId, this.context.caller, denial);
+    const wasOpen = this.endForbidden(denial);
+    // Only what this instance cannot confirm may be allowed again here.
+    if (denial !== 'unconfirmed') this.endAtRest();
+    const {database} = this.admission;
+    const result = denialResult(denial, database, wasOpen);
+    return {result, state: 'idle'};
+  }
+
+  /** Undoes the transaction of a caller that may not go on with it. */
+  private endForbidden(denial: AccessDenial): boolean {
+    const {transaction} = this;
+    transaction?.giveUp(denial);
+    this.transaction = undefined;
+    return transaction !== undefined;
+  }
+
+  /** Gives back at once what a caller holds whose key was withdrawn. */
+  private checkAccess(): void {
+    const denial = this.admission.denial();
+    if (!denial || denial === 'unconfirmed') return;
+    // The caller hears why with its next statement.
+    if (this.transaction) return this.transaction.giveUp(denial);
+    this.endAtRest();
+  }
+
+  private endAtRest(): void {
+    this.draining = true;
+    this.hasServed = true;
+  }
+
   private *stepOf(
     requestId: string,
     statement: Statement | undefined,
@@ -234,6 +287,26 @@
   }
 }
 
+/** What a caller is told that may not run a statement; nothing is kept. */
+export function denialResult(
+  denial: AccessDenial,
+  database: string,
+  wasOpen = false,
+): StatementResult {
+  switch (denial) {
+    case 'not authorized':
+      return failure('not authorized', 'no account holds this key');
+    case 'unknown database':
+      return failure('unknown database', database);
+    case 'route changed':
+      return failure(wasOpen ? 'aborted' : 'busy', 'connect again');
+    case 'unconfirmed': {
+      const text = `keys cannot be confirmed, retry after ${UNCONFIRMED_MS} ms`;
+      return failure(wasOpen ? 'aborted' : 'busy', text);
+    }
+  }
+}
+
 function unknownName(statement: Statement): StatementResult {
   const name = statement.kind === 'execute' ? statement.name : '';
   return failure('unknown name', `no statement ${name}`);
--- a/src/services/gateway/node/request_journal.ts
+++ b/src/services/gateway/node/request_journal.ts
@@ -2,6 +2,7 @@
 import type {DatabaseRoute} from '../../../schema/generated/fleet';
 import type {PlaceRefusal} from '../../dispatch/common/place_request';
 import type {StatementResult} from '../../statement/common/statement';
+import type {AccessDenial} from '../common/session_access';
 import type {GatewayMeter} from './gateway_meter';
 
 /** What a request was tried on. */
@@ -30,6 +31,21 @@
     this.meter.count(route.name, outcomeOf(result));
   }
 
+  /** A caller was turned away at its start; its key stands in no line. */
+  onDenied(database: string, denial: AccessDenial): void {
+    this.meter.count('-', denial);
+    this.log.info('Turned a caller away.', {
+      database: database.slice(0, 40),
+      reason: denial,
+    });
+  }
+
+  /** A statement was refused for want of rights; it did not run. */
+  onForbidden(request: string, caller: string, denial: AccessDenial): void {
+    this.meter.count('-', denial);
+    this.log.info('Refused, not run.', {request, caller, reason: denial});
+  }
+
   onRefused(
     request: string,
     route: DatabaseRoute,
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '../../../base/common/clock';
-import type {CallerName} from '../../../base/common/ids';
+import type {CallerName, MemberUser} from '../../../base/common/ids';
 import type {Result} from '../../../base/common/outcome';
 import {Reply, type Task} from '../../../base/node/task';
 import {Consistency, type DatabaseRoute} from '../../../schema/generated/fleet';
@@ -24,6 +24,8 @@
 /** What the parts of one session share. */
 export interface SessionContext {
   readonly caller: CallerName;
+  /** Whose connections to members its work uses. */
+  readonly user: MemberUser;
   readonly memory: SessionMemory;
   readonly clock: Clock;
   readonly leases: LeadProofs;
@@ -56,7 +58,7 @@
   context: SessionContext,
   wish: PlaceWish,
 ): Task<Result<MemberTurn, PlaceRefusal>> {
-  const {caller, memory, clock} = context;
+  const {caller, user, memory, clock} = context;
   const {route, deadline, passed, requestId} = wish;
   const dispatcher = context.dispatcherOf(route.service);
   const reply = new Reply<Result<Grant, PlaceRefusal>>();
@@ -68,6 +70,7 @@
     kind: 'request',
     request: {
       caller,
+      user,
       priority: route.priority,
       deadline,
       dueAt: due,
--- /dev/null
+++ b/src/services/gateway/test/node/accounts.test.ts
@@ -0,0 +1,174 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import type {AccountEntry, Catalog} from '../../../../schema/generated/fleet';
+import {CatalogLease} from '../../../account/common/catalog_lease';
+import {digestOfKey} from '../../../account/node/key_digest';
+import {FakeGroup} from './fake_group';
+import {
+  BEGIN,
+  Caller,
+  COMMIT,
+  makeCatalog,
+  makeRoute,
+  READ,
+  TestGateway,
+  WRITE,
+} from './session_fixture';
+
+const BOUND_MS = 400;
+
+let group: FakeGroup;
+let gateway: TestGateway;
+let lease: CatalogLease;
+
+/** An account whose keys are its name with a number behind. */
+function makeAccount(account: string, keys = 1): AccountEntry {
+  const keyDigests = Array.from({length: keys}, (...[, at]) => {
+    return digestOfKey(`${account}-key-${at}`);
+  });
+  return {account, keyDigests, limit: undefined};
+}
+
+function makeAccounts(
+  version: number,
+  accounts: AccountEntry[],
+  over: Partial<Catalog> = {},
+): Catalog {
+  const routes = [
+    makeRoute({keyed: true}),
+    makeRoute({name: 'r2', database: 'open'}),
+  ];
+  return makeCatalog(routes, {version, accounts, ...over});
+}
+
+function confirm(): void {
+  lease.extend(gateway.clock.now());
+  gateway.gateway.onDidConfirmCatalog();
+}
+
+beforeEach(() => {
+  group = new FakeGroup(['a', 'b', 'c']);
+  const catalog = makeAccounts(1, [makeAccount('fern', 2), makeAccount('oak')]);
+  gateway = new TestGateway(group, catalog);
+  lease = gateway.catalogLease;
+  confirm();
+});
+
+afterEach(() => gateway.stop.abort());
+
+const denialOf = (database: string, key: string) => {
+  const admitted = gateway.gateway.admit(database, key);
+  return admitted.isErr ? admitted.error : undefined;
+};
+
+describe('a caller of a keyed database', () => {
+  it('runs under the name of its account, and its key goes nowhere', async () => {
+    const caller = new Caller(gateway, 'db', 'fern-key-1');
+    await caller.ask(WRITE);
+    expect(group.runs.map(({user}) => user)).toEqual(['fern']);
+    expect(gateway.logged.lines.join()).not.toContain('fern-key');
+  });
+
+  it('is turned away with a key that no account holds', () => {
+    expect(denialOf('db', 'nobody')).toBe('not authorized');
+    expect(denialOf('db', '')).toBe('not authorized');
+    expect(denialOf('open', 'nobody')).toBeUndefined();
+  });
+
+  it('learns of databases only with a key', () => {
+    expect(denialOf('no-such', 'nobody')).toBe('not authorized');
+    expect(denialOf('no-such', 'oak-key-0')).toBe('unknown database');
+  });
+
+  it('never uses the connection of another account', async () => {
+    // A member holds each connection to the account that it was opened for.
+    // With one connection in all, the second account's work must wait for its
+    // own instead of running under the first one's name.
+    group.mostConnections = 1;
+    const fern = new Caller(gateway, 'db', 'fern-key-0');
+    const oak = new Caller(gateway, 'db', 'oak-key-0');
+    await fern.ask(WRITE);
+    await oak.ask(WRITE);
+    await fern.ask(WRITE);
+    expect(group.runs.map(({user}) => user)).toEqual(['fern', 'oak', 'fern']);
+  });
+});
+
+describe('a withdrawn key', () => {
+  it('ends the transaction that is under way with it', async () => {
+    // A caller has written inside a transaction when the operator withdraws
+    // its key. The commit must not go through, and the caller is told why.
+    const caller = new Caller(gateway, 'db', 'oak-key-0');
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    gateway.gateway.setCatalog(makeAccounts(2, [makeAccount('fern', 2)]));
+    const reply = await caller.ask(COMMIT);
+    expect(reply).toMatchObject({
+      state: 'idle',
+      result: {failure: 'not authorized'},
+    });
+    expect(caller.isClosed).toBe(true);
+    expect(group.callerRuns.some(run => run.includes('commit'))).toBe(false);
+  });
+
+  it('closes the session that rests with it', async () => {
+    const caller = new Caller(gateway, 'db', 'oak-key-0');
+    await caller.ask(READ);
+    gateway.gateway.setCatalog(makeAccounts(2, []));
+    await new Promise(resolve => setTimeout(resolve, 20));
+    expect(caller.isClosed).toBe(true);
+  });
+
+  it('serves no more although its account has another key', async () => {
+    const caller = new Caller(gateway, 'db', 'fern-key-1');
+    await caller.ask(READ);
+    gateway.gateway.setCatalog(makeAccounts(2, [makeAccount('fern', 1)]));
+    const reply = await caller.ask(READ);
+    expect(reply.result).toMatchObject({failure: 'not authorized'});
+    expect(denialOf('db', 'fern-key-0')).toBeUndefined();
+  });
+
+  it('serves again once it is given back, within a second', async () => {
+    gateway.gateway.setCatalog(makeAccounts(2, []));
+    expect(denialOf('db', 'oak-key-0')).toBe('unknown database');
+    gateway.gateway.setCatalog(makeAccounts(3, [makeAccount('oak')]));
+    const caller = new Caller(gateway, 'db', 'oak-key-0');
+    expect((await caller.ask(READ)).result.kind).toBe('done');
+  });
+
+  it('that went to another account runs for neither in old sessions', async () => {
+    const caller = new Caller(gateway, 'db', 'oak-key-0');
+    await caller.ask(READ);
+    const moved = {...makeAccount('oak'), account: 'elm'};
+    gateway.gateway.setCatalog(makeAccounts(2, [moved]));
+    const reply = await caller.ask(READ);
+    expect(reply.result).toMatchObject({failure: 'not authorized'});
+  });
+});
+
+describe('an instance without word from control', () => {
+  it('refuses keyed work as not run, and serves open databases', async () => {
+    // The instance is cut off. Whether keys were withdrawn meanwhile it cannot
+    // know, so once its lease on the catalog is over a key proves nothing.
+    const keyed = new Caller(gateway, 'db', 'oak-key-0');
+    const open = new Caller(gateway, 'open', 'anybody');
+    await keyed.ask(READ);
+    await new Promise(resolve => setTimeout(resolve, BOUND_MS));
+    const refused = await keyed.ask(READ);
+    expect(refused.result).toMatchObject({failure: 'busy'});
+    expect(denialOf('db', 'oak-key-0')).toBe('unconfirmed');
+    expect((await open.ask(READ)).result.kind).toBe('done');
+    expect(gateway.gateway.isReady).toBe(false);
+    confirm();
+    expect((await keyed.ask(READ)).result.kind).toBe('done');
+  });
+
+  it('commits nothing of a transaction that began before', async () => {
+    const caller = new Caller(gateway, 'db', 'oak-key-0');
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    await new Promise(resolve => setTimeout(resolve, BOUND_MS));
+    const reply = await caller.ask(COMMIT);
+    expect(reply.result).toMatchObject({failure: 'aborted'});
+    expect(group.callerRuns.some(run => run.includes('commit'))).toBe(false);
+  });
+});
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -24,6 +24,8 @@
 export interface Run {
   readonly instance: string;
   readonly link: number;
+  /** Whose connection it ran on. */
+  readonly user: string;
   readonly requestId: string;
   readonly text: string;
   /** Session values on the connection while it ran. */
@@ -102,7 +104,9 @@
     if (member.connections >= this.mostConnections) {
       return Promise.resolve(err('too many connections'));
     }
-    return Promise.resolve(ok(new FakeLink(this, member, ++this.links)));
+    return Promise.resolve(
+      ok(new FakeLink(this, member, ++this.links, target.user)),
+    );
   }
 }
 
@@ -121,6 +125,7 @@
     private readonly group: FakeGroup,
     private readonly member: FakeMember,
     private readonly id: number,
+    private readonly user: string,
   ) {
     this.openedAt = member.position;
     member.connections++;
@@ -243,6 +248,7 @@
     const values = [...this.values].map(pair => pair.join('=')).join(' ');
     const item = 'item' in statement ? ` ${statement.item}` : '';
     const text = `${statement.kind}${item}`;
-    this.group.runs.push({instance, link: this.id, requestId, text, values});
+    const {id: link, user} = this;
+    this.group.runs.push({instance, link, user, requestId, text, values});
   }
 }
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -13,11 +13,15 @@
   renew,
 } from '../../../lease/test/common/lease_fixture';
 import type {CallerReply, Statement} from '../../../statement/common/statement';
+import {CatalogLease} from '../../../account/common/catalog_lease';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
 import {GatewayMeter} from '../../node/gateway_meter';
 import {LOCAL_RUNNER} from '../../node/work_runner';
 import type {FakeGroup} from './fake_group';
 
+/** How long withdrawn keys may be in use at a test gateway, in ms. */
+const REVOCATION_MS = 400;
+
 /** A route of the service "books". */
 export function makeRoute(over: Partial<DatabaseRoute> = {}): DatabaseRoute {
   return {
@@ -29,6 +33,7 @@
     statementMs: 800,
     objectiveMs: 1_000,
     priority: 1,
+    keyed: false,
     ...over,
   };
 }
@@ -43,6 +48,7 @@
     routes: [...routes],
     services: [{service: 'books', connections: 16, confirmations: 1}],
     transactionIdleMs: 0,
+    accounts: [],
     ...over,
   };
 }
@@ -84,6 +90,7 @@
   constructor(
     private readonly gateway: TestGateway,
     database: string,
+    credential = 'c',
   ) {
     const channel = {
       answer: (reply: CallerReply) => this.waiting.shift()?.(reply),
@@ -93,7 +100,14 @@
       },
     };
     const {signal} = this.ended;
-    this.session = gateway.gateway.openSession(database, 'c', channel, signal);
+    const admitted = gateway.gateway.admit(database, credential);
+    if (admitted.isErr) throw new Error(admitted.error);
+    this.session = gateway.gateway.openSession(
+      database,
+      admitted.value,
+      channel,
+      signal,
+    );
   }
 
   /** Sends a statement and waits for its answer. */
@@ -120,6 +134,8 @@
   readonly gateway: Gateway;
   readonly logged = makeLog();
   readonly reports: string[] = [];
+  /** Needed where the catalog has accounts only; tests extend it. */
+  readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
   private epoch = 0;
 
@@ -135,6 +151,7 @@
         connector: group,
         statusReader: group,
         leases: this.leases,
+        catalogLease: this.catalogLease,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
--- a/src/services/instance/common/instance_settings.ts
+++ b/src/services/instance/common/instance_settings.ts
@@ -29,6 +29,11 @@
   readonly promotions: string;
   /** Whether it refuses an order with a lower token than one it has seen. */
   readonly fencedOrders: boolean;
+  /**
+   * How long after its withdrawal a key may be in use anywhere, in
+   * milliseconds; 0 where that is not promised for instances without control.
+   */
+  readonly revocationMs: number;
   /** The region of each site. */
   readonly regions: ReadonlyMap<string, string>;
 }
@@ -56,6 +61,7 @@
     return least;
   };
   for (const key of ['name', 'site', 'ip']) requireText(own, key, file, faults);
+  const isRevocationBound = textOf(own, 'revocation_strict') === 'true';
   const settings: InstanceSettings = {
     instance: textOf(own, 'name'),
     site: textOf(own, 'site'),
@@ -74,6 +80,7 @@
     graceMs: numberOf('grace_s', 1) * 1_000,
     promotions: textOf(own, 'promotions'),
     fencedOrders: textOf(own, 'promotions_fenced') === 'true',
+    revocationMs: isRevocationBound ? numberOf('revocation_ms', 1) : 0,
     regions,
   };
   return faults.length > 0 ? err(faults) : ok(settings);
--- a/src/services/lease/common/lead_leases.ts
+++ b/src/services/lease/common/lead_leases.ts
@@ -73,15 +73,19 @@
     return number;
   }
 
-  /** Takes the leader's word that a majority confirmed it after a question. */
-  onRenewed(number: number): void {
+  /**
+   * Takes the leader's word that a majority confirmed it after a question. Gives
+   * the time of the question; undefined for one that counts no more.
+   */
+  onRenewed(number: number): number | undefined {
     const askedAt = this.asked.get(number);
-    if (askedAt === undefined) return;
+    if (askedAt === undefined) return undefined;
     this.forgetQuestions(number);
     for (const {lease, isTold} of this.leads.values()) {
       if (isTold) lease.extend(lease.term, askedAt, LEASE_MS);
     }
     this.settleWaiters();
+    return askedAt;
   }
 
   /** Takes changes of leads; the leases that are to be returned for them. */
--- a/src/services/pooler/common/pooler_messages.ts
+++ b/src/services/pooler/common/pooler_messages.ts
@@ -12,6 +12,7 @@
   PreparedStatement,
   SessionMemory,
 } from '../../gateway/common/session_memory';
+import type {MemberUser} from '../../../base/common/ids';
 import {
   failure,
   type CallerReply,
@@ -51,6 +52,7 @@
   'unknown database': WorkFailure.WORK_FAILURE_UNKNOWN_DATABASE,
   'bad message': WorkFailure.WORK_FAILURE_BAD_MESSAGE,
   'unknown outcome': WorkFailure.WORK_FAILURE_UNKNOWN_OUTCOME,
+  'not authorized': WorkFailure.WORK_FAILURE_NOT_AUTHORIZED,
 };
 
 const FAILURE_KINDS: ReadonlyMap<WorkFailure, Failure> = new Map(
@@ -133,15 +135,22 @@
   }
 }
 
+/** What of a session goes to a pooler. */
+export interface SessionParts {
+  readonly caller: string;
+  readonly user: MemberUser;
+  readonly memory: SessionMemory;
+}
+
 /** What a member must know of a session, at a time of the session's clock. */
 export function encodeSession(
-  caller: string,
-  memory: SessionMemory,
+  {caller, user, memory}: SessionParts,
   now: number,
 ): SessionSnapshot {
   const {own} = memory;
   return {
     caller,
+    user,
     values: [...memory.values].flat(),
     ownCommit: own?.position,
     ownCommitAgeMs: own ? wholeAge(now - own.at) : 0,
@@ -180,7 +189,8 @@
 /** A route as a pooler sees it: callers' names for it stay with the proxy. */
 export function decodeTerms(terms: WorkTerms): DatabaseRoute {
   const name = `pooled ${terms.service}`;
-  return {...terms, database: '', name};
+  // Its proxy has looked at the caller's key.
+  return {...terms, database: '', name, keyed: false};
 }
 
 /** A statement's outcome as a message. */
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -49,7 +49,7 @@
           scope: WorkScope.WORK_SCOPE_SINGLE,
           step,
           ageMs: wholeAge(now - since),
-          session: encodeSession(context.caller, context.memory, now),
+          session: encodeSession(context, now),
           terms: encodeTerms(route),
         },
       });
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -178,7 +178,7 @@
       scope: isFirst ? begin : WorkScope.WORK_SCOPE_CONTINUE,
       step,
       ageMs: wholeAge(now - since),
-      session: encodeSession(context.caller, context.memory, now),
+      session: encodeSession(context, now),
       terms: isFirst ? encodeTerms(route) : undefined,
     };
   }
--- a/src/services/pooler/node/pooled_work.ts
+++ b/src/services/pooler/node/pooled_work.ts
@@ -1,4 +1,4 @@
-import {callerName} from '../../../base/common/ids';
+import {callerName, memberUser} from '../../../base/common/ids';
 import {startTask, type Task} from '../../../base/node/task';
 import type {DatabaseRoute} from '../../../schema/generated/fleet';
 import {WorkScope, type WorkRequest} from '../../../schema/generated/pooler';
@@ -82,7 +82,7 @@
     if (!route) return INVALID;
     const since = now - request.ageMs;
     this.context ??= this.gateway.makeContext(
-      callerName(session.caller),
+      {caller: callerName(session.caller), user: memberUser(session.user)},
       this.memory,
       () => this.route,
       this.signal,
--- a/src/services/promotion/node/member_watch.ts
+++ b/src/services/promotion/node/member_watch.ts
@@ -11,10 +11,11 @@
   MemberStatus,
   StatusReader,
 } from '../../target_link/common/member_status';
-import type {
-  ConnectFailure,
-  TargetConnector,
-  TargetLink,
+import {
+  SHARED_USER,
+  type ConnectFailure,
+  type TargetConnector,
+  type TargetLink,
 } from '../../target_link/common/target_link';
 
 /** Silence is noticed within this and an answer's way, in milliseconds. */
@@ -125,8 +126,9 @@
   private connect(): void {
     if (this.connecting || this.signal.aborted) return;
     this.connecting = true;
+    const target = {...this.member, user: SHARED_USER};
     void this.connector
-      .connect(this.member, CONNECT_MS, this.signal)
+      .connect(target, CONNECT_MS, this.signal)
       .then(outcome => {
         this.connecting = false;
         if (outcome.isErr) {
--- a/src/services/statement/common/statement.ts
+++ b/src/services/statement/common/statement.ts
@@ -69,6 +69,8 @@
   | 'timeout'
   | 'unknown database'
   | 'bad message'
+  /** The caller's key is not, or no longer, one of an account; nothing ran. */
+  | 'not authorized'
   /** Whether it ran is not known. */
   | 'unknown outcome';
 
@@ -79,6 +81,7 @@
   'other member',
   'too many connections',
   'unknown name',
+  'not authorized',
 ]);
 
 /** Whether a target's failure says that the statement did not run. */
--- a/src/services/target_link/common/target_link.ts
+++ b/src/services/target_link/common/target_link.ts
@@ -1,10 +1,16 @@
+import {memberUser, type MemberUser} from '../../../base/common/ids';
 import type {Result} from '../../../base/common/outcome';
 import type {Position} from '../../position/common/position';
 import type {TargetCall, TargetReply} from '../../statement/common/statement';
 
+/** The user of connections that belong to no account. */
+export const SHARED_USER: MemberUser = memberUser('bulrushstage');
+
 /** Where a member is met, and which member is expected there. */
 export interface TargetAddress {
   readonly service: string;
+  /** Whose work the connection is for; a member holds it to that. */
+  readonly user: MemberUser;
   readonly instance: string;
   readonly address: string;
 }
