Keep accounts to their limits over all proxies

Ways weighed on paper: equal shares (an account of 5 a second before 42 poolers has 0.1 a second at each: every second operation refused below the limit); shares by demand for all (the same, for small accounts); a keeper an account that is asked for each operation (a way between regions for each, and nothing runs while it is lost); a sum that each reports and control publishes (chosen): an account below its limit waits for nobody, one beyond it gets its rate divided by demand, and shares add up to the limit, so that instances that are cut off keep to them.

Change: AccountLedger (control), AccountThrottle (proxy), counts with the renewal of leases (about 15 bytes an account with work), a share list where it changed.

--- /dev/null
+++ b/src/services/account/common/decayed_rate.ts
@@ -0,0 +1,26 @@
+/** Events are forgotten with this time constant, in milliseconds. */
+const MEMORY_MS = 2_000;
+
+/** A rate of events, smoothed over the last seconds. */
+export class DecayedRate {
+  private weight = 0;
+
+  constructor(private at: number) {}
+
+  add(count: number, now: number): void {
+    this.decay(now);
+    this.weight += count;
+  }
+
+  /** Events a second. */
+  perSecond(now: number): number {
+    this.decay(now);
+    return (this.weight / MEMORY_MS) * 1_000;
+  }
+
+  private decay(now: number): void {
+    const passed = Math.max(0, now - this.at);
+    this.weight *= Math.exp(-passed / MEMORY_MS);
+    this.at = now;
+  }
+}
--- a/src/services/dispatch/common/place_request.ts
+++ b/src/services/dispatch/common/place_request.ts
@@ -41,7 +41,13 @@
 
 /** Why no place was given; nothing has run. */
 export interface PlaceRefusal {
-  readonly reason: 'overloaded' | 'no primary' | 'no member' | 'stopping';
+  readonly reason:
+    | 'overloaded'
+    | 'no primary'
+    | 'no member'
+    | 'stopping'
+    /** The account asks for more than it may. */
+    | 'over its limit';
   /** When to come back, in milliseconds. */
   readonly retryAfterMs: number;
   /** The inputs that decided, for the log. */
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -4,6 +4,7 @@
 import type {Log} from '../../../base/node/log';
 import {ownController, every} from '../../../base/node/timers';
 import type {Catalog, Member} from '../../../schema/generated/fleet';
+import {AccountLedger} from '../../account/common/account_ledger';
 import type {CatalogReader} from '../../catalog/common/catalog';
 import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
@@ -62,6 +63,9 @@
   private leadingSince = Infinity;
   private leadBoard = new LeadBoard();
   private leaseHolders = new LeaseHolders(Infinity);
+  private accountLedger = new AccountLedger(0);
+  /** The catalog whose limits the ledger has. */
+  private ledgerVersion = 0;
   private known: {version: number; catalog: Catalog} | undefined;
   leader: FleetLeader | undefined;
 
@@ -107,6 +111,16 @@
     return this.leaseHolders;
   }
 
+  /** What accounts ask of all proxies. */
+  get accounts(): AccountLedger {
+    const catalog = this.catalog();
+    if (catalog && catalog.version !== this.ledgerVersion) {
+      this.ledgerVersion = catalog.version;
+      this.accountLedger.setAccounts(catalog.accounts, this.around.clock.now());
+    }
+    return this.accountLedger;
+  }
+
   /** Begins or ends what only a leader does. */
   onDidChangeRole(isLeader: boolean): void {
     const wasLeader = this.leadingSince !== Infinity;
@@ -119,6 +133,8 @@
     this.usualCount = new UsualCount();
     this.leadBoard = new LeadBoard();
     this.leaseHolders = new LeaseHolders(this.leadingSince);
+    this.accountLedger = new AccountLedger(this.around.clock.now());
+    this.ledgerVersion = 0;
     // Proxies that wait here for an election stay while this instance stands
     // for it: sent away, each of them came back 0.1 to 0.3 s after it.
     if (wasLeader && !isLeader) this.leader?.onDidLoseLead();
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -10,6 +10,7 @@
   PrimaryReport,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
 import {applyCatalogDelta} from '../../catalog/common/catalog_delta';
 import {RENEW_EVERY_MS, type LeadLeases} from '../../lease/common/lead_leases';
@@ -35,6 +36,7 @@
   addresses(): readonly string[];
   readonly leases: LeadLeases;
   readonly catalogLease: CatalogLease;
+  readonly throttle: AccountThrottle;
 }
 
 /**
@@ -134,8 +136,11 @@
   }
 
   private renewLeases(stream: FollowerStream): void {
-    const number = this.options.leases.ask();
-    stream.write({$case: 'renew', value: {number}});
+    const {leases, throttle} = this.options;
+    const number = leases.ask();
+    // Counts are told once, to the leader that this proxy follows.
+    const uses = stream === this.attached ? throttle.takeReport() : [];
+    stream.write({$case: 'renew', value: {number, uses}});
   }
 
   private onMessage(stream: FollowerStream, {body}: LeaderMessage): void {
@@ -162,15 +167,19 @@
       case 'renewed':
         if (stream !== this.attached) return;
         return this.onRenewed(body.value);
+      case 'shares':
+        if (stream !== this.attached) return;
+        return this.options.throttle.setShares(body.value.shares);
     }
   }
 
   private onRenewed({number, catalogVersion}: LeasesRenewed): void {
-    const {leases, catalogLease} = this.options;
+    const {leases, catalogLease, throttle} = this.options;
     const askedAt = leases.onRenewed(number);
     const holdsNewest = (this.catalog?.version ?? 0) >= catalogVersion;
     if (askedAt === undefined || !holdsNewest) return;
     catalogLease.extend(askedAt);
+    throttle.onDidHear();
     this.listener.onDidConfirmCatalog();
   }
 
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -3,6 +3,7 @@
 import type {MessageLink} from '../../../base/node/message_link';
 import type {MessageServer} from '../../../base/node/message_server';
 import {every} from '../../../base/node/timers';
+import type {AccountLedger} from '../../account/common/account_ledger';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
 import {CatalogMessages} from './catalog_messages';
@@ -47,6 +48,8 @@
   usualProxies(): number;
   leads(): LeadBoard;
   holders(): LeaseHolders;
+  /** What accounts ask of all proxies, in this leadership. */
+  accounts(): AccountLedger;
   /** Proves by a majority that this instance led after the call. */
   confirm(): Promise<boolean>;
 }
@@ -104,6 +107,7 @@
   push(): void {
     if (this.source.isLeading()) {
       this.countProxies();
+      this.judgeAccounts();
       for (const follower of this.followers) this.pushTo(follower);
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
@@ -208,6 +212,7 @@
       follower.site = site;
       follower.address = address;
       follower.catalogVersion = catalogVersion;
+      this.source.accounts().forgetTold(instance);
       this.log.info('A proxy is attached.', {instance, catalogVersion});
       if (this.source.isLeading()) this.pushTo(follower);
       else this.push();
@@ -219,6 +224,9 @@
       this.log.info('A proxy judges.', {proxy, service, instance, trouble});
     } else if (body?.$case === 'renew') {
       follower.renewal = body.value.number;
+      this.source
+        .accounts()
+        .report(follower.instance, body.value.uses, this.clock.now());
       this.renew();
     } else if (body?.$case === 'returned') {
       const {service, epoch} = body.value;
@@ -271,6 +279,7 @@
     this.pushPoolers(follower);
     this.pushMembers(follower);
     this.pushLeads(follower);
+    this.pushShares(follower);
   }
 
   private pushCatalog(follower: Follower): void {
@@ -305,6 +314,25 @@
     follower.link.writeFrame(message);
   }
 
+  private judgeAccounts(): void {
+    for (const judgement of this.source.accounts().judge(this.clock.now())) {
+      const {account, isLimited, demand, limit, proxies} = judgement;
+      const sentence = isLimited
+        ? 'An account is over its limit.'
+        : 'An account is below its limit.';
+      const {perSecond, burst} = limit;
+      this.log.info(sentence, {account, demand, perSecond, burst, proxies});
+    }
+  }
+
+  private pushShares(follower: Follower): void {
+    const {instance} = follower;
+    const ledger = this.source.accounts();
+    const shares = ledger.sharesFor(instance, this.clock.now());
+    if (!shares) return;
+    follower.link.write({body: {$case: 'shares', value: {shares}}});
+  }
+
   private pushLeads(follower: Follower): void {
     const board = this.source.leads();
     const leads = board.since(follower.leadsRevision);
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -12,6 +12,8 @@
   makeLog,
   makeRoute,
 } from '../../../gateway/test/node/session_fixture';
+import {AccountLedger} from '../../../account/common/account_ledger';
+import {AccountThrottle} from '../../../account/common/account_throttle';
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeadLeases} from '../../../lease/common/lead_leases';
@@ -32,6 +34,7 @@
   isConfirmed = true;
   usualProxies = 0;
   readonly board = new LeadBoard();
+  readonly ledger = new AccountLedger(0);
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
   readonly logged = makeLog();
@@ -50,6 +53,7 @@
         usualProxies: () => this.usualProxies,
         leads: () => this.board,
         holders: () => this.holders,
+        accounts: () => this.ledger,
         confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
@@ -102,6 +106,7 @@
       addresses: () => [first.address, second.address],
       leases,
       catalogLease,
+      throttle: new AccountThrottle(new MonotonicClock()),
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
--- a/src/services/gateway/node/catalog_access.ts
+++ b/src/services/gateway/node/catalog_access.ts
@@ -53,7 +53,7 @@
   ): Admission {
     return {
       database,
-      caller: callerName(credential),
+      caller: this.nameOf(credential),
       user: SHARED_USER,
       denial: () => {
         return this.route(database)?.keyed ? 'route changed' : undefined;
@@ -61,6 +61,15 @@
     };
   }
 
+  /**
+   * Guard: a caller may present its key where none is asked for. Its name goes
+   * into logs and to poolers, so where there are keys it is made of a digest.
+   */
+  private nameOf(credential: string): CallerName {
+    const isName = this.catalog()?.accounts.isEmpty ?? true;
+    return callerName(isName ? credential : digestOfKey(credential));
+  }
+
   /** A dropped route is told of by whoever looks for it next. */
   private denialOf(
     {database}: DatabaseRoute,
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -12,6 +12,7 @@
   ServiceEntry,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -38,6 +39,7 @@
   readonly leases: LeadProofs;
   /** For how long control's word on keys is good. */
   readonly catalogLease: CatalogLease;
+  readonly throttle: AccountThrottle;
   readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
@@ -118,6 +120,7 @@
     const {version} = catalog;
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
+    this.around.throttle.setAccounts(catalog.accounts);
     this.greetWaiting();
     const {routes, services, accounts} = catalog;
     this.around.log.info('A catalog is in force.', {
@@ -203,6 +206,7 @@
       memory,
       clock: this.around.clock,
       leases: this.proofs,
+      limits: this.around.throttle,
       journal: this.journal,
       signal,
       route,
--- a/src/services/gateway/node/gateway_meter.ts
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -10,6 +10,9 @@
 /** More routes than this share one series, so that memory stays bounded. */
 const MOST_SERIES = 64;
 const OTHER_ROUTES = 'other';
+/** The same for accounts, which have counters only. */
+const MOST_ACCOUNTS = 256;
+const OTHER_ACCOUNTS = 'other';
 const MOST_MICROSECONDS = 60_000_000;
 const QUANTILES = [0.5, 0.9, 0.99];
 
@@ -18,6 +21,9 @@
   private readonly histograms = new Map<string, Histogram>();
   private readonly counts = new Map<string, number>();
   private readonly routes = new Set<string>();
+  private readonly accounts = new Set<string>();
+  private readonly answers = new Map<string, number>();
+  private readonly refusals = new Map<string, number>();
 
   /** Notes the time that a part of a request took, in milliseconds. */
   record(route: string, phase: GatewayPhase, milliseconds: number): void {
@@ -28,15 +34,27 @@
 
   count(route: string, outcome: string): void {
     const key = `route="${this.seriesOf(route)}",outcome="${outcome}"`;
-    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+    increase(this.counts, key);
+  }
+
+  /** Counts an answer to a client account. */
+  countAnswer(account: string): void {
+    increase(this.answers, `account="${this.accountOf(account)}"`);
+  }
+
+  /** Counts a refusal of a client account's request, which did not run. */
+  countRefusal(account: string, reason: string): void {
+    const name = this.accountOf(account);
+    increase(this.refusals, `account="${name}",reason="${reason}"`);
   }
 
   /** The series as text, in the usual format. */
   render(): string {
-    const lines = ['# TYPE bulrushstage_requests_total counter'];
-    for (const [labels, value] of this.counts) {
-      lines.push(`bulrushstage_requests_total{${labels}} ${value}`);
-    }
+    const lines = [
+      ...renderCounter('bulrushstage_requests_total', this.counts),
+      ...renderCounter('bulrushstage_account_answers_total', this.answers),
+      ...renderCounter('bulrushstage_account_refusals_total', this.refusals),
+    ];
     lines.push('# TYPE bulrushstage_request_seconds summary');
     for (const route of this.routes) {
       for (const phase of PHASES) lines.push(...this.summary(route, phase));
@@ -56,6 +74,13 @@
     return [...values, `${name}_count{${labels}} ${histogram.totalCount}`];
   }
 
+  private accountOf(account: string): string {
+    if (this.accounts.has(account)) return account;
+    if (this.accounts.size >= MOST_ACCOUNTS) return OTHER_ACCOUNTS;
+    this.accounts.add(account);
+    return account;
+  }
+
   private seriesOf(route: string): string {
     if (this.routes.has(route)) return route;
     const name = this.routes.size >= MOST_SERIES ? OTHER_ROUTES : route;
@@ -78,3 +103,17 @@
     return histogram;
   }
 }
+
+function increase(counts: Map<string, number>, labels: string): void {
+  counts.set(labels, (counts.get(labels) ?? 0) + 1);
+}
+
+function renderCounter(
+  name: string,
+  counts: ReadonlyMap<string, number>,
+): string[] {
+  const lines = [...counts].map(([labels, value]) => {
+    return `${name}{${labels}} ${value}`;
+  });
+  return [`# TYPE ${name} counter`, ...lines];
+}
--- a/src/services/gateway/node/gateway_session.ts
+++ b/src/services/gateway/node/gateway_session.ts
@@ -123,7 +123,8 @@
     const route = this.context.route();
     if (!route) return;
     const tookMs = this.context.clock.now() - since;
-    this.context.journal.onAnswered(route, result, tookMs);
+    const {user, journal} = this.context;
+    journal.onAnswered(user, route, result, tookMs);
   }
 
   /**
--- a/src/services/gateway/node/request_journal.ts
+++ b/src/services/gateway/node/request_journal.ts
@@ -5,6 +5,12 @@
 import type {AccessDenial} from '../common/session_access';
 import type {GatewayMeter} from './gateway_meter';
 
+/** Which request of which account. */
+export interface RequestName {
+  readonly request: string;
+  readonly caller: string;
+}
+
 /** What a request was tried on. */
 export interface Attempt {
   readonly instance: string;
@@ -26,7 +32,13 @@
     this.meter.record(route.name, 'queue', waitedMs);
   }
 
-  onAnswered(route: DatabaseRoute, result: StatementResult, tookMs: number) {
+  onAnswered(
+    user: string,
+    route: DatabaseRoute,
+    result: StatementResult,
+    tookMs: number,
+  ): void {
+    this.meter.countAnswer(user);
     this.meter.record(route.name, 'whole', tookMs);
     this.meter.count(route.name, outcomeOf(result));
   }
@@ -47,7 +59,7 @@
   }
 
   onRefused(
-    request: string,
+    {request, caller}: RequestName,
     route: DatabaseRoute,
     refusal: PlaceRefusal,
     waitedMs: number,
@@ -55,7 +67,8 @@
     const {reason, retryAfterMs, detail} = refusal;
     const waited = Math.round(waitedMs);
     const {service, name} = route;
-    const fields = {request, service, route: name, reason, detail};
+    const fields = {request, caller, service, route: name, reason, detail};
+    this.meter.countRefusal(caller, reason);
     this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
   }
 
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -9,6 +9,7 @@
 } from '../../dispatch/common/place_request';
 import type {Grant} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
+import type {OperationLimits} from '../../account/common/account_throttle';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import {failure, type StatementResult} from '../../statement/common/statement';
 import type {SessionMemory} from '../common/session_memory';
@@ -29,6 +30,8 @@
   readonly memory: SessionMemory;
   readonly clock: Clock;
   readonly leases: LeadProofs;
+  /** How much accounts may ask. */
+  readonly limits: OperationLimits;
   readonly journal: RequestJournal;
   readonly signal: AbortSignal;
   /** How long its caller waited to be greeted; 0 after its first answer. */
@@ -86,7 +89,8 @@
   const waitedMs = clock.now() - asked;
   context.journal.onPlaced(route, waitedMs);
   if (outcome.isErr) {
-    context.journal.onRefused(requestId, route, outcome.error, waitedMs);
+    const name = {request: requestId, caller};
+    context.journal.onRefused(name, route, outcome.error, waitedMs);
   }
   return outcome.map(grant => {
     const {service} = route;
@@ -133,6 +137,24 @@
   };
 }
 
+/**
+ * Counts an operation of a session's account in; the refusal of one that is
+ * beyond its limit. Asked before anything is queued for it: an account over its
+ * limit costs others neither a place nor a connection.
+ */
+export function admitOperation(
+  {caller, user, limits, journal}: SessionContext,
+  requestId: string,
+  route: DatabaseRoute,
+): StatementResult | undefined {
+  const admitted = limits.admit(user);
+  if (admitted.isOk) return undefined;
+  const {retryAfterMs, detail} = admitted.error;
+  const refusal = {reason: 'over its limit', retryAfterMs, detail} as const;
+  journal.onRefused({request: requestId, caller}, route, refusal, 0);
+  return refusalResult(refusal);
+}
+
 /** What a caller is told where no place was to be had; nothing ran. */
 export function refusalResult(refusal: PlaceRefusal): StatementResult {
   const {reason, retryAfterMs} = refusal;
--- a/src/services/gateway/test/node/accounts.test.ts
+++ b/src/services/gateway/test/node/accounts.test.ts
@@ -68,6 +68,16 @@
     expect(gateway.logged.lines.join()).not.toContain('fern-key');
   });
 
+  it('gives its key away nowhere else, where none is asked for', async () => {
+    const caller = new Caller(gateway, 'open', 'fern-key-1');
+    gateway.group.member('a').isDown = true;
+    gateway.group.member('b').isDown = true;
+    gateway.group.member('c').isDown = true;
+    await caller.ask(WRITE);
+    expect(gateway.logged.lines.join()).toContain('Refused, not run.');
+    expect(gateway.logged.lines.join()).not.toContain('fern-key');
+  });
+
   it('is turned away with a key that no account holds', () => {
     expect(denialOf('db', 'nobody')).toBe('not authorized');
     expect(denialOf('db', '')).toBe('not authorized');
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -13,6 +13,7 @@
   renew,
 } from '../../../lease/test/common/lease_fixture';
 import type {CallerReply, Statement} from '../../../statement/common/statement';
+import {AccountThrottle} from '../../../account/common/account_throttle';
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
 import {GatewayMeter} from '../../node/gateway_meter';
@@ -136,6 +137,7 @@
   readonly reports: string[] = [];
   /** Needed where the catalog has accounts only; tests extend it. */
   readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
+  readonly throttle = new AccountThrottle(this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
   private epoch = 0;
 
@@ -152,6 +154,7 @@
         statusReader: group,
         leases: this.leases,
         catalogLease: this.catalogLease,
+        throttle: this.throttle,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
