Send the work of an account on one member to one pooler

A pooler in each site with six connections for 74 accounts opens one for most operations.

Change: OneForAccount beside NearestFirst (rendezvous hashing among the poolers of the region in which the work is done: the primary's for what needs it, else the caller's); four fifths of a member's connections are for its region's poolers. Shared connections go on as before; the work's user decides, no setting.

--- a/src/services/dispatch/common/connection_share.ts
+++ b/src/services/dispatch/common/connection_share.ts
@@ -8,6 +8,33 @@
   readonly ageMs: number;
 }
 
+/** The instances that share the connections of a service. */
+export interface ConnectionSharers {
+  readonly all: number;
+  /** Those of this instance's region; 0 where regions do not matter. */
+  readonly near: number;
+}
+
+/**
+ * Where work of an account goes to one instance of the region in which it is
+ * done, instances of other regions need connections to a member only when it
+ * stands in for others; they get what is left.
+ */
+const NEAR_PART = 0.8;
+
+/** Connections to one member for each instance; may be below 1. */
+export function equalShare(
+  shared: number,
+  {all, near}: ConnectionSharers,
+  isNear: boolean,
+): number {
+  const far = all - near;
+  if (near === 0 || far === 0) return shared / Math.max(1, all);
+  return isNear
+    ? (shared * NEAR_PART) / near
+    : (shared * (1 - NEAR_PART)) / far;
+}
+
 /** More connections than the equal share, where others rest. */
 const SHARE_FACTOR = 3;
 /**
--- a/src/services/dispatch/node/dispatcher_messages.ts
+++ b/src/services/dispatch/node/dispatcher_messages.ts
@@ -9,6 +9,7 @@
 import type {Position} from '../../position/common/position';
 import type {StatusReader} from '../../target_link/common/member_status';
 import type {TargetConnector} from '../../target_link/common/target_link';
+import type {ConnectionSharers} from '../common/connection_share';
 import type {PlaceRequest} from '../common/place_request';
 import type {PooledLink} from './member_pool';
 
@@ -64,7 +65,7 @@
   | {
       readonly kind: 'members';
       readonly members: readonly Member[];
-      readonly proxies: number;
+      readonly sharers: ConnectionSharers;
     }
   | {readonly kind: 'definition'; readonly definition: ServiceEntry}
   | {readonly kind: 'lead'; readonly lead: ServiceLead}
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -12,7 +12,12 @@
 import {PrimaryBelief} from '../common/primary_belief';
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
-import {connectionLimit, keepsStandby} from '../common/connection_share';
+import {
+  connectionLimit,
+  equalShare,
+  keepsStandby,
+  type ConnectionSharers,
+} from '../common/connection_share';
 import type {PlaceRequest} from '../common/place_request';
 import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
@@ -60,7 +65,7 @@
   private readonly pools = new Map<string, MemberPool>();
   private readonly samples = new PositionSamples();
   private definition: ServiceEntry;
-  private proxies = 1;
+  private sharers: ConnectionSharers = {all: 1, near: 0};
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
@@ -135,7 +140,7 @@
       case 'observed':
         return this.onObserved(message.observation);
       case 'members':
-        return this.onMembers(message.members, message.proxies);
+        return this.onMembers(message.members, message.sharers);
       case 'definition':
         this.definition = message.definition;
         return;
@@ -212,8 +217,9 @@
 
   private openFor(request: PlaceRequest<Grant>, pool: MemberPool): void {
     const {user} = request;
-    if (this.awaitsOpening(request) || !pool.mayOpen(this.limit, user)) return;
-    pool.openWithin(this.limit, user);
+    const limit = this.limitOf(pool);
+    if (this.awaitsOpening(request) || !pool.mayOpen(limit, user)) return;
+    pool.openWithin(limit, user);
     const {instance} = pool.member;
     this.openings.set(request, {instance, since: this.now()});
   }
@@ -248,7 +254,7 @@
         latencyMs: pool.latencyMs,
         hasRoom:
           pool.hasWindow &&
-          (hasIdle || (mayOpen && pool.mayOpen(this.limit, user))),
+          (hasIdle || (mayOpen && pool.mayOpen(this.limitOf(pool), user))),
         needsOpening: !hasIdle && user !== SHARED_USER,
         lagMs: pool.lagMs,
         sameRegion: this.isNear(member),
@@ -261,24 +267,26 @@
     return sharedConnections(this.definition.connections);
   }
 
-  /** Connections to one member for each instance; may be below 1. */
-  private get equalShare(): number {
-    return this.sharedConnections / Math.max(1, this.proxies);
+  private shareOf({member}: MemberPool): number {
+    const {all, near} = this.sharers;
+    const sharers = {all, near: this.servesAccounts ? near : 0};
+    return equalShare(this.sharedConnections, sharers, this.isNear(member));
   }
 
   /** Connections that this instance may have to one member. */
-  private get limit(): number {
+  private limitOf(pool: MemberPool): number {
     return connectionLimit({
       shared: this.sharedConnections,
-      equal: this.equalShare,
+      equal: this.shareOf(pool),
       ageMs: this.now() - this.since,
     });
   }
 
-  private keepsStandby({member}: MemberPool): boolean {
+  private keepsStandby(pool: MemberPool): boolean {
+    const {member} = pool;
     return keepsStandby({
       servesAccounts: this.servesAccounts,
-      equal: this.equalShare,
+      equal: this.shareOf(pool),
       isPrimary: this.isPrimary(member.instance),
       sameRegion: this.isNear(member),
     });
@@ -403,8 +411,11 @@
     log.info('Takes a primary.', {service, instance, epoch, source});
   }
 
-  private onMembers(members: readonly Member[], proxies: number): void {
-    this.proxies = proxies;
+  private onMembers(
+    members: readonly Member[],
+    sharers: ConnectionSharers,
+  ): void {
+    this.sharers = sharers;
     const own = members.filter(({service}) => service === this.around.service);
     for (const member of own) this.onMember(member);
     for (const [instance, pool] of this.pools) {
@@ -476,7 +487,7 @@
     const now = this.now();
     for (const pool of this.pools.values()) {
       const isKept = this.keepsStandby(pool);
-      pool.maintain(this.equalShare, isKept);
+      pool.maintain(this.shareOf(pool), isKept);
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
     }
     this.judgePrimary();
@@ -513,7 +524,8 @@
     if (this.probe.isRunning(pool.member.instance)) return;
     const pooled = pool.checkoutAny();
     if (pooled) return this.probe.start(pooled, this.belief.epoch);
-    if (pool.size === 0 && pool.mayOpen(this.limit)) pool.open(SHARED_USER);
+    const limit = this.limitOf(pool);
+    if (pool.size === 0 && pool.mayOpen(limit)) pool.open(SHARED_USER);
   }
 
   private now(): number {
--- a/src/services/dispatch/test/common/connection_share.test.ts
+++ b/src/services/dispatch/test/common/connection_share.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   connectionLimit,
+  equalShare,
   keepsStandby,
   type ConnectionShare,
 } from '../../common/connection_share';
@@ -62,3 +63,18 @@
     expect(connectionLimit(share({...ample, ageMs: 0}))).toBe(2);
   });
 });
+
+describe('the connections of accounts', () => {
+  it('are mostly for the instances near the member', () => {
+    const sharers = {all: 6, near: 2};
+    expect(equalShare(37, sharers, true)).toBeCloseTo(14.8);
+    expect(equalShare(37, sharers, false)).toBeCloseTo(1.85);
+    const all = 2 * 14.8 + 4 * 1.85;
+    expect(all).toBeCloseTo(37);
+  });
+
+  it('are shared equally where all are near, or regions do not matter', () => {
+    expect(equalShare(36, {all: 6, near: 6}, true)).toBe(6);
+    expect(equalShare(36, {all: 6, near: 0}, false)).toBe(6);
+  });
+});
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -6,6 +6,7 @@
   Catalog,
   DatabaseRoute,
   Member,
+  PoolerEntry,
   PrimaryReport,
   ServiceEntry,
   ServiceLead,
@@ -13,6 +14,7 @@
 import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
 import {CatalogIndex} from '../../catalog/common/catalog';
+import type {ConnectionSharers} from '../../dispatch/common/connection_share';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {
   FleetMembers,
@@ -20,7 +22,10 @@
 } from '../../fleet_link/common/fleet_lists';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import type {StatusReader} from '../../target_link/common/member_status';
-import type {TargetConnector} from '../../target_link/common/target_link';
+import {
+  SHARED_USER,
+  type TargetConnector,
+} from '../../target_link/common/target_link';
 import type {CallerReply} from '../../statement/common/statement';
 import type {CallerChannel} from '../common/caller_channel';
 import type {AccessDenial, Admission} from '../common/session_access';
@@ -63,8 +68,9 @@
 export class Gateway {
   private index: CatalogIndex | undefined;
   private members: readonly Member[] = [];
+  private siteOf: ReadonlyMap<string, string> = new Map();
   private proxies = 1;
-  private poolers = new Map<string, readonly string[]>();
+  private poolers = new Map<string, readonly PoolerEntry[]>();
   private readonly leads = new Map<string, ServiceLead>();
   private definitions = new Map<string, ServiceEntry>();
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
@@ -134,7 +140,7 @@
     this.definitions = new Map(services.map(one => [one.service, one]));
     for (const definition of services) {
       const {service} = definition;
-      const isServed = this.runnerOf(service) === LOCAL_RUNNER;
+      const isServed = this.servesItself(service);
       const dispatcher = isServed
         ? this.dispatcherOf(service)
         : this.dispatchers.get(service);
@@ -160,6 +166,7 @@
 
   setMembers({members, proxies}: FleetMembers): void {
     this.members = members;
+    this.siteOf = new Map(members.map(({instance, site}) => [instance, site]));
     if (proxies > 0) this.proxies = proxies;
     this.tellMembers();
   }
@@ -175,15 +182,13 @@
   /** Takes the list of proxies that keep connections for others. */
   setPoolers({poolers}: FleetPoolers): void {
     const services = new Set(poolers.map(({service}) => service));
-    const instancesOf = (service: string) => {
-      const own = poolers.filter(other => other.service === service);
-      return own.map(({instance}) => instance);
-    };
     this.poolers = new Map(
-      [...services].map(service => [service, instancesOf(service)]),
+      [...services].map(service => {
+        return [service, poolers.filter(other => other.service === service)];
+      }),
     );
-    for (const [service, instances] of this.poolers) {
-      if (instances.includes(this.around.instance)) this.dispatcherOf(service);
+    for (const service of services) {
+      if (this.isPoolerOf(service)) this.dispatcherOf(service);
     }
     this.tellMembers();
   }
@@ -213,7 +218,7 @@
       signal,
       route,
       dispatcherOf: service => this.dispatcherOf(service),
-      runnerOf: service => this.runnerOf(service),
+      runnerOf: service => this.runnerOf(service, user),
     };
   }
 
@@ -293,31 +298,53 @@
     this.dispatchers.set(service, dispatcher);
     const definition = this.definitions.get(service);
     if (definition) dispatcher.post({kind: 'definition', definition});
-    const proxies = this.sharersOf(service);
-    dispatcher.post({kind: 'members', members, proxies});
+    const sharers = this.sharersOf(service);
+    dispatcher.post({kind: 'members', members, sharers});
     const lead = this.leads.get(service);
     if (lead) dispatcher.post({kind: 'lead', lead});
     return dispatcher;
   }
 
-  private runnerOf(service: string): WorkRunner {
-    const poolers = this.poolers.get(service);
-    if (!poolers || poolers.includes(this.around.instance)) return LOCAL_RUNNER;
-    return this.around.pooledRunner;
+  /** Work of an account may be another pooler's, even where this is one. */
+  private runnerOf(service: string, user: MemberUser): WorkRunner {
+    const isPooled = this.poolers.has(service);
+    if (!isPooled) return LOCAL_RUNNER;
+    const isOwn = user === SHARED_USER && this.isPoolerOf(service);
+    return isOwn ? LOCAL_RUNNER : this.around.pooledRunner;
+  }
+
+  private isPoolerOf(service: string): boolean {
+    const poolers = this.poolers.get(service) ?? [];
+    return poolers.some(({instance}) => instance === this.around.instance);
+  }
+
+  private servesItself(service: string): boolean {
+    return !this.poolers.has(service) || this.isPoolerOf(service);
   }
 
   /** Instances that share the connections of a service with this one. */
-  private sharersOf(service: string): number {
+  private sharersOf(service: string): ConnectionSharers {
     const poolers = this.poolers.get(service);
-    const isPooler = poolers?.includes(this.around.instance);
-    return poolers && isPooler ? poolers.length : this.proxies;
+    if (!poolers || !this.isPoolerOf(service)) {
+      return {all: this.proxies, near: 0};
+    }
+    const {region, regionOf} = this.around;
+    const near = poolers.filter(({site}) => regionOf(site) === region);
+    return {all: poolers.length, near: near.length};
+  }
+
+  /** The region of the primary of a service; undefined where none is known. */
+  primaryRegionOf(service: string): string | undefined {
+    const instance = this.leads.get(service)?.instance;
+    const site = this.siteOf.get(instance ?? '');
+    return site === undefined ? undefined : this.around.regionOf(site);
   }
 
   private tellMembers(): void {
     const {members} = this;
     for (const [service, dispatcher] of this.dispatchers) {
-      const proxies = this.sharersOf(service);
-      dispatcher.post({kind: 'members', members, proxies});
+      const sharers = this.sharersOf(service);
+      dispatcher.post({kind: 'members', members, sharers});
     }
   }
 }
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -100,7 +100,8 @@
   return {kind: 'again', detail, busy: false, mayHaveRun: false, ...over};
 }
 
-function needsPrimary({isWrite, route}: SingleRequest): boolean {
+/** Whether a statement is one for the primary only. */
+export function needsPrimary({isWrite, route}: SingleRequest): boolean {
   return isWrite || route.consistency === Consistency.CONSISTENCY_PRIMARY;
 }
 
--- a/src/services/pooler/common/choose_pooler.ts
+++ b/src/services/pooler/common/choose_pooler.ts
@@ -1,3 +1,4 @@
+import type {MemberUser} from '../../../base/common/ids';
 import type {PoolerEntry} from '../../../schema/generated/fleet';
 import {hashOf} from './pooler_plan';
 
@@ -6,25 +7,76 @@
   readonly instance: string;
   readonly site: string;
   regionOf(site: string): string;
+  /** The region of the primary of a service; undefined where none is known. */
+  primaryRegionOf(service: string): string | undefined;
+}
+
+/** The work that a pooler is wanted for. */
+export interface PoolerWish {
+  readonly service: string;
+  /** Whose connections it uses. */
+  readonly user: MemberUser;
+  readonly needsPrimary: boolean;
+}
+
+/** The order in which a proxy uses the poolers of a service. */
+export interface PoolerChoice {
+  rank(poolers: readonly PoolerEntry[], wish: PoolerWish): PoolerEntry[];
 }
 
 /**
- * The poolers of a service in the order in which this proxy uses them: its own
- * site's first, then its region's. Among equals each proxy has an order of its
- * own, so that those of a pooler that is lost spread over the others.
+ * Its own site's first, then its region's. Among equals each proxy has an order
+ * of its own, so that those of a pooler that is lost spread over the others.
  */
-export function rankPoolers(
+export class NearestFirst implements PoolerChoice {
+  constructor(private readonly here: Whereabouts) {}
+
+  rank(poolers: readonly PoolerEntry[], {service}: PoolerWish): PoolerEntry[] {
+    const {here} = this;
+    return rankBy(poolers, service, ({site, instance}) => [
+      distanceOf(site, here),
+      hashOf(`${here.instance} ${instance}`),
+    ]);
+  }
+}
+
+/**
+ * All work of an account on one member goes to one pooler, whichever proxy its
+ * callers come to: by rendezvous hashing among those of the region in which the
+ * work is done, the primary's for what needs it and the caller's otherwise.
+ *
+ * Buys: a connection serves one account only. With each site's own pooler, six
+ * of them held six connections each for 74 accounts, and two operations of three
+ * opened one (12 ms of one of a member's three slots).
+ */
+export class OneForAccount implements PoolerChoice {
+  constructor(private readonly here: Whereabouts) {}
+
+  rank(
+    poolers: readonly PoolerEntry[],
+    {service, user, needsPrimary}: PoolerWish,
+  ): PoolerEntry[] {
+    const {here} = this;
+    const own = here.regionOf(here.site);
+    const primary = needsPrimary ? here.primaryRegionOf(service) : undefined;
+    const region = primary ?? own;
+    return rankBy(poolers, service, ({site, instance}) => [
+      here.regionOf(site) === region ? 0 : 1,
+      hashOf(`${user} ${instance}`),
+    ]);
+  }
+}
+
+type Rank = readonly [number, number];
+
+function rankBy(
   poolers: readonly PoolerEntry[],
   service: string,
-  here: Whereabouts,
+  rankOf: (entry: PoolerEntry) => Rank,
 ): PoolerEntry[] {
   const own = poolers.filter(other => other.service === service);
-  const ranked = own.map(entry => ({
-    entry,
-    distance: distanceOf(entry.site, here),
-    hash: hashOf(`${here.instance} ${entry.instance}`),
-  }));
-  ranked.sort((a, b) => a.distance - b.distance || a.hash - b.hash);
+  const ranked = own.map(entry => ({entry, rank: rankOf(entry)}));
+  ranked.sort((a, b) => a.rank[0] - b.rank[0] || a.rank[1] - b.rank[1]);
   return ranked.map(({entry}) => entry);
 }
 
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -1,7 +1,10 @@
 import type {Task} from '../../../base/node/task';
 import {WorkScope} from '../../../schema/generated/pooler';
 import type {SessionContext} from '../../gateway/node/session_context';
-import type {SingleRequest} from '../../gateway/node/single_statement';
+import {
+  needsPrimary,
+  type SingleRequest,
+} from '../../gateway/node/single_statement';
 import {LOCAL_RUNNER, type WorkRunner} from '../../gateway/node/work_runner';
 import {failure, type StatementResult} from '../../statement/common/statement';
 import {
@@ -35,8 +38,13 @@
     if (!step) return failure('unknown name', 'not prepared');
     const deadline = since + route.statementMs;
     const passed = new Set<PoolerLink>();
+    const wish = {
+      service: route.service,
+      user: context.user,
+      needsPrimary: needsPrimary(request),
+    };
     for (;;) {
-      const link = yield* takeLink(directory, context, route.service, passed);
+      const link = yield* takeLink(directory, context, wish, passed);
       if (!link) return yield* LOCAL_RUNNER.runSingle(context, request);
       const now = context.clock.now();
       const outcome = yield* callPooler(context, {
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -1,5 +1,5 @@
 import type {Task} from '../../../base/node/task';
-import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import {Consistency, type DatabaseRoute} from '../../../schema/generated/fleet';
 import {
   WorkAction,
   WorkScope,
@@ -157,8 +157,14 @@
   private takeLink(
     passed: ReadonlySet<PoolerLink>,
   ): Task<PoolerLink | undefined> {
-    const {directory, context, route} = this;
-    return takeLink(directory, context, route.service, passed);
+    const {directory, context, route, readOnly} = this;
+    const isStrict = route.consistency === Consistency.CONSISTENCY_PRIMARY;
+    const wish = {
+      service: route.service,
+      user: context.user,
+      needsPrimary: !readOnly || isStrict,
+    };
+    return takeLink(directory, context, wish, passed);
   }
 
   private requestFor(
--- a/src/services/pooler/node/pooler_call.ts
+++ b/src/services/pooler/node/pooler_call.ts
@@ -4,6 +4,7 @@
 import type {SessionContext} from '../../gateway/node/session_context';
 import type {CallerReply} from '../../statement/common/statement';
 import {decodeReply} from '../common/pooler_messages';
+import type {PoolerWish} from '../common/choose_pooler';
 import type {PoolerDirectory} from './pooler_directory';
 import type {PoolerLink, WaitTerms} from './pooler_link';
 
@@ -24,19 +25,23 @@
   readonly deadline: number;
 }
 
-/** A usable link, after a short wait where one is being opened. */
+/**
+ * A usable link, after a short wait where one is being opened; undefined where
+ * the work is done here.
+ */
 export function* takeLink(
   directory: PoolerDirectory,
   {clock}: SessionContext,
-  service: string,
+  wish: PoolerWish,
   passed: ReadonlySet<PoolerLink>,
 ): Task<PoolerLink | undefined> {
   const until = clock.now() + LINK_WAIT_MS;
   for (;;) {
-    const link = directory.choose(service, passed);
-    if (link) return link;
-    if (!directory.isConnecting(service)) return undefined;
-    if (clock.now() >= until) return undefined;
+    const mayWait = clock.now() < until;
+    const chosen = directory.choose(wish, passed, mayWait);
+    if (chosen === 'here') return undefined;
+    if (chosen) return chosen;
+    if (!mayWait || !directory.isConnecting(wish)) return undefined;
     yield* pause(LINK_LOOK_MS);
   }
 }
--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -3,7 +3,13 @@
 import type {Log} from '../../../base/node/log';
 import {after, every} from '../../../base/node/timers';
 import type {PoolerEntry} from '../../../schema/generated/fleet';
-import {rankPoolers, type Whereabouts} from '../common/choose_pooler';
+import {SHARED_USER} from '../../target_link/common/target_link';
+import {
+  NearestFirst,
+  OneForAccount,
+  type PoolerWish,
+  type Whereabouts,
+} from '../common/choose_pooler';
 import {PoolerLink, type LinkState} from './pooler_link';
 
 /**
@@ -16,6 +22,11 @@
 /** Links to poolers that fell silent are backed up within this, in ms. */
 const TEND_MS = 250;
 
+/** A pooler that was lost is not waited for again for so long, in ms. */
+const LOST_MS = 5_000;
+/** Orders that are kept; some thousand accounts and services. */
+const MOST_RANKS = 4_096;
+
 const USELESS: ReadonlySet<LinkState> = new Set([
   'silent',
   'recovering',
@@ -26,6 +37,12 @@
 export class PoolerDirectory {
   private poolers: readonly PoolerEntry[] = [];
   private ranked = new Map<string, readonly PoolerEntry[]>();
+  private readonly nearest: NearestFirst;
+  private readonly byAccount: OneForAccount;
+  /** Orders for accounts, by service, account and need. */
+  private readonly rankedForAccounts = new Map<string, PoolerEntry[]>();
+  /** When poolers were last lost, by their addresses. */
+  private readonly lostAt = new Map<string, number>();
   private readonly links = new Map<string, PoolerLink>();
   private readonly paused = new Set<string>();
 
@@ -35,16 +52,19 @@
     private readonly log: Log,
     private readonly signal: AbortSignal,
   ) {
+    this.nearest = new NearestFirst(here);
+    this.byAccount = new OneForAccount(here);
     every(signal, TEND_MS, () => this.tend());
   }
 
   setPoolers({poolers}: FleetPoolers): void {
     this.poolers = poolers;
+    this.rankedForAccounts.clear();
     const services = new Set(poolers.map(({service}) => service));
     this.ranked = new Map(
       [...services].map(service => [
         service,
-        rankPoolers(poolers, service, this.here),
+        this.nearest.rank(poolers, sharedWish(service)),
       ]),
     );
     this.log.info('Learns of the poolers.', {
@@ -68,28 +88,61 @@
     return own.map(({service}) => service);
   }
 
-  /** A link for new work of a service, none of those that failed it before. */
+  /**
+   * Where new work goes: a link to a pooler, none of those that failed it
+   * before, or this instance itself.
+   *
+   * @param mayWait Whether a link that is being opened is worth waiting for.
+   */
   choose(
-    service: string,
+    wish: PoolerWish,
     passed: ReadonlySet<PoolerLink>,
-  ): PoolerLink | undefined {
+    mayWait: boolean,
+  ): PoolerLink | 'here' | undefined {
+    const isShared = wish.user === SHARED_USER;
     let second: PoolerLink | undefined;
-    for (const {address} of this.ranked.get(service) ?? []) {
+    for (const {address, instance} of this.rank(wish)) {
+      if (instance === this.here.instance) return second ?? 'here';
+      if (!isShared) this.open(address);
       const link = this.links.get(address);
       if (!link || passed.has(link)) continue;
-      if (link.state === 'ready') return link;
-      if (link.state === 'recovering') second ??= link;
+      const {state} = link;
+      if (state === 'ready') return link;
+      if (state === 'recovering') second ??= link;
+      const isAwaited = state === 'connecting' && !this.wasLost(address);
+      if (!isShared && mayWait && isAwaited) return undefined;
     }
     return second;
   }
 
   /** Whether a link is being opened that could serve soon. */
-  isConnecting(service: string): boolean {
-    return (this.ranked.get(service) ?? []).some(({address}) => {
+  isConnecting(wish: PoolerWish): boolean {
+    return this.rank(wish).some(({address}) => {
       return this.links.get(address)?.state === 'connecting';
     });
   }
 
+  private rank(wish: PoolerWish): readonly PoolerEntry[] {
+    const {service, user, needsPrimary} = wish;
+    if (user === SHARED_USER) return this.ranked.get(service) ?? [];
+    const region = needsPrimary ? this.here.primaryRegionOf(service) : '';
+    const key = `${service} ${user} ${region}`;
+    const known = this.rankedForAccounts.get(key);
+    if (known) return known;
+    const ranked = this.byAccount.rank(this.poolers, wish);
+    if (this.rankedForAccounts.size >= MOST_RANKS) {
+      this.rankedForAccounts.clear();
+    }
+    this.rankedForAccounts.set(key, ranked);
+    return ranked;
+  }
+
+  /** Whether a pooler was lost lately: waiting for it again costs too much. */
+  private wasLost(address: string): boolean {
+    const at = this.lostAt.get(address) ?? -Infinity;
+    return this.clock.now() - at < LOST_MS;
+  }
+
   /** Opens links where too few are usable, and closes those of no use. */
   private tend(): void {
     if (this.signal.aborted) return;
@@ -130,6 +183,7 @@
       if (this.links.get(address) !== link) return;
       this.links.delete(address);
       this.paused.add(address);
+      this.lostAt.set(address, this.clock.now());
       after(this.signal, RETRY_MS, () => {
         this.paused.delete(address);
         this.tend();
@@ -146,3 +200,7 @@
     this.links.set(address, link);
   }
 }
+
+function sharedWish(service: string): PoolerWish {
+  return {service, user: SHARED_USER, needsPrimary: false};
+}
--- a/src/services/pooler/test/common/pooler_plan.test.ts
+++ b/src/services/pooler/test/common/pooler_plan.test.ts
@@ -3,7 +3,6 @@
 import type {PoolerEntry} from '../../../../schema/generated/fleet';
 import {planPoolers, type Candidate} from '../../common/pooler_plan';
 import {PoolerPlanner} from '../../common/pooler_planner';
-import {rankPoolers} from '../../common/choose_pooler';
 
 const SITES = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
 
@@ -165,12 +164,3 @@
     }
   });
 });
-
-describe('rankPoolers', () => {
-  it('goes from the own site to the region and to the others', () => {
-    const plan = planPoolers(makeServices(1, 32), makeProxies(24), []);
-    const here = {instance: 'p7', site: 'a2', regionOf: (s: string) => s[0]!};
-    const sites = rankPoolers(plan, 's0', here).map(({site}) => site);
-    expect(sites.slice(0, 2)).toEqual(['a2', 'a1']);
-  });
-});
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -115,6 +115,7 @@
   const here = {
     instance: 'edge',
     site: 'site-near',
+    primaryRegionOf: () => undefined,
     regionOf: (site: string) => site,
   };
   const {log} = near.gateway.logged;
