--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -19,6 +19,7 @@
   type ConnectionSharers,
 } from '../common/connection_share';
 import type {PlaceRequest} from '../common/place_request';
+import {RequestOpenings} from '../common/request_openings';
 import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
 import type {
@@ -50,12 +51,6 @@
  * take slots there, and its answers would be of no use.
  */
 const LAPSE_MS = 300;
-/**
- * A request waits so long for the connection that is opened for it before one to
- * another member is, in milliseconds: three ways between regions and a turn of
- * a slot.
- */
-const OPENING_WAIT_MS = 150;
 /** While there is no primary, members are asked this often, in ms. */
 const SEARCH_EVERY_MS = 150;
 
@@ -69,11 +64,7 @@
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
-  /** Connections that are being opened for waiting requests. */
-  private readonly openings = new WeakMap<
-    PlaceRequest<Grant>,
-    {readonly instance: string; readonly since: number}
-  >();
+  private readonly openings = new RequestOpenings<PlaceRequest<Grant>>();
   private lastRead = -Infinity;
   private lastRequest = -Infinity;
   /** Work of accounts came, which cannot use a connection kept for anybody. */
@@ -220,22 +211,14 @@
     const limit = this.limitOf(pool);
     if (this.awaitsOpening(request) || !pool.mayOpen(limit, user)) return;
     pool.openWithin(limit, user);
-    const {instance} = pool.member;
-    this.openings.set(request, {instance, since: this.now()});
+    this.openings.note(request, pool.member.instance, this.now());
   }
 
-  /**
-   * Whether a connection is being opened for a request already. Guard: one of
-   * an account that has none anywhere would else be opened to each member of
-   * the service, one after the other, while the first one is on its way.
-   */
   private awaitsOpening(request: PlaceRequest<Grant>): boolean {
     if (request.user === SHARED_USER) return false;
-    const opening = this.openings.get(request);
-    if (!opening || this.now() - opening.since > OPENING_WAIT_MS) return false;
-    return (
-      this.pools.get(opening.instance)?.isOpeningFor(request.user) ?? false
-    );
+    const instance = this.openings.awaitedBy(request, this.now());
+    if (instance === undefined) return false;
+    return this.pools.get(instance)?.isOpeningFor(request.user) ?? false;
   }
 
   private views(request: PlaceRequest<Grant>): MemberView[] {
