--- a/src/services/gateway/test/node/accounts.test.ts
+++ b/src/services/gateway/test/node/accounts.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
 import type {AccountEntry, Catalog} from '../../../../schema/generated/fleet';
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {digestOfKey} from '../../../account/node/key_digest';
@@ -14,7 +15,12 @@
   WRITE,
 } from './session_fixture';
 
+/** Short, for the tests in which the lease on the catalog runs out. */
 const BOUND_MS = 400;
+/** Longer than any test takes. */
+const LONG_BOUND_MS = 60_000;
+
+const clock = new MonotonicClock();
 
 let group: FakeGroup;
 let gateway: TestGateway;
@@ -41,17 +47,19 @@
 }
 
 function confirm(): void {
-  lease.extend(gateway.clock.now());
+  lease.extend(clock.now());
   gateway.gateway.onDidConfirmCatalog();
 }
 
-beforeEach(() => {
+function setUp(boundMs = LONG_BOUND_MS): void {
   group = new FakeGroup(['a', 'b', 'c']);
   const catalog = makeAccounts(1, [makeAccount('fern', 2), makeAccount('oak')]);
-  gateway = new TestGateway(group, catalog);
-  lease = gateway.catalogLease;
+  lease = new CatalogLease(boundMs, clock);
+  gateway = new TestGateway(group, catalog, {catalogLease: lease});
   confirm();
-});
+}
+
+beforeEach(() => setUp());
 
 afterEach(() => gateway.stop.abort());
 
@@ -156,6 +164,11 @@
 });
 
 describe('an instance without word from control', () => {
+  beforeEach(() => {
+    gateway.stop.abort();
+    setUp(BOUND_MS);
+  });
+
   it('refuses keyed work as not run, and serves open databases', async () => {
     // The instance is cut off. Whether keys were withdrawn meanwhile it cannot
     // know, so once its lease on the catalog is over a key proves nothing.
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -21,7 +21,7 @@
 import type {FakeGroup} from './fake_group';
 
 /** How long withdrawn keys may be in use at a test gateway, in ms. */
-const REVOCATION_MS = 400;
+const REVOCATION_MS = 60_000;
 
 /** A route of the service "books". */
 export function makeRoute(over: Partial<DatabaseRoute> = {}): DatabaseRoute {
@@ -135,7 +135,7 @@
   readonly gateway: Gateway;
   readonly logged = makeLog();
   readonly reports: string[] = [];
-  /** Needed where the catalog has accounts only; tests extend it. */
+  /** Needed where the catalog has accounts only; their tests bring their own. */
   readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
   readonly throttle = new AccountThrottle(this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
