--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import {openLink, type MessageLink} from '../../../base/node/message_link';
-import {after, childController} from '../../../base/node/timers';
+import {childController, every} from '../../../base/node/timers';
 import type {
   PoolerRequest,
   PoolerResponse,
@@ -60,7 +60,6 @@
   private heardAt: number;
   private askedAt: number | undefined;
   private heard = false;
-  private isLooking = false;
   private silentAt = -Infinity;
   private leaving = false;
   private closed = false;
@@ -81,6 +80,7 @@
       onDidEnd: reason => this.end(reason),
     });
     this.ended.signal.addEventListener('abort', () => this.end('stopped'));
+    every(this.ended.signal, LOOK_MS, () => this.look());
     this.askForSign();
   }
 
@@ -145,22 +145,6 @@
 
   private noteAsked(): void {
     this.askedAt ??= this.clock.now();
-    this.lookSoon();
-  }
-
-  /**
-   * Looks go on only while something is asked: each account's work goes to
-   * poolers of its own, so that a proxy has some twenty links, most of them at
-   * rest, and looked at each of them 20 times a second.
-   */
-  private lookSoon(): void {
-    if (this.isLooking) return;
-    this.isLooking = true;
-    after(this.ended.signal, LOOK_MS, () => {
-      this.isLooking = false;
-      this.look();
-      if (!this.closed && this.askedAt !== undefined) this.lookSoon();
-    });
   }
 
   private onSilence(): void {
