Apply changes of lists in one place; drop what nobody uses

Cause, from the last read: catalog_delta.ts applied named changes by a loop of its own beside applyListDelta, which does the same; AccountIndex kept accounts by name and the interface AccessControl stood for one class, neither with a user.

--- a/src/services/account/common/account_index.ts
+++ b/src/services/account/common/account_index.ts
@@ -1,12 +1,10 @@
 import type {AccountEntry} from '../../../schema/generated/fleet';
 
-/** The accounts of one catalog, by name and by the digests of their keys. */
+/** The accounts of one catalog, by the digests of their keys. */
 export class AccountIndex {
-  private readonly byName: ReadonlyMap<string, AccountEntry>;
   private readonly byDigest: ReadonlyMap<string, AccountEntry>;
 
-  constructor(accounts: readonly AccountEntry[]) {
-    this.byName = new Map(accounts.map(entry => [entry.account, entry]));
+  constructor(private readonly accounts: readonly AccountEntry[]) {
     this.byDigest = new Map(
       accounts.flatMap(entry => {
         return entry.keyDigests.map(digest => [digest, entry] as const);
@@ -20,10 +18,6 @@
   }
 
   get isEmpty(): boolean {
-    return this.byName.size === 0;
-  }
-
-  get(account: string): AccountEntry | undefined {
-    return this.byName.get(account);
+    return this.accounts.length === 0;
   }
 }
--- a/src/services/catalog/common/catalog_delta.ts
+++ b/src/services/catalog/common/catalog_delta.ts
@@ -5,6 +5,7 @@
   DatabaseRoute,
   ServiceEntry,
 } from '../../../schema/generated/fleet';
+import {applyListDelta} from '../../fleet_link/common/keyed_changes';
 
 /**
  * What turns one catalog into another.
@@ -48,12 +49,16 @@
   const {changed, dropped, changedAccounts, droppedAccounts} = delta;
   return {
     version: delta.version,
-    routes: applyChanges(base.routes, {changed, dropped}, databaseOf),
+    routes: applyListDelta(
+      base.routes,
+      {complete: false, changed, gone: dropped},
+      databaseOf,
+    ),
     services: delta.keepsServices ? base.services : delta.services,
     transactionIdleMs: delta.transactionIdleMs,
-    accounts: applyChanges(
+    accounts: applyListDelta(
       base.accounts,
-      {changed: changedAccounts, dropped: droppedAccounts},
+      {complete: false, changed: changedAccounts, gone: droppedAccounts},
       accountOf,
     ),
   };
@@ -82,17 +87,6 @@
   return {changed, dropped};
 }
 
-function applyChanges<T>(
-  base: readonly T[],
-  {changed, dropped}: ListChanges<T>,
-  nameOf: (entry: T) => string,
-): T[] {
-  const entries = new Map(base.map(entry => [nameOf(entry), entry]));
-  for (const name of dropped) entries.delete(name);
-  for (const entry of changed) entries.set(nameOf(entry), entry);
-  return [...entries.values()];
-}
-
 function databaseOf({database}: DatabaseRoute): string {
   return database;
 }
--- a/src/services/gateway/common/session_access.ts
+++ b/src/services/gateway/common/session_access.ts
@@ -1,5 +1,4 @@
 import type {CallerName, MemberUser} from '../../../base/common/ids';
-import type {Result} from '../../../base/common/outcome';
 
 /** Why a caller is not, or no longer, served. */
 export type AccessDenial =
@@ -20,8 +19,3 @@
   /** Why its next statement may not run; undefined where it may. */
   denial(): AccessDenial | undefined;
 }
-
-/** Finds out who a caller is. */
-export interface AccessControl {
-  admit(database: string, credential: string): Result<Admission, AccessDenial>;
-}
--- a/src/services/gateway/node/catalog_access.ts
+++ b/src/services/gateway/node/catalog_access.ts
@@ -9,14 +9,10 @@
 import {digestOfKey} from '../../account/node/key_digest';
 import type {CatalogIndex} from '../../catalog/common/catalog';
 import {SHARED_USER} from '../../target_link/common/target_link';
-import type {
-  AccessControl,
-  AccessDenial,
-  Admission,
-} from '../common/session_access';
+import type {AccessDenial, Admission} from '../common/session_access';
 
 /** Tells by the catalog in force who a caller is and what it may do. */
-export class CatalogAccess implements AccessControl {
+export class CatalogAccess {
   constructor(
     private readonly catalog: () => CatalogIndex | undefined,
     private readonly lease: CatalogLease,
