--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -142,7 +142,7 @@
   private greet(stream: FollowerStream): void {
     const {instance, site, address} = this.options;
     const catalogVersion = this.catalog?.version ?? 0;
-    const hello = {instance, site, catalogVersion, address};
+    const hello = {instance, site, catalogVersion, address, shares: []};
     stream.write({$case: 'hello', value: hello});
     // Asked at once: a proxy that starts serves primaries a way sooner.
     this.renewLeases(stream);
@@ -153,7 +153,14 @@
     const number = leases.ask();
     // Counts are told once, to the leader that this proxy follows.
     const uses = stream === this.attached ? throttle.takeReport() : [];
-    stream.write({$case: 'renew', value: {number, uses}});
+    const value = {
+      number,
+      uses,
+      sharesNumber: 0,
+      connections: [],
+      grantsNumber: 0,
+    };
+    stream.write({$case: 'renew', value});
   }
 
   private onMessage(stream: FollowerStream, {body}: LeaderMessage): void {
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -342,7 +342,7 @@
     const ledger = this.source.accounts();
     const shares = ledger.sharesFor(instance, this.clock.now());
     if (!shares) return;
-    follower.link.write({body: {$case: 'shares', value: {shares}}});
+    follower.link.write({body: {$case: 'shares', value: {shares, number: 0}}});
   }
 
   private pushLeads(follower: Follower): void {
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -31,7 +31,13 @@
 
   hello(): void {
     const {instance} = this;
-    const value = {instance, site: 'a', catalogVersion: 1, address: instance};
+    const value = {
+      instance,
+      site: 'a',
+      catalogVersion: 1,
+      address: instance,
+      shares: [],
+    };
     this.listener?.onDidReceive({body: {$case: 'hello', value}});
   }
 
--- a/src/services/fleet_state/common/fleet_machine.ts
+++ b/src/services/fleet_state/common/fleet_machine.ts
@@ -1,4 +1,5 @@
 import {
+  type CounterEntry,
   FleetCommand,
   FleetState,
   type PublishCatalog,
@@ -30,6 +31,7 @@
   private named: readonly PoolerEntry[] = [];
   private namedAt = 0;
   private proxyCount = 0;
+  private countersNamed: readonly CounterEntry[] = [];
   private readonly leadOf = new Map<string, ServiceLead>();
 
   /** Outcomes of the newest entries, for those who proposed them. */
@@ -64,6 +66,11 @@
     return this.proxyCount;
   }
 
+  /** The proxies that count operations of accounts, or may still do so. */
+  get counters(): readonly CounterEntry[] {
+    return this.countersNamed;
+  }
+
   /** Who leads each service, by the newest decision. */
   get leads(): readonly ServiceLead[] {
     return [...this.leadOf.values()];
@@ -108,6 +115,9 @@
       case 'countProxies':
         this.proxyCount = body.value.proxies;
         return;
+      case 'nameCounters':
+        this.countersNamed = body.value.counters;
+        return;
       case 'nameLead':
         return this.nameLead(index, body.value);
       case 'settleLead':
@@ -126,14 +136,16 @@
       poolersIndex: this.namedAt,
       leads: [...this.leads],
       proxies: this.proxyCount,
+      counters: [...this.countersNamed],
     };
     return Buffer.from(FleetState.encode(state).finish());
   }
 
   restore(state: Buffer): void {
-    const {version, source, members, poolers, poolersIndex, leads, proxies} =
-      FleetState.decode(state);
-    this.proxyCount = proxies;
+    const decoded = FleetState.decode(state);
+    const {version, source, members, poolers, poolersIndex, leads} = decoded;
+    this.proxyCount = decoded.proxies;
+    this.countersNamed = decoded.counters;
     this.leadOf.clear();
     for (const lead of leads) this.leadOf.set(lead.service, lead);
     this.named = poolers;
--- a/src/services/pooler/common/pooler_messages.ts
+++ b/src/services/pooler/common/pooler_messages.ts
@@ -209,6 +209,7 @@
     rows: isDone ? [...result.rows] : [],
     signature: isDone ? result.signature : '',
     committed: position,
+    waits: [],
   };
 }
 
