End controllers with one reason instead of an error each

Cause: an abort without a reason makes a DOMException with a stack. Each caller's connection, link and pooled piece of work has a controller; in a profile of 33 proxies under load (rig of 40 proxies on loopback, 300 and 600 requests a second) 4.5 % of the processor time was in abort().

Change: controllers of ours abort with one shared reason.

--- a/src/base/node/timers.ts
+++ b/src/base/node/timers.ts
@@ -32,9 +32,21 @@
   signal.addEventListener('abort', () => clearInterval(timer), {once: true});
 }
 
+const ENDED = new Error('ended');
+
+/**
+ * Ends with one reason for all: without one, each end makes an error with the
+ * stack of its own, which costs more than all else of a short connection's end.
+ */
+class OwnController extends AbortController {
+  override abort(reason: unknown = ENDED): void {
+    super.abort(reason);
+  }
+}
+
 /** A controller whose signal any number of owners may listen to. */
 export function ownController(): AbortController {
-  const controller = new AbortController();
+  const controller = new OwnController();
   setMaxListeners(0, controller.signal);
   return controller;
 }
