Let all that a process does periodically come with one timer

Cause: each service's dispatcher, each link and each look had an interval of its own, begun at a moment of its own.

Change: periodic work comes at multiples of 50 ms of one clock, that of one period together. What comes more often than that keeps its own timer. The test of MemberWatch fakes the clock of that timer too.

--- a/src/base/node/timers.ts
+++ b/src/base/node/timers.ts
@@ -1,4 +1,5 @@
 import {setMaxListeners} from 'node:events';
+import {GRID_MS, processTicker, type Beat} from './ticker';
 
 /** Timers that end with an abort signal. */
 
@@ -28,6 +29,55 @@
   callback: () => void,
 ): void {
   if (signal.aborted) return;
+  if (milliseconds < GRID_MS) return everyShort(signal, milliseconds, callback);
+  beatUntil(signal, {periodMs: () => milliseconds, onDidCome: callback});
+}
+
+/** How often something is looked at, in milliseconds. */
+export interface Paces {
+  /** While there is something to do. */
+  readonly busyMs: number;
+  /** While there is nothing to do; Infinity for not at all. */
+  readonly restMs: number;
+}
+
+/**
+ * Calls back again and again until the signal aborts, less often while there is
+ * nothing to do, as the last call said. The result tells that there is something
+ * to do from now on.
+ */
+export function everyWhileBusy(
+  signal: AbortSignal,
+  {busyMs, restMs}: Paces,
+  callback: () => boolean,
+): () => void {
+  if (signal.aborted) return () => {};
+  let isBusy = true;
+  const beat = {
+    periodMs: () => (isBusy ? busyMs : restMs),
+    onDidCome: () => {
+      isBusy = callback();
+    },
+  };
+  beatUntil(signal, beat);
+  return () => {
+    if (isBusy || signal.aborted) return;
+    isBusy = true;
+    processTicker.schedule(beat);
+  };
+}
+
+function beatUntil(signal: AbortSignal, beat: Beat): void {
+  processTicker.schedule(beat);
+  const onAbort = () => processTicker.remove(beat);
+  signal.addEventListener('abort', onAbort, {once: true});
+}
+
+function everyShort(
+  signal: AbortSignal,
+  milliseconds: number,
+  callback: () => void,
+): void {
   const timer = setInterval(callback, milliseconds);
   signal.addEventListener('abort', () => clearInterval(timer), {once: true});
 }
--- a/src/services/promotion/test/node/member_watch.test.ts
+++ b/src/services/promotion/test/node/member_watch.test.ts
@@ -38,7 +38,15 @@
 let stop: AbortController;
 
 beforeEach(() => {
-  vi.useFakeTimers({toFake: ['setTimeout', 'setInterval', 'Date']});
+  vi.useFakeTimers({
+    toFake: [
+      'setTimeout',
+      'clearTimeout',
+      'setInterval',
+      'Date',
+      'performance',
+    ],
+  });
   member = new CountingMember();
   stop = new AbortController();
 });
