Look seldom at services that nobody asks for, and not at resting links

Cause: a dispatcher looked 20 times a second at its members, for each service, and each link to a pooler at its silence, whether anything was asked or not. A proxy before six services works as a pooler for one of them at most.

Change: a dispatcher without waiting requests, requests within 2 s, an outage or a connection to give back looks four times a second; a message to it makes it look as before. A link looks while something is asked on it.

--- a/src/services/dispatch/common/waiting_requests.ts
+++ b/src/services/dispatch/common/waiting_requests.ts
@@ -25,6 +25,10 @@
 
   constructor(private readonly outage: PrimaryOutage) {}
 
+  get size(): number {
+    return this.queue.size;
+  }
+
   /** Lets a request wait, or refuses it. */
   add(request: PlaceRequest<G>, now: number): void {
     const refusal = this.outageRefusal(request, now) ?? this.busy(request, now);
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -130,6 +130,12 @@
     return this.all.size + this.opening;
   }
 
+  /** Whether nothing about it changes by time alone, but for a standby. */
+  isAtRest(keepsStandby: boolean): boolean {
+    if (this.suspectedSince !== undefined) return false;
+    return this.idle.length === this.size && this.size === +keepsStandby;
+  }
+
   /**
    * Whether the member cannot be reached. One lost answer does not say so: it
    * counts once a new connection fails too, or does not open for a while.
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -1,5 +1,5 @@
 import {Mailbox, startTask, type Task} from '../../../base/node/task';
-import {every} from '../../../base/node/timers';
+import {everyWhileBusy} from '../../../base/node/timers';
 import {
   ClaimedRole,
   type Member,
@@ -34,7 +34,10 @@
 import {MemberPool, type PooledLink} from './member_pool';
 import {PrimaryProbe} from './primary_probe';
 
+/** Requests, connections and outages are looked at this often, in ms. */
 const TICK_MS = 50;
+/** The same where there are none, in milliseconds. */
+const REST_TICK_MS = 250;
 /** Without a sample this new, the primary is asked for one, in ms. */
 const SAMPLE_EVERY_MS = 400;
 /** Samples and proofs are asked for only while requests come, in ms. */
@@ -75,6 +78,7 @@
   private judged = '';
   private changedQueued = false;
   private signal = new AbortController().signal;
+  private wakeTick = () => {};
   private readonly since: number;
 
   constructor(private readonly around: DispatcherSurroundings) {
@@ -103,13 +107,18 @@
 
   start(signal: AbortSignal): Promise<void> {
     this.signal = signal;
-    every(signal, TICK_MS, () => this.mailbox.post({kind: 'tick'}));
+    const paces = {busyMs: TICK_MS, restMs: REST_TICK_MS};
+    this.wakeTick = everyWhileBusy(signal, paces, () => {
+      this.mailbox.post({kind: 'tick'});
+      return !this.isAtRest;
+    });
     signal.addEventListener('abort', () => this.mailbox.close(), {once: true});
     return startTask(`dispatcher ${this.around.service}`, () => this.run());
   }
 
   /** False where the mailbox is full. */
   post(message: DispatcherMessage): boolean {
+    this.wakeTick();
     return this.mailbox.post(message);
   }
 
@@ -445,7 +454,7 @@
 
   private noteChange(): void {
     if (this.changedQueued) return;
-    this.changedQueued = this.mailbox.post({kind: 'changed'});
+    this.changedQueued = this.post({kind: 'changed'});
   }
 
   /** Says when trouble with the primary begins and ends. */
@@ -466,6 +475,15 @@
 
   // ---- Time ----
 
+  /** Whether nobody waits, asked lately, or holds what has to be given back. */
+  private get isAtRest(): boolean {
+    if (this.waiting.size > 0 || this.isAsked) return false;
+    if (this.outage.expectedEnd(this.now()) !== undefined) return false;
+    return [...this.pools.values()].every(pool => {
+      return pool.isAtRest(this.keepsStandby(pool));
+    });
+  }
+
   private onTick(): void {
     const now = this.now();
     for (const pool of this.pools.values()) {
--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '../../../base/common/clock';
 import type {Log} from '../../../base/node/log';
 import {openLink, type MessageLink} from '../../../base/node/message_link';
-import {childController, every} from '../../../base/node/timers';
+import {childController, everyWhileBusy} from '../../../base/node/timers';
 import type {
   PoolerRequest,
   PoolerResponse,
@@ -57,6 +57,8 @@
   private readonly link: MessageLink<PoolerRequest, PoolerResponse>;
   private readonly waiting = new Map<number, Waiting>();
   private readonly ended;
+  /** Looks come while something is asked: a proxy has links to many poolers. */
+  private readonly wakeLook: () => void;
   private heardAt: number;
   private askedAt: number | undefined;
   private heard = false;
@@ -80,7 +82,11 @@
       onDidEnd: reason => this.end(reason),
     });
     this.ended.signal.addEventListener('abort', () => this.end('stopped'));
-    every(this.ended.signal, LOOK_MS, () => this.look());
+    const paces = {busyMs: LOOK_MS, restMs: Infinity};
+    this.wakeLook = everyWhileBusy(this.ended.signal, paces, () => {
+      this.look();
+      return this.askedAt !== undefined;
+    });
     this.askForSign();
   }
 
@@ -145,6 +151,7 @@
 
   private noteAsked(): void {
     this.askedAt ??= this.clock.now();
+    this.wakeLook();
   }
 
   private onSilence(): void {
