--- /dev/null
+++ b/src/services/account/common/account_counter.ts
@@ -0,0 +1,180 @@
+import type {Clock} from '../../../base/common/clock';
+import type {
+  AccountEntry,
+  AccountShare,
+  AccountShares,
+  AccountUse,
+} from '../../../schema/generated/fleet';
+import {
+  SHARE_LEASE_MS,
+  type PermitCounter,
+  type PermitDecision,
+} from './counting';
+import {PERMIT_VALID_MS, PermitBucket} from './permit_bucket';
+
+/**
+ * Shares are dropped when the lease is over for so long, in milliseconds: less
+ * than the margin after which control gives them to others.
+ */
+const DROP_AFTER_MS = 500;
+/** A list that came without a lease waits so long for one, in milliseconds. */
+const AWAIT_LEASE_MS = 4_000;
+/** A retry is not asked for later than this, in milliseconds. */
+const MOST_RETRY_MS = 5_000;
+
+/** What this counter knows of one account. */
+class CountedAccount {
+  run = 0;
+  refused = 0;
+  /** The latest time that one who was refused was told. */
+  private promisedAt = -Infinity;
+
+  constructor(readonly bucket: PermitBucket) {}
+
+  ask(wanted: number, now: number): PermitDecision {
+    const decision = this.decide(wanted, now);
+    if (decision.kind === 'granted') this.run += decision.count;
+    else this.refused++;
+    return decision;
+  }
+
+  takeBack(count: number, now: number): void {
+    this.bucket.takeBack(count, now);
+    const returned = Math.min(count, this.run);
+    this.run -= returned;
+    this.refused += returned;
+  }
+
+  private decide(wanted: number, now: number): PermitDecision {
+    const validMs = PERMIT_VALID_MS;
+    const count = this.bucket.take(wanted, now);
+    if (count > 0) return {kind: 'granted', count, validMs, waitMs: 0};
+    const waitMs = this.bucket.reserve(now);
+    if (waitMs === undefined) return this.refuse(now);
+    return {kind: 'granted', count: 1, validMs, waitMs: Math.ceil(waitMs)};
+  }
+
+  /** Each one that is refused is told of a token of its own. */
+  private refuse(now: number): PermitDecision {
+    const betweenMs = 1_000 / this.bucket.terms.perSecond;
+    const firstAt = now + this.bucket.waitMs(now);
+    const at = Math.max(firstAt, this.promisedAt + betweenMs);
+    this.promisedAt = Math.min(at, now + MOST_RETRY_MS);
+    return {
+      kind: 'refused',
+      retryAfterMs: Math.ceil(this.promisedAt - now),
+    };
+  }
+}
+
+/**
+ * Counts the operations of accounts for a region: grants what its shares allow,
+ * and nothing once its lease on them is over.
+ */
+export class AccountCounter implements PermitCounter {
+  private readonly accounts = new Map<string, CountedAccount>();
+  private limited: ReadonlySet<string> = new Set();
+  private number = 0;
+  private until: number;
+  private dropsAt: number;
+
+  constructor(private readonly clock: Clock) {
+    this.until = clock.now();
+    this.dropsAt = this.until;
+  }
+
+  setAccounts(entries: readonly AccountEntry[]): void {
+    const limited = new Set<string>();
+    for (const {account, limit} of entries) if (limit) limited.add(account);
+    // Shares may come ahead of the catalog that has their account.
+    for (const account of this.limited) {
+      if (!limited.has(account)) this.accounts.delete(account);
+    }
+    this.limited = limited;
+  }
+
+  setShares({shares, number}: AccountShares): void {
+    const now = this.clock.now();
+    this.dropLapsed(now);
+    // Guard: what was dropped is told again from 1 on; a list of changes that
+    // was under way by then would leave accounts without a share.
+    if (number !== 1 && number !== this.number + 1) return;
+    this.number = number;
+    if (now >= this.until) {
+      this.dropsAt = Math.max(this.dropsAt, now + AWAIT_LEASE_MS);
+    }
+    for (const share of shares) this.setShare(share, now);
+  }
+
+  extend(askedAt: number): void {
+    this.dropLapsed(this.clock.now());
+    this.until = Math.max(this.until, askedAt + SHARE_LEASE_MS);
+    this.dropsAt = Math.max(this.dropsAt, this.until + DROP_AFTER_MS);
+  }
+
+  onDidDetach(): void {
+    this.number = 0;
+  }
+
+  get held(): AccountShare[] {
+    const now = this.clock.now();
+    // Guard: control frees at once what is not named here. Shares whose lease
+    // is over must not come back with the next one.
+    if (now >= this.until) this.drop();
+    return [...this.accounts].map(([account, {bucket}]) => {
+      return {account, ...bucket.terms};
+    });
+  }
+
+  get sharesNumber(): number {
+    this.dropLapsed(this.clock.now());
+    return this.number;
+  }
+
+  ask(name: string, wanted: number): PermitDecision {
+    const now = this.clock.now();
+    // Guard: control gives these shares to others after the lease.
+    if (now >= this.until) return {kind: 'unknown account'};
+    const account = this.accounts.get(name);
+    if (!account || !canRun(account)) return {kind: 'unknown account'};
+    return account.ask(wanted, now);
+  }
+
+  takeBack(name: string, count: number): void {
+    this.accounts.get(name)?.takeBack(count, this.clock.now());
+  }
+
+  takeReport(): AccountUse[] {
+    const uses: AccountUse[] = [];
+    for (const [name, account] of this.accounts) {
+      const {run, refused} = account;
+      if (run + refused === 0) continue;
+      uses.push({account: name, run, refused});
+      account.run = 0;
+      account.refused = 0;
+    }
+    return uses;
+  }
+
+  private setShare({account, ...terms}: AccountShare, now: number): void {
+    const known = this.accounts.get(account);
+    if (known) known.bucket.setTerms(terms, now);
+    else {
+      const bucket = new PermitBucket(terms, now);
+      this.accounts.set(account, new CountedAccount(bucket));
+    }
+  }
+
+  private dropLapsed(now: number): void {
+    if (now >= this.dropsAt) this.drop();
+  }
+
+  private drop(): void {
+    this.accounts.clear();
+    this.number = 0;
+  }
+}
+
+function canRun({bucket}: CountedAccount): boolean {
+  return bucket.terms.perSecond > 0 && bucket.terms.depth >= 1;
+}
--- a/src/services/account/common/enforcement.ts
+++ b/src/services/account/common/enforcement.ts
@@ -43,3 +43,27 @@
   const depth = (inWindow * excess + slack) * BURST_PART;
   return {perSecond: inWindow / seconds, depth: Math.max(1, depth)};
 }
+
+/**
+ * How much later than it was granted an operation may run, in milliseconds: a
+ * way, and its turn at a pooler.
+ */
+const RUN_LATER_MS = 50;
+
+/**
+ * What all counters of an account together may hold. In any span as many
+ * operations run as tokens came in it, and the depth: what waited in buckets
+ * and which permits were out when it began.
+ */
+export function sharedTerms(
+  {perSecond: rate, burst}: AccountLimit,
+  {windowMs, excess, slack}: LimitPrecision,
+): BucketTerms {
+  if (windowMs === 0) return {perSecond: rate, depth: burst};
+  const seconds = windowMs / 1_000;
+  const inWindow = rate * seconds + burst;
+  const perSecond = inWindow / seconds;
+  const beyond = inWindow * excess + slack;
+  const depth = beyond - (perSecond * RUN_LATER_MS) / 1_000;
+  return {perSecond, depth: Math.max(1, depth)};
+}
--- /dev/null
+++ b/src/services/account/common/permit_bucket.ts
@@ -0,0 +1,127 @@
+import {TokenBucket, type BucketTerms} from './token_bucket';
+
+/** How long permits beyond the first of an answer are good, in milliseconds. */
+export const PERMIT_VALID_MS = 500;
+/** A token that comes within this time is waited for, in milliseconds. */
+export const MOST_WAIT_MS = 150;
+/** The part of the depth for permits that are out. */
+const PERMIT_PART = 0.5;
+/** Permits beyond the first leave this part of the depth in the bucket. */
+const KEEP_PART = 0.5;
+/** What was granted longer ago does not come back, in milliseconds. */
+const REFUND_MS = 1_000;
+
+interface Grant {
+  readonly at: number;
+  /** Operations that may still come back. */
+  count: number;
+  /** Permits among them that may be used until their validity ends. */
+  extra: number;
+}
+
+/**
+ * The tokens of an account at one counter. Guard: what waits and the permits
+ * that are out are never more than the depth together, or a flood after a calm
+ * would run both: the depth beyond the limit.
+ */
+export class PermitBucket {
+  private readonly bucket: TokenBucket;
+  private grants: Grant[] = [];
+
+  constructor(
+    private shareTerms: BucketTerms,
+    now: number,
+  ) {
+    // Guard: a share that is new brings no tokens; they would be there twice.
+    this.bucket = new TokenBucket(shareTerms, 0, now);
+  }
+
+  get terms(): BucketTerms {
+    return this.shareTerms;
+  }
+
+  setTerms(terms: BucketTerms, now: number): void {
+    this.shareTerms = terms;
+    this.fit(now);
+  }
+
+  /**
+   * Takes a token, and more where plenty wait.
+   *
+   * @return Operations granted; 0 where none is.
+   */
+  take(wanted: number, now: number): number {
+    this.fit(now);
+    if (!this.bucket.tryTake(now)) return 0;
+    const extra = Math.min(wanted - 1, this.plenty(now));
+    this.bucket.drain(extra, now);
+    this.note(1 + extra, extra, now);
+    return 1 + extra;
+  }
+
+  /**
+   * Takes the next token if it comes soon.
+   *
+   * @return When, in milliseconds; undefined where it comes later.
+   */
+  reserve(now: number): number | undefined {
+    this.fit(now);
+    const waitMs = this.bucket.waitMs(now);
+    if (waitMs > MOST_WAIT_MS) return undefined;
+    this.bucket.drain(1, now);
+    this.note(1, 0, now);
+    return waitMs;
+  }
+
+  /** When the next token comes, in milliseconds. */
+  waitMs(now: number): number {
+    this.fit(now);
+    const waitMs = this.bucket.waitMs(now);
+    if (Number.isFinite(waitMs)) return waitMs;
+    const first = this.grants.find(({extra}) => extra > 0);
+    return first ? first.at + PERMIT_VALID_MS - now : Infinity;
+  }
+
+  /** Takes tokens back that were granted a moment ago. */
+  takeBack(count: number, now: number): void {
+    this.fit(now);
+    let left = count;
+    for (const grant of this.grants) {
+      const part = Math.min(left, grant.count);
+      grant.count -= part;
+      grant.extra = Math.min(grant.extra, grant.count);
+      left -= part;
+    }
+    this.fit(now);
+    this.bucket.refund(count - left, now);
+  }
+
+  private plenty(now: number): number {
+    const {depth} = this.shareTerms;
+    const out = this.out(now);
+    const room = depth * PERMIT_PART - out;
+    const waiting = this.bucket.level(now) - depth * KEEP_PART;
+    return Math.max(0, Math.floor(Math.min(room, waiting)));
+  }
+
+  private note(count: number, extra: number, now: number): void {
+    this.grants.push({at: now, count, extra});
+    this.fit(now);
+  }
+
+  private out(now: number): number {
+    let sum = 0;
+    for (const {at, extra} of this.grants) {
+      if (now < at + PERMIT_VALID_MS) sum += extra;
+    }
+    return sum;
+  }
+
+  /** Leaves room for the permits that are out. */
+  private fit(now: number): void {
+    const kept = this.grants.findIndex(({at}) => now < at + REFUND_MS);
+    this.grants.splice(0, kept < 0 ? this.grants.length : kept);
+    const {perSecond, depth} = this.shareTerms;
+    this.bucket.setTerms({perSecond, depth: depth - this.out(now)}, now);
+  }
+}
--- /dev/null
+++ b/src/services/account/common/share_division.ts
@@ -0,0 +1,77 @@
+import {NO_SHARE} from './share_holding';
+import type {BucketTerms} from './token_bucket';
+
+/**
+ * The part of what an account does not ask for that stays with control, for the
+ * counter that asks for more next.
+ */
+const LEFT_OVER_PART = 0.25;
+/** The part of it that all counters get alike, asked or not. */
+const EQUAL_PART = 0.25;
+/** All counters alike get at least this part of the limit. */
+const FLOOR_PART = 0.04;
+/** The part of the depth that all counters get alike. */
+const EQUAL_DEPTH_PART = 0.3;
+
+/** A counter among those that get shares of an account. */
+export interface Claim {
+  /** Operations a second that it is asked for. */
+  readonly demand: number;
+  /** Whether it has a share already. */
+  readonly isHolding: boolean;
+}
+
+/** Divides a limit among counters by what they are asked for. */
+export function divide(
+  terms: BucketTerms,
+  claims: readonly Claim[],
+): BucketTerms[] {
+  const shared = choose(claims, terms.depth);
+  const demands = shared.map(claim => claim.demand);
+  const rates = divideRate(terms.perSecond, demands);
+  const depths = divideDepth(terms.depth, demands);
+  return claims.map(claim => {
+    const at = shared.indexOf(claim);
+    if (at < 0) return NO_SHARE;
+    return {perSecond: rates[at]!, depth: depths[at]!};
+  });
+}
+
+/** A counter where no token can wait runs nothing: then fewer get more. */
+function choose(claims: readonly Claim[], depth: number): readonly Claim[] {
+  const most = Math.max(1, Math.floor(depth));
+  if (claims.length <= most) return claims;
+  const weight = ({demand, isHolding}: Claim) => {
+    return isHolding ? 2 * demand + 1 : demand;
+  };
+  const heaviest = [...claims].sort((one, two) => weight(two) - weight(one));
+  return heaviest.slice(0, most);
+}
+
+function divideRate(all: number, demands: readonly number[]): number[] {
+  const total = sumOf(demands);
+  const spare = Math.max(all * FLOOR_PART, all - total);
+  const leftOver = Math.max(0, all - total) * LEFT_OVER_PART;
+  const alike = spare * EQUAL_PART;
+  const byDemand = all - leftOver - alike;
+  return demands.map(demand => {
+    const part = total > 0 ? demand / total : 1 / demands.length;
+    return byDemand * part + alike / demands.length;
+  });
+}
+
+function divideDepth(all: number, demands: readonly number[]): number[] {
+  const total = sumOf(demands);
+  const count = demands.length;
+  const least = Math.min(1, all / count);
+  const rest = all - least * count;
+  const alike = (rest * EQUAL_DEPTH_PART) / count;
+  return demands.map(demand => {
+    const part = total > 0 ? demand / total : 1 / count;
+    return least + alike + rest * (1 - EQUAL_DEPTH_PART) * part;
+  });
+}
+
+function sumOf(numbers: readonly number[]): number {
+  return numbers.reduce((sum, one) => sum + one, 0);
+}
--- /dev/null
+++ b/src/services/account/common/share_holder.ts
@@ -0,0 +1,171 @@
+import type {
+  AccountShare,
+  AccountUse,
+  CounterEntry,
+} from '../../../schema/generated/fleet';
+import {SHARE_LEASE_MS} from './counting';
+import {DecayedRate} from './decayed_rate';
+import {NO_SHARE, ShareHolding} from './share_holding';
+import type {BucketTerms} from './token_bucket';
+
+/**
+ * A counter's lease runs from its question, by its own clock; its shares are
+ * counted as in use for this much longer, in milliseconds.
+ */
+const LEASE_MARGIN_MS = 1_000;
+/** What a counter that lost its shares granted may run so long, in ms. */
+const STRAY_MS = 600;
+/** A counter that reported nothing for so long is told nothing, in ms. */
+const SILENT_MS = 1_500;
+/** One that retires is asked by proxies that heard nothing, for so long. */
+const RETIRE_MS = 2_000;
+/** The part of its share that a counter is taken to use until it reports. */
+const USED_PART = 0.6;
+const DEMAND_MEMORY_MS = 2_000;
+
+/** When what was granted at a time has ended for sure. */
+export function leaseEnd(grantedAt: number): number {
+  return grantedAt + SHARE_LEASE_MS + LEASE_MARGIN_MS;
+}
+
+/** A counter, as the leader of control knows it. */
+export class ShareHolder {
+  readonly holdings = new Map<string, ShareHolding>();
+  private readonly demands = new Map<string, DecayedRate>();
+  private isListed = false;
+  private retiringSince = Infinity;
+  private attachedAt = -Infinity;
+  private renewedAt = -Infinity;
+  private heardAt = -Infinity;
+  private number = 0;
+  private acknowledged = 0;
+
+  get isAttached(): boolean {
+    return this.attachedAt > -Infinity;
+  }
+
+  /** Takes its place in the list of counters; undefined where it has none. */
+  place(entry: CounterEntry | undefined, now: number): void {
+    this.isListed = entry !== undefined && !entry.retiring;
+    if (this.isListed) this.retiringSince = Infinity;
+    else this.retiringSince = Math.min(this.retiringSince, now);
+  }
+
+  /** Whether it gets shares. */
+  isEligible(now: number): boolean {
+    return this.isListed && this.isHeard(now);
+  }
+
+  isHeard(now: number): boolean {
+    return now - this.heardAt < SILENT_MS;
+  }
+
+  /** Whether it keeps what it has for proxies that still ask it. */
+  isLeaving(now: number): boolean {
+    return now - this.retiringSince < RETIRE_MS;
+  }
+
+  attach(shares: readonly AccountShare[], now: number): void {
+    this.attachedAt = now;
+    this.heardAt = now;
+    this.restartLists();
+    if (shares.length === 0) this.lose(now);
+    else this.hold(shares, now);
+  }
+
+  report(uses: readonly AccountUse[], number: number, now: number): void {
+    this.heardAt = now;
+    for (const {account, run, refused} of uses) {
+      this.demandOf(account, now).add(run + refused, now);
+    }
+    // Guard: a counter whose lease ended has dropped its shares and all lists.
+    // Told of changes only, it would refuse the account for good.
+    const hasLost = number === 0 && this.acknowledged > 0;
+    if (hasLost) this.lose(now);
+    if (hasLost) this.restartLists();
+    this.acknowledge(number);
+  }
+
+  renew(now: number): void {
+    this.renewedAt = now;
+  }
+
+  /** Drops what it held if its lease ended before a time. */
+  expire(confirmedAt: number, now: number): void {
+    const heldSince = Math.max(this.renewedAt, this.attachedAt);
+    if (confirmedAt < leaseEnd(heldSince) || this.holdings.size === 0) return;
+    this.holdings.clear();
+    this.restartLists();
+    this.attachedAt = Math.max(this.attachedAt, now);
+  }
+
+  most(account: string, now: number): BucketTerms {
+    return this.holdings.get(account)?.most(now) ?? NO_SHARE;
+  }
+
+  demand(account: string, now: number): number {
+    return this.demands.get(account)?.perSecond(now) ?? 0;
+  }
+
+  holding(account: string): ShareHolding {
+    const known = this.holdings.get(account);
+    const holding = known ?? new ShareHolding();
+    this.holdings.set(account, holding);
+    return holding;
+  }
+
+  /** The number of the list that tells of its next shares. */
+  nextNumber(): number {
+    return ++this.number;
+  }
+
+  /** Whether no account can have a share here any more. */
+  holdsNothing(now: number): boolean {
+    for (const holding of this.holdings.values()) {
+      const {perSecond, depth} = holding.most(now);
+      if (perSecond > 0 || depth > 0) return false;
+    }
+    return true;
+  }
+
+  /** An account has no limit any more: the counter forgets its share. */
+  forget(account: string): void {
+    const holding = this.holdings.get(account);
+    if (holding) holding.isNews = true;
+    this.demands.delete(account);
+  }
+
+  private restartLists(): void {
+    this.number = 0;
+    this.acknowledged = 0;
+  }
+
+  private acknowledge(number: number): void {
+    if (number <= this.acknowledged || number > this.number) return;
+    this.acknowledged = number;
+    for (const holding of this.holdings.values()) holding.acknowledge(number);
+  }
+
+  private lose(now: number): void {
+    for (const holding of this.holdings.values()) {
+      holding.lose(now + STRAY_MS, now);
+    }
+  }
+
+  private hold(shares: readonly AccountShare[], now: number): void {
+    this.holdings.clear();
+    for (const {account, perSecond, depth} of shares) {
+      this.holdings.set(account, new ShareHolding({perSecond, depth}));
+      if (this.demands.has(account)) continue;
+      const used = (perSecond * USED_PART * DEMAND_MEMORY_MS) / 1_000;
+      this.demandOf(account, now).add(used, now);
+    }
+  }
+
+  private demandOf(account: string, now: number): DecayedRate {
+    const known = this.demands.get(account);
+    const demand = known ?? new DecayedRate(now);
+    this.demands.set(account, demand);
+    return demand;
+  }
+}
--- /dev/null
+++ b/src/services/account/common/share_holding.ts
@@ -0,0 +1,74 @@
+import type {BucketTerms} from './token_bucket';
+
+/** No operations. */
+export const NO_SHARE: BucketTerms = {perSecond: 0, depth: 0};
+
+interface ToldShare {
+  readonly number: number;
+  readonly terms: BucketTerms;
+}
+
+/** Permits that a counter gave before it lost its shares. */
+interface StrayPermits {
+  readonly depth: number;
+  readonly until: number;
+}
+
+/**
+ * The share of one account at one counter, as the leader of control knows it:
+ * what is in force there, and what it was told since.
+ */
+export class ShareHolding {
+  /** The first one is in force. */
+  private lists: ToldShare[];
+  private stray: StrayPermits | undefined;
+
+  constructor(
+    inForce = NO_SHARE,
+    /** Whether the counter has to be told of it in any case. */
+    public isNews = true,
+    /** The limit that it was last told a share of. */
+    public edition = 0,
+  ) {
+    this.lists = [{number: 0, terms: inForce}];
+  }
+
+  /** What it was told last. */
+  get told(): BucketTerms {
+    return this.lists.at(-1)!.terms;
+  }
+
+  /**
+   * The most that the counter may still keep to. Guard: a list may be lost or
+   * late; a share that is counted as lowered before the counter keeps to less
+   * would be in use twice, and the account over its limit.
+   */
+  most(now: number): BucketTerms {
+    const isStray = this.stray !== undefined && now < this.stray.until;
+    let perSecond = 0;
+    let depth = isStray ? this.stray!.depth : 0;
+    for (const {terms} of this.lists) {
+      perSecond = Math.max(perSecond, terms.perSecond);
+      depth = Math.max(depth, terms.depth);
+    }
+    return {perSecond, depth};
+  }
+
+  tell(terms: BucketTerms, number: number): void {
+    this.lists.push({number, terms});
+    this.isNews = false;
+  }
+
+  /** The counter keeps to the list with a number. */
+  acknowledge(number: number): void {
+    const inForce = this.lists.findLastIndex(one => one.number <= number);
+    if (inForce > 0) this.lists.splice(0, inForce);
+  }
+
+  /** The counter lost the share; permits that it gave run until a time. */
+  lose(until: number, now: number): void {
+    this.stray = {depth: this.most(now).depth, until};
+    this.lists = [{number: 0, terms: NO_SHARE}];
+    this.isNews = true;
+  }
+}
