--- /dev/null
+++ b/src/services/account/test/common/counting_fakes.ts
@@ -0,0 +1,129 @@
+import type {
+  AccountEntry,
+  AccountShare,
+  AccountShares,
+  AccountUse,
+  CounterEntry,
+} from '../../../../schema/generated/fleet';
+import type {
+  PermitCounter,
+  PermitDecision,
+  ShareAllocator,
+} from '../../common/counting';
+
+/** A share of an account. */
+export function makeShare(account: string, perSecond = 5): AccountShare {
+  return {account, perSecond, depth: 2};
+}
+
+/** A counter named in the control log. */
+export function makeCounter(
+  instance: string,
+  over: Partial<CounterEntry> = {},
+): CounterEntry {
+  const address = `${instance}:1`;
+  return {instance, address, site: 'a', retiring: false, ...over};
+}
+
+/** An account that may ask so much; without a number, as much as it likes. */
+export function makeLimited(account: string, perSecond?: number): AccountEntry {
+  const limit =
+    perSecond === undefined ? undefined : {perSecond, burst: perSecond};
+  return {account, keyDigests: [], limit};
+}
+
+/** Notes what it is told, and hands out the lists that a test puts in. */
+export class FakeAllocator implements ShareAllocator {
+  readonly calls: string[] = [];
+  readonly lists = new Map<string, AccountShares>();
+  readonly free = new Set<string>();
+
+  setAccounts(): void {}
+
+  setCounters(counters: readonly CounterEntry[]): void {
+    const names = counters.map(({instance}) => instance);
+    this.calls.push(`counters ${names.join(' ')}`);
+  }
+
+  onAttached(counter: string, shares: readonly AccountShare[]): void {
+    const held = shares.map(({account}) => account).join(' ');
+    this.calls.push(`attached ${counter} with ${held || 'nothing'}`);
+  }
+
+  report(
+    counter: string,
+    uses: readonly AccountUse[],
+    sharesNumber: number,
+  ): void {
+    for (const {account, run, refused} of uses) {
+      this.calls.push(`use ${counter} ${account} ${run} ${refused}`);
+    }
+    if (sharesNumber > 0) {
+      this.calls.push(`in force ${counter} ${sharesNumber}`);
+    }
+  }
+
+  onRenewed(counter: string): void {
+    this.calls.push(`renewed ${counter}`);
+  }
+
+  sharesFor(counter: string): AccountShares | undefined {
+    const list = this.lists.get(counter);
+    this.lists.delete(counter);
+    return list;
+  }
+
+  judge(): [] {
+    return [];
+  }
+
+  isFree(counter: string): boolean {
+    return this.free.has(counter);
+  }
+}
+
+/** Notes what control tells it, and decides as a test says. */
+export class FakeCounter implements PermitCounter {
+  held: AccountShare[] = [];
+  sharesNumber = 0;
+  uses: AccountUse[] = [];
+  extensions = 0;
+  detachments = 0;
+  readonly asked: string[] = [];
+  readonly takenBack: string[] = [];
+  decision: PermitDecision = {
+    kind: 'granted',
+    count: 1,
+    validMs: 500,
+    waitMs: 0,
+  };
+
+  setAccounts(): void {}
+
+  setShares({shares, number}: AccountShares): void {
+    this.held = shares;
+    this.sharesNumber = number;
+  }
+
+  extend(): void {
+    this.extensions++;
+  }
+
+  onDidDetach(): void {
+    this.detachments++;
+    this.sharesNumber = 0;
+  }
+
+  ask(account: string, wanted: number): PermitDecision {
+    this.asked.push(`${account} ${wanted}`);
+    return this.decision;
+  }
+
+  takeBack(account: string, count: number): void {
+    this.takenBack.push(`${account} ${count}`);
+  }
+
+  takeReport(): AccountUse[] {
+    return this.uses.splice(0);
+  }
+}
--- a/src/services/pooler/common/choose_pooler.ts
+++ b/src/services/pooler/common/choose_pooler.ts
@@ -1,6 +1,6 @@
+import {hashOf} from '../../../base/common/hash';
 import type {MemberUser} from '../../../base/common/ids';
 import type {PoolerEntry} from '../../../schema/generated/fleet';
-import {hashOf} from './pooler_plan';
 
 /** Where a proxy is, to find the poolers near it. */
 export interface Whereabouts {
--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -1,3 +1,4 @@
+import {hashOf} from '../../../base/common/hash';
 import type {PoolerEntry} from '../../../schema/generated/fleet';
 import {sharedConnections} from '../../dispatch/common/shared_connections';
 
@@ -189,12 +190,3 @@
   const at = a.findIndex((value, index) => value !== b[index]);
   return at >= 0 && a[at]! < b[at]!;
 }
-
-/** FNV-1a: the same on every instance, without a secret. */
-export function hashOf(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let at = 0; at < text.length; at++) {
-    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193) >>> 0;
-  }
-  return hash;
-}
