--- /dev/null
+++ b/src/services/account/node/account_limits.ts
@@ -0,0 +1,185 @@
+import type {Clock} from '../../../base/common/clock';
+import {err, ok, type Result} from '../../../base/common/outcome';
+import {pause, settled, type Task} from '../../../base/node/task';
+import type {AccountEntry, CounterEntry} from '../../../schema/generated/fleet';
+import type {PermitBook, PermitDecision} from '../common/counting';
+import type {Counters} from './counter_directory';
+import type {OperationLimits, OverLimit} from './operation_limits';
+
+/**
+ * A link that is being opened is waited for so long, in milliseconds, before a
+ * counter of another region is asked.
+ */
+const CONNECT_WAIT_MS = 60;
+/** While no counter can be asked, one is looked for this often, in ms. */
+const LOOK_MS = 15;
+/** Where none holds a share of an account they are asked again, in ms. */
+const ROUND_MS = 100;
+/**
+ * Whoever found no counter is asked to come back after this, in milliseconds:
+ * links are opened anew, and counters get their shares, within about that.
+ */
+const NO_COUNTER_RETRY_MS = 200;
+
+/** The newest word of a counter about an account. */
+interface Word {
+  readonly counter: string;
+  readonly answer: string;
+  readonly at: number;
+}
+
+/** A decision, and who gave it. */
+interface Decided {
+  readonly counter: string;
+  readonly decision: Exclude<PermitDecision, {kind: 'unknown account'}>;
+  readonly askedAt: number;
+}
+
+/**
+ * Keeps accounts to their limits at the proxy that their callers came to: by
+ * permits in hand, by what a counter said a moment ago, or by asking one.
+ */
+export class AccountLimits implements OperationLimits {
+  private limited: ReadonlySet<string> = new Set();
+  private readonly words = new Map<string, Word>();
+  /** Who granted last, to give back what did not run. */
+  private readonly granters = new Map<string, string>();
+
+  constructor(
+    private readonly book: PermitBook,
+    private readonly counters: Counters,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Takes the accounts in force; those without a limit are never asked for. */
+  setAccounts(accounts: readonly AccountEntry[]): void {
+    const limited = accounts.filter(({limit}) => limit !== undefined);
+    this.limited = new Set(limited.map(({account}) => account));
+    for (const kept of [this.words, this.granters]) {
+      for (const account of kept.keys()) {
+        if (!this.limited.has(account)) kept.delete(account);
+      }
+    }
+  }
+
+  *admit(account: string, deadline: number): Task<Result<void, OverLimit>> {
+    if (!this.limited.has(account)) return ok(undefined);
+    const known = this.book.look(account, this.clock.now());
+    switch (known.kind) {
+      case 'taken':
+        return ok(undefined);
+      case 'refused':
+        return this.refuse(account, known.retryAfterMs);
+      case 'ask':
+        return yield* this.askFor(account, known.wanted, deadline);
+    }
+  }
+
+  refund(account: string): void {
+    if (!this.limited.has(account)) return;
+    if (this.book.takeBack(account, this.clock.now())) return;
+    const granter = this.granters.get(account);
+    if (granter !== undefined) this.counters.giveBack(granter, account, 1);
+  }
+
+  private *askFor(
+    account: string,
+    wanted: number,
+    deadline: number,
+  ): Task<Result<void, OverLimit>> {
+    const decided = yield* this.decide(account, wanted, deadline);
+    if (!decided) return this.refuseWithoutCounter(account);
+    const {counter, decision, askedAt} = decided;
+    const now = this.clock.now();
+    const answer = describe(decision);
+    this.words.set(account, {counter, answer, at: now});
+    this.book.onAnswered(account, askedAt, decision, now);
+    if (decision.kind === 'refused') {
+      return this.refuse(account, decision.retryAfterMs);
+    }
+    this.granters.set(account, counter);
+    const {waitMs} = decision;
+    if (waitMs <= 0) return ok(undefined);
+    if (now + waitMs > deadline) {
+      this.refund(account);
+      return this.refuse(account, waitMs);
+    }
+    yield* pause(waitMs);
+    return ok(undefined);
+  }
+
+  /** Asks one counter after the other; undefined where none decides in time. */
+  private *decide(
+    account: string,
+    wanted: number,
+    deadline: number,
+  ): Task<Decided | undefined> {
+    const {clock, counters} = this;
+    const since = clock.now();
+    const passed = new Set<string>();
+    while (clock.now() < deadline) {
+      const askedAt = clock.now();
+      const mayWait = askedAt - since < CONNECT_WAIT_MS;
+      const counter = counters.choose(account, {passed, mayWait});
+      if (counter) {
+        passed.add(counter.instance);
+        const decision = yield* this.askOne(counter, account, wanted);
+        if (decision && decision.kind !== 'unknown account') {
+          return {counter: counter.instance, decision, askedAt};
+        }
+      } else {
+        yield* pause(passed.size > 0 ? ROUND_MS : LOOK_MS);
+        passed.clear();
+      }
+    }
+    return undefined;
+  }
+
+  private *askOne(
+    counter: CounterEntry,
+    account: string,
+    wanted: number,
+  ): Task<PermitDecision | undefined> {
+    const {instance} = counter;
+    const asked = this.counters.ask(counter, account, wanted);
+    const done = yield* settled(asked);
+    const decision = 'value' in done ? done.value : undefined;
+    if (!decision || decision.kind === 'unknown account') {
+      const answer = decision?.kind ?? 'no answer';
+      const at = this.clock.now();
+      this.words.set(account, {counter: instance, answer, at});
+    }
+    return decision;
+  }
+
+  private refuse(
+    account: string,
+    retryAfterMs: number,
+  ): Result<void, OverLimit> {
+    const whole = Math.ceil(retryAfterMs);
+    const detail = this.detailOf(account);
+    return err({reason: 'over its limit', retryAfterMs: whole, detail});
+  }
+
+  private refuseWithoutCounter(account: string): Result<void, OverLimit> {
+    const detail = this.detailOf(account);
+    const retryAfterMs = NO_COUNTER_RETRY_MS;
+    return err({reason: 'no counter', retryAfterMs, detail});
+  }
+
+  /** What decided: the counter's newest word, and how old it is. */
+  private detailOf(account: string): string {
+    const word = this.words.get(account);
+    if (!word) return 'counter=none';
+    const age = Math.round(this.clock.now() - word.at);
+    return `counter=${word.counter} answer="${word.answer}" age=${age}ms`;
+  }
+}
+
+function describe(decision: Decided['decision']): string {
+  if (decision.kind === 'refused') {
+    return `room in ${Math.ceil(decision.retryAfterMs)} ms`;
+  }
+  const {count, waitMs} = decision;
+  return waitMs > 0 ? `${count} after ${waitMs} ms` : `${count} granted`;
+}
--- /dev/null
+++ b/src/services/account/node/local_counter.ts
@@ -0,0 +1,43 @@
+import type {Clock} from '../../../base/common/clock';
+import type {PermitCounter, PermitDecision} from '../common/counting';
+import {PermitTotals} from '../common/permit_totals';
+
+/** This proxy as a counter, for other proxies and for its own callers. */
+export class LocalCounter {
+  private readonly totals = new PermitTotals();
+
+  constructor(
+    private readonly counter: Pick<PermitCounter, 'ask' | 'takeBack'>,
+    private readonly clock: Clock,
+  ) {}
+
+  ask(account: string, wanted: number): PermitDecision {
+    const decision = this.counter.ask(account, wanted);
+    this.totals.onDecided(decision, this.clock.now());
+    return decision;
+  }
+
+  takeBack(account: string, count: number): void {
+    this.counter.takeBack(account, count);
+    this.totals.onReturned(count);
+  }
+
+  /** Its metrics as text, in the usual format. */
+  render(): string {
+    const {granted, refused, returned, waitedFor} = this.totals;
+    const out = this.totals.out(this.clock.now());
+    return [
+      '# TYPE bulrushstage_permits_granted_total counter',
+      `bulrushstage_permits_granted_total ${granted}`,
+      '# TYPE bulrushstage_permits_returned_total counter',
+      `bulrushstage_permits_returned_total ${returned}`,
+      '# TYPE bulrushstage_permits_refused_total counter',
+      `bulrushstage_permits_refused_total ${refused}`,
+      '# TYPE bulrushstage_permits_waited_for_total counter',
+      `bulrushstage_permits_waited_for_total ${waitedFor}`,
+      '# TYPE bulrushstage_permits_out gauge',
+      `bulrushstage_permits_out ${out}`,
+      '',
+    ].join('\n');
+  }
+}
--- a/src/services/account/node/operation_limits.ts
+++ b/src/services/account/node/operation_limits.ts
@@ -3,6 +3,8 @@
 
 /** Why an operation of an account may not run now. */
 export interface OverLimit {
+  /** Without a counter nobody knows whether it is over its limit. */
+  readonly reason: 'over its limit' | 'no counter';
   /** When the account has room again, in milliseconds. */
   readonly retryAfterMs: number;
   /** What decided, for the log. */
--- a/src/services/dispatch/common/place_request.ts
+++ b/src/services/dispatch/common/place_request.ts
@@ -47,7 +47,9 @@
     | 'no member'
     | 'stopping'
     /** The account asks for more than it may. */
-    | 'over its limit';
+    | 'over its limit'
+    /** Nobody could say whether the account may ask for more. */
+    | 'no counter';
   /** When to come back, in milliseconds. */
   readonly retryAfterMs: number;
   /** The inputs that decided, for the log. */
