Count operations of accounts at the proxy that callers came to

Change: the leader of control names counters in the log and gives them shares, numbered, and counts renewals before their answers go out. A proxy's sessions admit each statement outside a transaction, and each transaction with its first statement, before a runner gets it (CountedRunner); poolers do not count any more. What did not run is given back. Tests: fleet_link, gateway and pooler tests that used the throttle only as something to pass in now pass fakes; new ones hold what the exchange and the sessions promise.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -5,7 +5,7 @@
 import {ownController, every} from '../../../base/node/timers';
 import type {Catalog, Member} from '../../../schema/generated/fleet';
 import type {LimitPrecision} from '../../account/common/enforcement';
-import {AccountLedger} from '../../account/common/account_ledger';
+import type {ShareAllocator} from '../../account/common/counting';
 import type {CatalogReader} from '../../catalog/common/catalog';
 import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
@@ -22,6 +22,7 @@
 import {Roster, type Announcement} from '../../roster/common/roster';
 import {OneAtATime} from '../common/one_at_a_time';
 import {UsualCount} from '../common/usual_count';
+import {AccountCounting} from './account_counting';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
 /** Why control cannot answer for certain now. */
@@ -47,6 +48,7 @@
   readonly means: PromotionMeans;
   readonly clock: Clock;
   readonly log: Log;
+  regionOf(site: string): string;
 }
 
 const TEND_MS = 200;
@@ -65,14 +67,12 @@
   private leadingSince = Infinity;
   private leadBoard = new LeadBoard();
   private leaseHolders = new LeaseHolders(Infinity);
-  private accountLedger: AccountLedger;
-  /** The catalog whose limits the ledger has. */
-  private ledgerVersion = 0;
+  private counting: AccountCounting;
   private known: {version: number; catalog: Catalog} | undefined;
   leader: FleetLeader | undefined;
 
   constructor(private readonly around: FleetControlSurroundings) {
-    this.accountLedger = new AccountLedger(0, around.limitPrecision);
+    this.counting = this.makeCounting();
   }
 
   start(signal: AbortSignal): void {
@@ -115,14 +115,9 @@
     return this.leaseHolders;
   }
 
-  /** What accounts ask of all proxies. */
-  get accounts(): AccountLedger {
-    const catalog = this.catalog();
-    if (catalog && catalog.version !== this.ledgerVersion) {
-      this.ledgerVersion = catalog.version;
-      this.accountLedger.setAccounts(catalog.accounts, this.around.clock.now());
-    }
-    return this.accountLedger;
+  /** Who divides the limits of accounts among the counters. */
+  get shares(): ShareAllocator {
+    return this.counting.shares;
   }
 
   /** Begins or ends what only a leader does. */
@@ -137,11 +132,7 @@
     this.usualCount = new UsualCount();
     this.leadBoard = new LeadBoard();
     this.leaseHolders = new LeaseHolders(this.leadingSince);
-    this.accountLedger = new AccountLedger(
-      this.around.clock.now(),
-      this.around.limitPrecision,
-    );
-    this.ledgerVersion = 0;
+    this.counting = this.makeCounting();
     // Proxies that wait here for an election stay while this instance stands
     // for it: sent away, each of them came back 0.1 to 0.3 s after it.
     if (wasLeader && !isLeader) this.leader?.onDidLoseLead();
@@ -240,6 +231,11 @@
     return done.isOk;
   }
 
+  private makeCounting(): AccountCounting {
+    const around = {...this.around, catalog: () => this.catalog()};
+    return new AccountCounting(around, this.proposals);
+  }
+
   private get hasEnoughVoters(): boolean {
     const {peers} = this.around.node.core.configuration;
     const voters = peers.filter(({voter}) => voter).length;
@@ -260,6 +256,7 @@
     this.promotions?.tendRecovering();
     this.tendPoolers();
     this.tendCount();
+    this.counting.tend(this.leader?.attached ?? []);
     this.drive();
   }
 
--- /dev/null
+++ b/src/services/fleet_control/test/node/account_counting.test.ts
@@ -0,0 +1,119 @@
+import {beforeEach, expect, it} from 'vitest';
+import {ManualClock} from '../../../../base/common/clock';
+import {ok} from '../../../../base/common/outcome';
+import type {AccountEntry} from '../../../../schema/generated/fleet';
+import {PLAIN_BUCKETS} from '../../../account/common/enforcement';
+import {
+  makeCounter,
+  makeLimited,
+} from '../../../account/test/common/counting_fakes';
+import {FleetMachine} from '../../../fleet_state/common/fleet_machine';
+import {
+  makeCatalog,
+  makeLog,
+  makeRoute,
+} from '../../../gateway/test/node/session_fixture';
+import {OneAtATime} from '../../common/one_at_a_time';
+import {AccountCounting} from '../../node/account_counting';
+
+let clock: ManualClock;
+let machine: FleetMachine;
+let accounts: AccountEntry[];
+let version: number;
+let logged: ReturnType<typeof makeLog>;
+let proposals: number;
+let counting: AccountCounting;
+
+const PROXIES = ['p1', 'p2', 'p3'].map(name => makeCounter(name));
+
+beforeEach(() => {
+  clock = new ManualClock();
+  machine = new FleetMachine();
+  accounts = [];
+  version = 1;
+  logged = makeLog();
+  proposals = 0;
+  counting = makeCounting();
+});
+
+/** What a leader begins with. */
+function makeCounting(): AccountCounting {
+  return new AccountCounting(
+    {
+      limitPrecision: PLAIN_BUCKETS,
+      machine,
+      node: {
+        propose: command => {
+          machine.apply(++proposals, command);
+          return Promise.resolve(ok(proposals));
+        },
+      },
+      clock,
+      log: logged.log,
+      regionOf: site => site,
+      catalog: () => makeCatalog([makeRoute()], {version, accounts}),
+    },
+    new OneAtATime(),
+  );
+}
+
+async function tendFor(milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 200) {
+    clock.advance(200);
+    counting.tend(PROXIES);
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+}
+
+it('names no counter and divides nothing where nobody has a limit', async () => {
+  // An earlier deployment gets this version: what its control writes into the
+  // log, and what its proxies are told, stays as it was.
+  accounts = [makeLimited('oak')];
+  await tendFor(10_000);
+  expect(proposals).toBe(0);
+  expect(logged.lines).toEqual([]);
+  for (const {instance} of PROXIES) {
+    expect(counting.shares.sharesFor(instance, clock.now())).toBeUndefined();
+  }
+});
+
+it('names counters with the reason, and gives them shares', async () => {
+  accounts = [makeLimited('fern', 100)];
+  await tendFor(2_000);
+  const named = machine.counters.map(({instance}) => instance);
+  expect(named).toHaveLength(2);
+  const lines = logged.lines.filter(line => line.startsWith('Names a counter'));
+  expect(lines).toHaveLength(2);
+  expect(lines.join()).toContain('others');
+  const {shares} = counting;
+  let sum = 0;
+  for (const instance of named) {
+    shares.onAttached(instance, [], clock.now());
+    shares.report(instance, [], 0, clock.now());
+    shares.onRenewed(instance, clock.now());
+  }
+  for (const instance of named) {
+    const list = shares.sharesFor(instance, clock.now());
+    sum += list?.shares[0]?.perSecond ?? 0;
+  }
+  expect(sum).toBeGreaterThan(0);
+  expect(sum).toBeLessThanOrEqual(100);
+});
+
+it('gives no share away that an earlier leader may have given', async () => {
+  // Control's leader dies. The next one does not know what shares counters
+  // hold that did not come to it yet; the log tells that there are some.
+  accounts = [makeLimited('fern', 100)];
+  await tendFor(2_000);
+  const [first] = machine.counters;
+  counting = makeCounting();
+  const {shares} = counting;
+  const {instance} = first!;
+  shares.onAttached(instance, [], clock.now());
+  shares.report(instance, [], 0, clock.now());
+  shares.onRenewed(instance, clock.now());
+  const list = shares.sharesFor(instance, clock.now());
+  const given = list?.shares.map(({perSecond}) => perSecond) ?? [];
+  expect(Math.max(0, ...given)).toBe(0);
+});
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -3,6 +3,7 @@
 import type {
   Catalog,
   CatalogDelta,
+  CounterEntry,
   LeaderMessage,
   LeasesRenewed,
   Member,
@@ -12,8 +13,8 @@
   PrimaryReport,
   ServiceLead,
 } from '../../../schema/generated/fleet';
-import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
+import type {PermitCounter} from '../../account/common/counting';
 import {applyCatalogDelta} from '../../catalog/common/catalog_delta';
 import {RENEW_EVERY_MS, type LeadLeases} from '../../lease/common/lead_leases';
 import {
@@ -31,6 +32,7 @@
   onDidReceiveMembers(members: FleetMembers): void;
   onDidReceivePoolers(poolers: FleetPoolers): void;
   onDidReceiveLeads(leads: readonly ServiceLead[]): void;
+  onDidReceiveCounters(counters: readonly CounterEntry[]): void;
   /** A majority confirmed that the newest catalog of all is known here. */
   onDidConfirmCatalog(): void;
 }
@@ -45,7 +47,8 @@
   addresses(): readonly string[];
   readonly leases: LeadLeases;
   readonly catalogLease: CatalogLease;
-  readonly throttle: AccountThrottle;
+  /** Counts operations of accounts where control names this proxy for it. */
+  readonly counter: PermitCounter;
 }
 
 /**
@@ -140,23 +143,26 @@
   }
 
   private greet(stream: FollowerStream): void {
-    const {instance, site, address} = this.options;
+    const {instance, site, address, counter} = this.options;
     const catalogVersion = this.catalog?.version ?? 0;
-    const hello = {instance, site, catalogVersion, address, shares: []};
+    const shares = counter.held;
+    const hello = {instance, site, catalogVersion, address, shares};
     stream.write({$case: 'hello', value: hello});
     // Asked at once: a proxy that starts serves primaries a way sooner.
     this.renewLeases(stream);
   }
 
   private renewLeases(stream: FollowerStream): void {
-    const {leases, throttle} = this.options;
+    const {leases, counter} = this.options;
     const number = leases.ask();
     // Counts are told once, to the leader that this proxy follows.
-    const uses = stream === this.attached ? throttle.takeReport() : [];
+    const isAttached = stream === this.attached;
+    const uses = isAttached ? counter.takeReport() : [];
+    const sharesNumber = isAttached ? counter.sharesNumber : 0;
     const value = {
       number,
       uses,
-      sharesNumber: 0,
+      sharesNumber,
       connections: [],
       grantsNumber: 0,
     };
@@ -192,17 +198,21 @@
         return this.onCount(body.value.proxies);
       case 'shares':
         if (stream !== this.attached) return;
-        return this.options.throttle.setShares(body.value.shares);
+        return this.options.counter.setShares(body.value);
+      case 'counters':
+        this.attach(stream);
+        return this.listener.onDidReceiveCounters(body.value.counters);
     }
   }
 
   private onRenewed({number, catalogVersion}: LeasesRenewed): void {
-    const {leases, catalogLease, throttle} = this.options;
+    const {leases, catalogLease, counter} = this.options;
     const askedAt = leases.onRenewed(number);
+    if (askedAt === undefined) return;
+    counter.extend(askedAt);
     const holdsNewest = (this.catalog?.version ?? 0) >= catalogVersion;
-    if (askedAt === undefined || !holdsNewest) return;
+    if (!holdsNewest) return;
     catalogLease.extend(askedAt);
-    throttle.onDidHear();
     this.listener.onDidConfirmCatalog();
   }
 
@@ -277,6 +287,7 @@
     if (this.attached !== stream) return;
     this.attached = undefined;
     this.options.leases.onDidDetach();
+    this.options.counter.onDidDetach();
     this.log.warn('Lost control.', {address: stream.address});
   }
 
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -4,6 +4,7 @@
 import {MessageServer} from '../../../../base/node/message_server';
 import {
   type Catalog,
+  type CounterEntry,
   type Member,
   type PoolerEntry,
 } from '../../../../schema/generated/fleet';
@@ -12,9 +13,13 @@
   makeLog,
   makeRoute,
 } from '../../../gateway/test/node/session_fixture';
-import {AccountLedger} from '../../../account/common/account_ledger';
-import {AccountThrottle} from '../../../account/common/account_throttle';
 import {CatalogLease} from '../../../account/common/catalog_lease';
+import {
+  FakeAllocator,
+  FakeCounter,
+  makeCounter,
+  makeShare,
+} from '../../../account/test/common/counting_fakes';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeadLeases} from '../../../lease/common/lead_leases';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
@@ -34,7 +39,8 @@
   isConfirmed = true;
   usualProxies = 0;
   readonly board = new LeadBoard();
-  readonly ledger = new AccountLedger(0);
+  allocator = new FakeAllocator();
+  counters: readonly CounterEntry[] = [];
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
   readonly logged = makeLog();
@@ -53,7 +59,8 @@
         usualProxies: () => this.usualProxies,
         leads: () => this.board,
         holders: () => this.holders,
-        accounts: () => this.ledger,
+        counters: () => this.counters,
+        shares: () => this.allocator,
         confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
@@ -78,6 +85,8 @@
 let lists: (readonly PoolerEntry[])[];
 let counts: number[];
 let rosters: string[];
+let counter: FakeCounter;
+let counterLists: string[];
 let leases: LeadLeases;
 let catalogLease: CatalogLease;
 
@@ -87,6 +96,8 @@
   lists = [];
   counts = [];
   rosters = [];
+  counter = new FakeCounter();
+  counterLists = [];
   leases = new LeadLeases(new MonotonicClock());
   catalogLease = new CatalogLease(5_000, new MonotonicClock());
   first = new Instance();
@@ -106,7 +117,7 @@
       addresses: () => [first.address, second.address],
       leases,
       catalogLease,
-      throttle: new AccountThrottle(new MonotonicClock()),
+      counter,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
@@ -116,6 +127,9 @@
       },
       onDidReceiveLeads: () => {},
       onDidConfirmCatalog: () => {},
+      onDidReceiveCounters: list => {
+        counterLists.push(list.map(({instance}) => instance).join(' '));
+      },
       onDidReceivePoolers: ({poolers}) => lists.push(poolers),
     },
     makeLog().log,
@@ -327,3 +341,71 @@
   await until(() => counts.length > 0);
   expect(counts[0]).toBe(9);
 });
+
+it('gives a counter its shares and hears what it counted', async () => {
+  first.leads = true;
+  counter.held = [makeShare('fern')];
+  first.allocator.lists.set('p1', {shares: [makeShare('oak')], number: 1});
+  follow();
+  await until(() => counter.sharesNumber === 1);
+  counter.uses.push({account: 'oak', run: 3, refused: 2});
+  const {calls} = first.allocator;
+  await until(() => calls.includes('in force p1 1'));
+  expect(calls[0]).toBe('attached p1 with fern');
+  expect(calls).toContain('use p1 oak 3 2');
+  expect(counter.held).toEqual([makeShare('oak')]);
+});
+
+it('counts a confirmed question before its counter relies on it', async () => {
+  // A counter keeps to its shares from a confirmed question on. Control that
+  // counted it later than the counter would give its shares to others while
+  // they are still in use.
+  first.leads = true;
+  let renewedAtAnswer: boolean | undefined;
+  const {calls} = first.allocator;
+  counter.extend = () => {
+    renewedAtAnswer ??= calls.includes('renewed p1');
+  };
+  follow();
+  await until(() => renewedAtAnswer !== undefined);
+  expect(renewedAtAnswer).toBe(true);
+});
+
+it('extends no shares that no majority confirmed', async () => {
+  // A leader of control was frozen and replaced; its successor may give the
+  // shares of a counter that went on by its word to others.
+  first.isConfirmed = false;
+  first.leads = true;
+  follow();
+  await until(() => catalogs.length > 0);
+  await new Promise(resolve => setTimeout(resolve, 600));
+  expect(counter.extensions).toBe(0);
+  expect(first.allocator.calls).not.toContain('renewed p1');
+});
+
+it('tells the next leader what a counter holds that waited for it', async () => {
+  // All of control restarts. A counter waits at an instance that then leads:
+  // its shares are in force, and the new leader has to count them before it
+  // gives any.
+  counter.held = [makeShare('fern')];
+  const follower = follow();
+  await new Promise(resolve => setTimeout(resolve, 200));
+  expect(first.allocator.calls).toEqual([]);
+  first.allocator = new FakeAllocator();
+  first.leads = true;
+  await until(() => follower.isAttached);
+  expect(first.allocator.calls[0]).toBe('attached p1 with fern');
+  first.leads = false;
+  first.leader.onDidLoseLead();
+  await until(() => counter.detachments === 1);
+});
+
+it('tells proxies of the counters, and of each change', async () => {
+  first.leads = true;
+  first.counters = [makeCounter('p1')];
+  follow('p2');
+  await until(() => counterLists.length === 1);
+  first.counters = [makeCounter('p1'), makeCounter('p3')];
+  await until(() => counterLists.length === 2);
+  expect(counterLists).toEqual(['p1', 'p1 p3']);
+});
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -5,15 +5,16 @@
 import type {MessageServer} from '../../../../base/node/message_server';
 import {
   LeaderMessage,
+  type CounterEntry,
   type FollowerMessage,
   type Member,
 } from '../../../../schema/generated/fleet';
-import {AccountLedger} from '../../../account/common/account_ledger';
 import {
   makeCatalog,
   makeLog,
   makeRoute,
 } from '../../../gateway/test/node/session_fixture';
+import {FakeAllocator} from '../../../account/test/common/counting_fakes';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
 import {FleetLeader} from '../../node/fleet_leader';
@@ -56,6 +57,8 @@
   finish(): void {}
 }
 
+const NO_COUNTERS: readonly CounterEntry[] = [];
+
 /** A leader of control with many members and no network. */
 class Fleet {
   readonly clock = new ManualClock();
@@ -65,7 +68,7 @@
   constructor(members: readonly Member[]) {
     const board = new LeadBoard();
     const holders = new LeaseHolders(-Infinity);
-    const ledger = new AccountLedger(0);
+    const allocator = new FakeAllocator();
     const catalog = makeCatalog([makeRoute()]);
     this.leader = new FleetLeader(
       {
@@ -79,7 +82,8 @@
         usualProxies: () => 0,
         leads: () => board,
         holders: () => holders,
-        accounts: () => ledger,
+        counters: () => NO_COUNTERS,
+        shares: () => allocator,
         confirm: () => Promise.resolve(true),
       },
       this.clock,
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -11,8 +11,8 @@
   ServiceEntry,
   ServiceLead,
 } from '../../../schema/generated/fleet';
-import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
+import type {OperationLimits} from '../../account/node/operation_limits';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import type {ConnectionSharers} from '../../dispatch/common/connection_share';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -31,6 +31,7 @@
 import type {AccessDenial, Admission} from '../common/session_access';
 import {SessionMemory} from '../common/session_memory';
 import {CatalogAccess} from './catalog_access';
+import {CountedRunner} from './counted_work';
 import type {GatewayMeter} from './gateway_meter';
 import {GatewaySession} from './gateway_session';
 import {RequestJournal} from './request_journal';
@@ -46,7 +47,8 @@
   readonly leases: LeadProofs;
   /** For how long control's word on keys is good. */
   readonly catalogLease: CatalogLease;
-  readonly throttle: AccountThrottle;
+  /** How much accounts may ask of all instances together. */
+  readonly limits: OperationLimits;
   readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
@@ -128,7 +130,6 @@
     const {version} = catalog;
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
-    this.around.throttle.setAccounts(catalog.accounts);
     this.greetWaiting();
     const {routes, services, accounts} = catalog;
     this.around.log.info('A catalog is in force.', {
@@ -213,12 +214,12 @@
       memory,
       clock: this.around.clock,
       leases: this.proofs,
-      limits: this.around.throttle,
+      limits: this.around.limits,
       journal: this.journal,
       signal,
       route,
       dispatcherOf: service => this.dispatcherOf(service),
-      runnerOf: service => this.runnerOf(service, user),
+      runnerOf: service => new CountedRunner(this.runnerOf(service, user)),
     };
   }
 
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -15,12 +15,7 @@
   type TurnReply,
 } from './member_turn';
 import {makeReady, type WorkStatement} from './statement_on_link';
-import {
-  admitOperation,
-  refusalResult,
-  takeTurn,
-  type SessionContext,
-} from './session_context';
+import {refusalResult, takeTurn, type SessionContext} from './session_context';
 
 /** How a statement of a transaction ended, and the state after it. */
 export interface TransactionStep {
@@ -114,17 +109,12 @@
   ): Task<StatementResult | undefined> {
     if (this.turn) return undefined;
     const {context, route, needsPrimary, since} = this;
-    const overLimit = admitOperation(context, requestId, route);
-    if (overLimit) return overLimit;
     const passed = new Set<string>();
     const wish = {requestId, route, needsPrimary, since, deadline, passed};
     let waitedMs = 0;
     for (let tries = 1; ; tries++) {
       const taken = yield* takeTurn(context, {...wish, waitedMs});
-      if (taken.isErr) {
-        context.limits.refund(context.user);
-        return refusalResult(taken.error);
-      }
+      if (taken.isErr) return refusalResult(taken.error);
       const turn = taken.value;
       waitedMs += turn.waitedMs;
       const trouble = yield* this.beginOn(turn, deadline);
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -9,7 +9,7 @@
 } from '../../dispatch/common/place_request';
 import type {Grant} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
-import type {OperationLimits} from '../../account/common/account_throttle';
+import type {OperationLimits} from '../../account/node/operation_limits';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import {failure, type StatementResult} from '../../statement/common/statement';
 import type {SessionMemory} from '../common/session_memory';
@@ -137,22 +137,25 @@
   };
 }
 
+/** An operation, as far as the limit of its account matters. */
+export type OperationWish = Pick<PlaceWish, 'requestId' | 'route' | 'since'>;
+
 /**
  * Counts an operation of a session's account in; the refusal of one that is
  * beyond its limit. Asked before anything is queued for it: an account over its
  * limit costs others neither a place nor a connection.
  */
-export function admitOperation(
-  {caller, user, limits, journal}: SessionContext,
-  requestId: string,
-  route: DatabaseRoute,
-): StatementResult | undefined {
-  const admitted = limits.admit(user);
+export function* admitOperation(
+  {caller, user, limits, journal, clock}: SessionContext,
+  {requestId, route, since}: OperationWish,
+): Task<StatementResult | undefined> {
+  const askedAt = clock.now();
+  const deadline = since + route.statementMs * WAIT_PART;
+  const admitted = yield* limits.admit(user, deadline);
   if (admitted.isOk) return undefined;
-  const {retryAfterMs, detail} = admitted.error;
-  const refusal = {reason: 'over its limit', retryAfterMs, detail} as const;
-  journal.onRefused({request: requestId, caller}, route, refusal, 0);
-  return refusalResult(refusal);
+  const name = {request: requestId, caller};
+  journal.onRefused(name, route, admitted.error, clock.now() - askedAt);
+  return refusalResult(admitted.error);
 }
 
 /** What a caller is told where no place was to be had; nothing ran. */
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -9,12 +9,7 @@
 } from '../../statement/common/statement';
 import {isDone, isOutside, type MemberTurn} from './member_turn';
 import {makeReady, type WorkStatement} from './statement_on_link';
-import {
-  admitOperation,
-  refusalResult,
-  takeTurn,
-  type SessionContext,
-} from './session_context';
+import {refusalResult, takeTurn, type SessionContext} from './session_context';
 
 /** A statement outside a transaction. */
 export interface SingleRequest {
@@ -56,8 +51,6 @@
   request: SingleRequest,
 ): Task<StatementResult> {
   const {route, since, requestId} = request;
-  const overLimit = admitOperation(context, requestId, route);
-  if (overLimit) return overLimit;
   const deadline = since + route.statementMs;
   const passed = new Set<string>();
   let mayHaveRun = false;
@@ -74,7 +67,6 @@
     });
     if (taken.isErr) {
       const refusal = refusalResult(taken.error);
-      if (!mayHaveRun) context.limits.refund(context.user);
       return mayHaveRun ? failure('timeout', 'no answer in time') : refusal;
     }
     const turn = taken.value;
--- a/src/services/gateway/test/node/accounts.test.ts
+++ b/src/services/gateway/test/node/accounts.test.ts
@@ -4,10 +4,12 @@
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {digestOfKey} from '../../../account/node/key_digest';
 import {FakeGroup} from './fake_group';
+import {FakeLimits} from './fake_limits';
 import {
   BEGIN,
   Caller,
   COMMIT,
+  ROLLBACK,
   makeCatalog,
   makeRoute,
   READ,
@@ -25,6 +27,7 @@
 let group: FakeGroup;
 let gateway: TestGateway;
 let lease: CatalogLease;
+let limits: FakeLimits;
 
 /** An account whose keys are its name with a number behind. */
 function makeAccount(account: string, keys = 1): AccountEntry {
@@ -55,7 +58,8 @@
   group = new FakeGroup(['a', 'b', 'c']);
   const catalog = makeAccounts(1, [makeAccount('fern', 2), makeAccount('oak')]);
   lease = new CatalogLease(boundMs, clock);
-  gateway = new TestGateway(group, catalog, {catalogLease: lease});
+  limits = new FakeLimits();
+  gateway = new TestGateway(group, catalog, {catalogLease: lease, limits});
   confirm();
 }
 
@@ -195,3 +199,68 @@
     expect(group.callerRuns.some(run => run.includes('commit'))).toBe(false);
   });
 });
+
+describe('the limit of an account', () => {
+  it('counts each statement, and a transaction once', async () => {
+    const caller = new Caller(gateway, 'db', 'fern-key-0');
+    await caller.ask(READ);
+    await caller.ask(BEGIN);
+    await caller.ask(WRITE);
+    await caller.ask(READ);
+    await caller.ask(COMMIT);
+    await caller.ask(BEGIN);
+    await caller.ask(ROLLBACK);
+    expect(limits.admitted).toEqual(['fern', 'fern']);
+    expect(limits.refunded).toEqual([]);
+  });
+
+  it('refuses what is beyond it as not run, with a time', async () => {
+    const caller = new Caller(gateway, 'db', 'fern-key-0');
+    limits.left = 0;
+    const reply = await caller.ask(WRITE);
+    expect(reply).toMatchObject({state: 'idle', result: {failure: 'busy'}});
+    expect(JSON.stringify(reply)).toMatch(/over its limit, retry after 70 ms/);
+    expect(group.runs).toEqual([]);
+    expect(gateway.logged.lines.join()).toContain('counter=p2');
+  });
+
+  it('refuses a transaction with its first statement, whole', async () => {
+    // A transaction that is refused half way would have used a place for
+    // nothing; one that went on after its refusal would commit a part of it.
+    const caller = new Caller(gateway, 'db', 'fern-key-0');
+    limits.left = 0;
+    await caller.ask(BEGIN);
+    const refused = await caller.ask(WRITE);
+    expect(refused).toMatchObject({state: 'failed', result: {failure: 'busy'}});
+    limits.left = 5;
+    expect((await caller.ask(WRITE)).state).toBe('failed');
+    const committed = await caller.ask(COMMIT);
+    expect(committed.result).toMatchObject({failure: 'aborted'});
+    expect(group.runs).toEqual([]);
+    expect(limits.admitted).toEqual([]);
+  });
+
+  it('refuses a commit alone, as not run', async () => {
+    const caller = new Caller(gateway, 'db', 'fern-key-0');
+    limits.left = 0;
+    await caller.ask(BEGIN);
+    const refused = await caller.ask(COMMIT);
+    expect(refused).toMatchObject({state: 'idle', result: {failure: 'busy'}});
+  });
+
+  it('counts nothing that did not run', async () => {
+    // No member can be reached. Callers come again with what was refused, and
+    // would use up their limit with operations that never ran.
+    for (const instance of ['a', 'b', 'c']) {
+      group.member(instance).isDown = true;
+    }
+    const caller = new Caller(gateway, 'db', 'fern-key-0');
+    const single = await caller.ask(WRITE);
+    expect(single.result).toMatchObject({failure: 'busy'});
+    await caller.ask(BEGIN);
+    const first = await caller.ask(WRITE);
+    expect(first.result).toMatchObject({failure: 'busy'});
+    expect(limits.admitted).toHaveLength(2);
+    expect(limits.refunded).toEqual(['fern', 'fern']);
+  });
+});
--- /dev/null
+++ b/src/services/gateway/test/node/fake_limits.ts
@@ -0,0 +1,32 @@
+import {err, ok, type Result} from '../../../../base/common/outcome';
+import type {Task} from '../../../../base/node/task';
+import type {
+  OperationLimits,
+  OverLimit,
+} from '../../../account/node/operation_limits';
+
+/** Lets an account run some operations, and notes what is asked of it. */
+export class FakeLimits implements OperationLimits {
+  readonly admitted: string[] = [];
+  readonly refunded: string[] = [];
+
+  constructor(public left = Infinity) {}
+
+  *admit(account: string): Task<Result<void, OverLimit>> {
+    if (this.left < 1) {
+      const detail = 'counter=p2';
+      return err({reason: 'over its limit', retryAfterMs: 70, detail});
+    }
+    this.left--;
+    this.admitted.push(account);
+    return ok(undefined);
+  }
+
+  refund(account: string): void {
+    this.left++;
+    this.refunded.push(account);
+  }
+}
+
+/** No account has a limit. */
+export const NO_LIMITS = new FakeLimits();
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -13,8 +13,8 @@
   renew,
 } from '../../../lease/test/common/lease_fixture';
 import type {CallerReply, Statement} from '../../../statement/common/statement';
-import {AccountThrottle} from '../../../account/common/account_throttle';
 import {CatalogLease} from '../../../account/common/catalog_lease';
+import {NO_LIMITS} from './fake_limits';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
 import {GatewayMeter} from '../../node/gateway_meter';
 import {LOCAL_RUNNER} from '../../node/work_runner';
@@ -137,7 +137,6 @@
   readonly reports: string[] = [];
   /** Needed where the catalog has accounts only; their tests bring their own. */
   readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
-  readonly throttle = new AccountThrottle(this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
   private epoch = 0;
 
@@ -154,7 +153,7 @@
         statusReader: group,
         leases: this.leases,
         catalogLease: this.catalogLease,
-        throttle: this.throttle,
+        limits: NO_LIMITS,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -7,6 +7,7 @@
 import {ownController} from '../../../../base/node/timers';
 import {Consistency} from '../../../../schema/generated/fleet';
 import {FakeGroup} from '../../../gateway/test/node/fake_group';
+import {FakeLimits} from '../../../gateway/test/node/fake_limits';
 import {
   BEGIN,
   Caller,
@@ -57,6 +58,7 @@
   readonly stop = ownController();
   readonly gateway: TestGateway;
   readonly server: PoolerServer;
+  readonly limits = new FakeLimits();
   address = '';
   private readonly links: FreezableServer;
 
@@ -64,7 +66,10 @@
     readonly instance: string,
     group: FakeGroup,
   ) {
-    this.gateway = new TestGateway(group, CATALOG, {instance});
+    this.gateway = new TestGateway(group, CATALOG, {
+      instance,
+      limits: this.limits,
+    });
     const {logged} = this.gateway;
     this.server = new PoolerServer(
       this.gateway.gateway,
@@ -103,6 +108,7 @@
 let edge: TestGateway;
 let directory: PoolerDirectory;
 let stop: AbortController;
+let edgeLimits: FakeLimits;
 
 beforeEach(async () => {
   stop = ownController();
@@ -120,9 +126,11 @@
   };
   const {log} = near.gateway.logged;
   directory = new PoolerDirectory(here, clock, log, stop.signal);
+  edgeLimits = new FakeLimits();
   edge = new TestGateway(new FakeGroup(['a', 'b', 'c']), CATALOG, {
     instance: 'edge',
     pooledRunner: new PooledRunner(directory),
+    limits: edgeLimits,
   });
   const poolers = [near.entry, far.entry];
   directory.setPoolers({poolers});
@@ -136,6 +144,15 @@
   edge.stop.abort();
 });
 
+/** One statement and one transaction. */
+async function edgeRun(): Promise<void> {
+  const caller = new Caller(edge, 'db');
+  await caller.ask(WRITE);
+  await caller.ask(BEGIN);
+  await caller.ask(WRITE);
+  await caller.ask(COMMIT);
+}
+
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 describe('a session at a proxy without connections', () => {
@@ -154,6 +171,13 @@
     expect(near.server.workCount).toBe(0);
   });
 
+  it('counts towards the limit of its account here, and not there', async () => {
+    // Counted at both, an account would get half of what it may.
+    await edgeRun();
+    expect(edgeLimits.admitted).toHaveLength(2);
+    expect(near.limits.admitted).toEqual([]);
+  });
+
   it('reads its own commit, which it made through a pooler', async () => {
     // A session writes and reads at once. The replicas lag; a pooler that did
     // not hear of the session's own commit would read without it.
