--- a/src/services/account/node/counter_directory.ts
+++ b/src/services/account/node/counter_directory.ts
@@ -58,6 +58,7 @@
   ) {}
 
   setCounters(counters: readonly CounterEntry[]): void {
+    if (counters.length + this.counters.length === 0) return;
     this.counters = counters;
     this.ranked.clear();
     const names = counters.map(({instance, retiring}) => {
--- a/src/services/gateway/node/counted_work.ts
+++ b/src/services/gateway/node/counted_work.ts
@@ -4,7 +4,7 @@
   saysNotRun,
   type StatementResult,
 } from '../../statement/common/statement';
-import type {TransactionStep} from './open_transaction';
+import {FAILED_STEP, type TransactionStep} from './open_transaction';
 import {admitOperation, type SessionContext} from './session_context';
 import type {SingleRequest} from './single_statement';
 import type {WorkStatement} from './statement_on_link';
@@ -40,6 +40,8 @@
 /** A transaction that counts as one operation, with its first statement. */
 class CountedTransaction implements WorkTransaction {
   private isCounted = false;
+  /** It was over the limit, and nothing of it goes to the runner. */
+  private isRefused = false;
 
   constructor(
     private readonly transaction: WorkTransaction,
@@ -48,7 +50,7 @@
   ) {}
 
   get state(): WorkTransaction['state'] {
-    return this.transaction.state;
+    return this.isRefused ? 'failed' : this.transaction.state;
   }
 
   *run(
@@ -57,20 +59,20 @@
     isWrite: boolean,
   ): Task<TransactionStep> {
     const {transaction} = this;
+    if (this.isRefused) return FAILED_STEP;
     if (!this.mustCount) {
       return yield* transaction.run(requestId, statement, isWrite);
     }
     const refused = yield* this.countIn(requestId);
-    if (refused) {
-      transaction.giveUp('over its limit');
-      return {result: refused, state: 'failed'};
-    }
+    this.isRefused = refused !== undefined;
+    if (refused) return {result: refused, state: 'failed'};
     const step = yield* transaction.run(requestId, statement, isWrite);
     return this.checkFirst(step);
   }
 
   *commit(requestId: string): Task<TransactionStep> {
     const {transaction} = this;
+    if (this.isRefused) return {...FAILED_STEP, state: 'idle'};
     if (!this.mustCount) return yield* transaction.commit(requestId);
     const refused = yield* this.countIn(requestId);
     if (refused) return {result: refused, state: 'idle'};
@@ -82,7 +84,7 @@
   }
 
   giveUp(reason: string): void {
-    this.transaction.giveUp(reason);
+    if (!this.isRefused) this.transaction.giveUp(reason);
   }
 
   /** One that was given up before its first statement runs nothing. */
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -283,7 +283,8 @@
 const ROLLBACK: TargetStatement = {kind: 'rollback'};
 const COMMIT: TargetStatement = {kind: 'commit'};
 
-const FAILED_STEP: TransactionStep = {
+/** The answer to what follows once a transaction was given up. */
+export const FAILED_STEP: TransactionStep = {
   result: failure('aborted', 'the transaction was given up'),
   state: 'failed',
 };
