--- a/src/services/account/common/counting.ts
+++ b/src/services/account/common/counting.ts
@@ -102,7 +102,12 @@
   /** A counter said a moment ago that there is no room before then. */
   | {readonly kind: 'refused'; readonly retryAfterMs: number}
   /** A counter has to be asked, for so many operations. */
-  | {readonly kind: 'ask'; readonly wanted: number};
+  | {
+      readonly kind: 'ask';
+      readonly wanted: number;
+      /** Counters worth asking after one that has no room. */
+      readonly further: number;
+    };
 
 /** What a proxy keeps of its counters' words, by account. */
 export interface PermitBook {
--- a/src/services/account/common/held_permits.ts
+++ b/src/services/account/common/held_permits.ts
@@ -11,6 +11,13 @@
 /** A retry is not asked for later than this, in milliseconds. */
 const MOST_RETRY_MS = 5_000;
 
+/** Counters that are asked after one without room: those of a small fleet. */
+const FURTHER = 5;
+/** As many while the account has no room, so that a flood asks little. */
+const FURTHER_WHILE_SHORT = 1;
+/** An account without room is taken to be short of it for so long, in ms. */
+const SHORT_MS = 1_000;
+
 /** Permits that end at one time. */
 interface Permits {
   readonly until: number;
@@ -38,12 +45,13 @@
     this.demand.add(1, now);
     if (this.take(now)) return {kind: 'taken'};
     if (now < this.roomAt) return this.refuse(now);
-    return {kind: 'ask', wanted: this.wanted(now)};
+    const further = this.isShort(now) ? FURTHER_WHILE_SHORT : FURTHER;
+    return {kind: 'ask', wanted: this.wanted(now), further};
   }
 
   onGranted(count: number, until: number, now: number): void {
     this.granted.add(count, now);
-    this.roomAt = -Infinity;
+    this.roomAt = Math.min(this.roomAt, now);
     this.askedAt = -Infinity;
     if (count > 1) add(this.hand, {until, count: count - 1});
   }
@@ -65,6 +73,11 @@
     return true;
   }
 
+  /** Whether the account was refused at all counters a moment ago. */
+  private isShort(now: number): boolean {
+    return now < this.roomAt + SHORT_MS;
+  }
+
   private take(now: number): boolean {
     // Guard: counters count a permit as run or gone when its time is over.
     this.hand = this.hand.filter(({until}) => now < until);
--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -7,33 +7,9 @@
   CounterEntry,
 } from '../../../schema/generated/fleet';
 import type {AccountJudgement, ShareAllocator} from './counting';
-import {PLAIN_BUCKETS, sharedTerms, type LimitPrecision} from './enforcement';
-import {divide} from './share_division';
+import {PLAIN_BUCKETS, type LimitPrecision} from './enforcement';
+import {LimitedAccount} from './limited_account';
 import {leaseEnd, ShareHolder} from './share_holder';
-import {NO_SHARE, type ShareHolding} from './share_holding';
-import type {BucketTerms} from './token_bucket';
-
-/** A share that differs by less than this part is not told anew. */
-const SHARE_CHANGE_PART = 0.2;
-/** How long shares that were worked out count, in milliseconds. */
-const PLAN_MS = 50;
-/** An account is close to its limit from this part of it on... */
-const CLOSE_PART = 0.95;
-/** ...and has room again below this one. */
-const ROOM_PART = 0.85;
-
-/** An account with a limit. */
-interface LimitedAccount {
-  limit: AccountLimit;
-  terms: BucketTerms;
-  /** Counts its limits. */
-  edition: number;
-  /** What counters hold that did not come yet. */
-  unknown: BucketTerms;
-  isLimited: boolean;
-  plan: ReadonlyMap<ShareHolder, BucketTerms>;
-  plannedAt: number;
-}
 
 /**
  * The leader of control's part in limits: divides what each account may run
@@ -44,10 +20,14 @@
  */
 export class LimitAllocator implements ShareAllocator {
   private readonly accounts = new Map<string, LimitedAccount>();
+  /** All proxies that came, and counters that did not. */
   private readonly holders = new Map<string, ShareHolder>();
   private listed: ReadonlySet<string> = new Set();
+  /** Those that are listed or may hold shares. */
+  private active: readonly ShareHolder[] = [];
   /** When a majority last confirmed this leader. */
   private confirmedAt: number;
+  private wasUnknown = false;
 
   /** @param since When this leadership began. */
   constructor(
@@ -68,17 +48,15 @@
   }
 
   setCounters(entries: readonly CounterEntry[], now: number): void {
-    const hadUnknown = this.hasUnknown;
     const byName = new Map(entries.map(entry => [entry.instance, entry]));
     this.listed = new Set(byName.keys());
     for (const name of byName.keys()) this.holderOf(name);
     for (const [name, holder] of this.holders) {
       holder.place(byName.get(name), now);
-      const isGone = !byName.has(name) && !holder.isAttached;
-      if (isGone) this.holders.delete(name);
+      const isGone = !byName.has(name) && !holder.isHeard(now);
+      if (isGone && holder.holdsNothing(now)) this.holders.delete(name);
     }
-    this.replan();
-    if (!hadUnknown) this.withholdUnknown(now);
+    this.refresh(now);
   }
 
   onAttached(
@@ -87,9 +65,10 @@
     now: number,
   ): void {
     const holder = this.holderOf(counter);
-    if (this.listed.has(counter) && !holder.isAttached) this.learn(shares);
+    const wasUnknown = this.listed.has(counter) && !holder.isAttached;
     holder.attach(shares, now);
-    this.replan();
+    if (wasUnknown) this.learn(shares);
+    this.refresh(now);
   }
 
   report(
@@ -104,43 +83,39 @@
   onRenewed(counter: string, now: number): void {
     this.confirmedAt = Math.max(this.confirmedAt, now);
     this.holders.get(counter)?.renew(now);
+    this.expire(now);
   }
 
   sharesFor(counter: string, now: number): AccountShares | undefined {
     const holder = this.holders.get(counter);
+    if (!holder || !this.active.includes(holder)) return undefined;
     // Guard: what is told to a counter that hears nothing would count as in use
     // when it comes again with less, and for a lease longer.
-    if (!holder?.isAttached || !holder.isHeard(now)) return undefined;
-    this.expire(now);
+    if (!holder.isAttached || !holder.isHeard(now)) return undefined;
     const shares: AccountShare[] = [];
     for (const [name, account] of this.accounts) {
-      const terms = this.newsOf(name, account, holder, now);
+      const terms = account.newsFor(holder, this.active, now);
       if (terms) shares.push({account: name, ...terms});
     }
-    if (shares.length === 0) return undefined;
-    const number = holder.nextNumber();
-    for (const {account, perSecond, depth} of shares) {
-      holder.holding(account).tell({perSecond, depth}, number);
-    }
-    return {shares, number};
+    return shares.length > 0 ? holder.tell(shares) : undefined;
   }
 
   judge(now: number): AccountJudgement[] {
     const changed: AccountJudgement[] = [];
-    for (const [name, account] of this.accounts) {
-      const demand = this.demandOf(name, now);
-      const {perSecond} = account.terms;
-      const part = account.isLimited ? ROOM_PART : CLOSE_PART;
-      const isLimited = demand > perSecond * part;
-      if (isLimited === account.isLimited) continue;
-      account.isLimited = isLimited;
-      changed.push(this.judgementOf(name, account, demand, now));
+    for (const [account, state] of this.accounts) {
+      const demand = this.demandOf(account, now);
+      if (!state.judge(demand)) continue;
+      const {isLimited, terms} = state;
+      const counters = this.active.filter(holder => {
+        return holder.most(account, now).perSecond > 0;
+      }).length;
+      const rounded = Math.round(demand);
+      changed.push({account, isLimited, demand: rounded, terms, counters});
     }
     return changed;
   }
 
   isFree(counter: string, now: number): boolean {
-    this.expire(now);
     const holder = this.holders.get(counter);
     if (!holder?.isAttached) return !this.hasUnknown;
     return holder.holdsNothing(now);
@@ -148,29 +123,10 @@
 
   private setLimit(name: string, limit: AccountLimit, now: number): void {
     const known = this.accounts.get(name);
-    const isSame =
-      known?.limit.perSecond === limit.perSecond &&
-      known.limit.burst === limit.burst;
-    if (isSame) return;
-    const terms = sharedTerms(limit, this.precision);
-    if (known) {
-      known.limit = limit;
-      known.terms = terms;
-      known.edition++;
-      known.plannedAt = -Infinity;
-      return;
-    }
-    const account: LimitedAccount = {
-      limit,
-      terms,
-      edition: 1,
-      unknown: NO_SHARE,
-      isLimited: false,
-      plan: new Map(),
-      plannedAt: -Infinity,
-    };
+    if (known) return known.setLimit(limit);
+    const account = new LimitedAccount(name, limit, this.precision);
     this.accounts.set(name, account);
-    if (this.hasUnknown) this.withhold(name, account, now);
+    if (this.hasUnknown) account.withhold(this.active, now);
   }
 
   private drop(account: string): void {
@@ -184,174 +140,59 @@
    */
   private get hasUnknown(): boolean {
     if (this.confirmedAt >= leaseEnd(this.since)) return false;
-    for (const name of this.listed) {
-      if (!this.holders.get(name)?.isAttached) return true;
-    }
-    return false;
-  }
-
-  private withholdUnknown(now: number): void {
-    if (!this.hasUnknown) return;
-    for (const [name, account] of this.accounts) {
-      this.withhold(name, account, now);
-    }
-  }
-
-  /** Withholds all that no known counter has. */
-  private withhold(name: string, account: LimitedAccount, now: number): void {
-    account.unknown = minus(account.terms, this.sumOfMost(name, now));
+    const counters = [...this.listed].map(name => this.holders.get(name)!);
+    if (counters.some(({isAttached}) => !isAttached)) return true;
+    // One that lost its shares may have permits out. Where all lost theirs, no
+    // leader was there for longer than permits last.
+    const isFresh = counters.some(one => one.isFresh(this.confirmedAt));
+    return isFresh && counters.some(({hadShares}) => hadShares);
   }
 
   /** What a counter that came holds is unknown no more. */
   private learn(shares: readonly AccountShare[]): void {
     for (const share of shares) {
-      const account = this.accounts.get(share.account);
-      if (account) account.unknown = minus(account.unknown, share);
+      this.accounts.get(share.account)?.release(share);
     }
   }
 
-  /** What a counter has to be told of an account; undefined for nothing. */
-  private newsOf(
-    name: string,
-    account: LimitedAccount,
-    holder: ShareHolder,
-    now: number,
-  ): BucketTerms | undefined {
-    const holding = holder.holding(name);
-    const target = this.planOf(name, account, now).get(holder);
-    if (!target) return undefined;
-    const terms = this.allowed(name, account, holder, target, now);
-    if (!this.isWorthTelling(account, holding, terms)) return undefined;
-    const isWhole = isClose(terms, target);
-    if (isWhole) holding.edition = account.edition;
-    return terms;
-  }
-
-  private isWorthTelling(
-    {edition}: LimitedAccount,
-    holding: ShareHolding,
-    terms: BucketTerms,
-  ): boolean {
-    if (holding.isNews) return true;
-    const {told} = holding;
-    if (holding.edition !== edition && !isClose(told, terms)) return true;
-    return (
-      isChange(told.perSecond, terms.perSecond) ||
-      isChange(told.depth, terms.depth)
-    );
+  /** Counters or their places changed. */
+  private refresh(now: number): void {
+    const holders = [...this.holders];
+    this.active = holders
+      .filter(([name, holder]) => {
+        return this.listed.has(name) || !holder.holdsNothing(now);
+      })
+      .map(([, holder]) => holder);
+    const isUnknown = this.hasUnknown;
+    for (const account of this.accounts.values()) {
+      account.replan();
+      // Guard: shares that an earlier leader gave are in use until their lease
+      // ends. Given away meanwhile they would be in use twice.
+      if (isUnknown && !this.wasUnknown) account.withhold(this.active, now);
+      if (!isUnknown) account.releaseAll();
+    }
+    this.wasUnknown = isUnknown;
   }
 
   /**
-   * As much of a share as others leave. Guard: what another counter may still
-   * keep to is not given away, or both use it and the account runs beyond its
-   * limit.
+   * Frees what counters held whose lease is over. Guard: at the time of the
+   * last confirmation and not by the clock; a leader that was deposed without
+   * knowing it would give away what its successor left to a counter.
    */
-  private allowed(
-    name: string,
-    account: LimitedAccount,
-    holder: ShareHolder,
-    target: BucketTerms,
-    now: number,
-  ): BucketTerms {
-    const others = minus(this.sumOfMost(name, now), holder.most(name, now));
-    const free = minus(this.budgetOf(account), others);
-    return {
-      perSecond: Math.min(target.perSecond, free.perSecond),
-      depth: Math.min(target.depth, free.depth),
-    };
-  }
-
-  private budgetOf(account: LimitedAccount): BucketTerms {
-    if (!this.hasUnknown) return account.terms;
-    return minus(account.terms, account.unknown);
-  }
-
-  private planOf(
-    name: string,
-    account: LimitedAccount,
-    now: number,
-  ): ReadonlyMap<ShareHolder, BucketTerms> {
-    if (now - account.plannedAt < PLAN_MS) return account.plan;
-    account.plan = this.makePlan(name, account, now);
-    account.plannedAt = now;
-    return account.plan;
-  }
-
-  private makePlan(
-    name: string,
-    account: LimitedAccount,
-    now: number,
-  ): Map<ShareHolder, BucketTerms> {
-    const plan = new Map<ShareHolder, BucketTerms>();
-    const eligible: ShareHolder[] = [];
-    let budget = this.budgetOf(account);
-    for (const holder of this.holders.values()) {
-      if (holder.isEligible(now)) eligible.push(holder);
-      else budget = minus(budget, this.planLeaving(name, holder, plan, now));
-    }
-    const claims = eligible.map(holder => ({
-      demand: holder.demand(name, now),
-      isHolding: holder.most(name, now).depth >= 1,
-    }));
-    const parts = divide(budget, claims);
-    for (const [at, holder] of eligible.entries()) plan.set(holder, parts[at]!);
-    return plan;
-  }
-
-  /** Plans for a counter that gets nothing new, and says what it still has. */
-  private planLeaving(
-    name: string,
-    holder: ShareHolder,
-    plan: Map<ShareHolder, BucketTerms>,
-    now: number,
-  ): BucketTerms {
-    const isKept = !holder.isHeard(now) || holder.isLeaving(now);
-    if (!isKept) plan.set(holder, NO_SHARE);
-    return holder.most(name, now);
-  }
-
-  private replan(): void {
-    for (const account of this.accounts.values()) account.plannedAt = -Infinity;
-  }
-
   private expire(now: number): void {
-    for (const holder of this.holders.values()) {
-      holder.expire(this.confirmedAt, now);
+    let isChanged = this.wasUnknown && !this.hasUnknown;
+    for (const holder of this.active) {
+      if (holder.expire(this.confirmedAt, now)) isChanged = true;
     }
-  }
-
-  private sumOfMost(account: string, now: number): BucketTerms {
-    let perSecond = 0;
-    let depth = 0;
-    for (const holder of this.holders.values()) {
-      const most = holder.most(account, now);
-      perSecond += most.perSecond;
-      depth += most.depth;
-    }
-    return {perSecond, depth};
+    if (isChanged) this.refresh(now);
   }
 
   private demandOf(account: string, now: number): number {
     let sum = 0;
-    for (const holder of this.holders.values()) {
-      sum += holder.demand(account, now);
-    }
+    for (const holder of this.active) sum += holder.demand(account, now);
     return sum;
   }
 
-  private judgementOf(
-    account: string,
-    {isLimited, terms}: LimitedAccount,
-    demand: number,
-    now: number,
-  ): AccountJudgement {
-    const holders = [...this.holders.values()];
-    const counters = holders.filter(holder => {
-      return holder.most(account, now).perSecond > 0;
-    }).length;
-    return {account, isLimited, demand: Math.round(demand), terms, counters};
-  }
-
   private holderOf(name: string): ShareHolder {
     const known = this.holders.get(name);
     const holder = known ?? new ShareHolder();
@@ -359,22 +200,3 @@
     return holder;
   }
 }
-
-function minus(one: BucketTerms, other: BucketTerms): BucketTerms {
-  return {
-    perSecond: Math.max(0, one.perSecond - other.perSecond),
-    depth: Math.max(0, one.depth - other.depth),
-  };
-}
-
-function isClose(one: BucketTerms, other: BucketTerms): boolean {
-  const isSame = (a: number, b: number) => Math.abs(a - b) <= b * 1e-6;
-  return (
-    isSame(one.perSecond, other.perSecond) && isSame(one.depth, other.depth)
-  );
-}
-
-function isChange(before: number, after: number): boolean {
-  const difference = Math.abs(after - before);
-  return difference > 0 && difference >= before * SHARE_CHANGE_PART;
-}
--- /dev/null
+++ b/src/services/account/common/limited_account.ts
@@ -0,0 +1,163 @@
+import type {AccountLimit} from '../../../schema/generated/fleet';
+import {sharedTerms, type LimitPrecision} from './enforcement';
+import {divide} from './share_division';
+import type {ShareHolder} from './share_holder';
+import type {ShareHolding} from './share_holding';
+import {
+  greater,
+  isChange,
+  isSame,
+  lesser,
+  minus,
+  NO_SHARE,
+  plus,
+} from './share_terms';
+import type {BucketTerms} from './token_bucket';
+
+/** A share that differs by less than this part is not told anew. */
+const SHARE_CHANGE_PART = 0.2;
+/** How long shares that were worked out count, in milliseconds. */
+const PLAN_MS = 50;
+/** An account is close to its limit from this part of it on... */
+const CLOSE_PART = 0.95;
+/** ...and has room again below this one. */
+const ROOM_PART = 0.85;
+
+/** An account with a limit, and how the limit is divided. */
+export class LimitedAccount {
+  terms: BucketTerms;
+  isLimited = false;
+  /** What counters hold that did not come to this leader yet. */
+  private unknown = NO_SHARE;
+  /** Counts its limits. */
+  private edition = 1;
+  private plan: ReadonlyMap<ShareHolder, BucketTerms> = new Map();
+  private plannedAt = -Infinity;
+
+  constructor(
+    private readonly name: string,
+    private limit: AccountLimit,
+    private readonly precision: LimitPrecision,
+  ) {
+    this.terms = sharedTerms(limit, precision);
+  }
+
+  setLimit(limit: AccountLimit): void {
+    const {perSecond, burst} = this.limit;
+    if (limit.perSecond === perSecond && limit.burst === burst) return;
+    this.limit = limit;
+    this.terms = sharedTerms(limit, this.precision);
+    this.edition++;
+    this.replan();
+  }
+
+  /** Counters came, went or changed their place. */
+  replan(): void {
+    this.plannedAt = -Infinity;
+  }
+
+  /** Withholds all that no known counter has. */
+  withhold(holders: readonly ShareHolder[], now: number): void {
+    this.unknown = minus(this.terms, this.sumOfMost(holders, now));
+  }
+
+  /** A share is withheld no more: a counter came with it. */
+  release(share: BucketTerms): void {
+    this.unknown = minus(this.unknown, share);
+  }
+
+  releaseAll(): void {
+    this.unknown = NO_SHARE;
+  }
+
+  /** What a counter has to be told; undefined for nothing. */
+  newsFor(
+    holder: ShareHolder,
+    holders: readonly ShareHolder[],
+    now: number,
+  ): BucketTerms | undefined {
+    const target = this.planFor(holders, now).get(holder);
+    if (!target) return undefined;
+    const holding = holder.holding(this.name);
+    const terms = this.allowed(holder, target, holders, now);
+    if (!this.isWorthTelling(holding, terms)) return undefined;
+    if (isSame(terms, target)) holding.edition = this.edition;
+    return terms;
+  }
+
+  /** Looks whether it is close to its limit; whether that changed. */
+  judge(demand: number): boolean {
+    const part = this.isLimited ? ROOM_PART : CLOSE_PART;
+    const isLimited = demand > this.terms.perSecond * part;
+    const isChanged = isLimited !== this.isLimited;
+    this.isLimited = isLimited;
+    return isChanged;
+  }
+
+  /**
+   * As much of a share as others leave. Guard: what another counter may still
+   * keep to is not given away, or both use it and the account runs beyond its
+   * limit.
+   */
+  private allowed(
+    holder: ShareHolder,
+    target: BucketTerms,
+    holders: readonly ShareHolder[],
+    now: number,
+  ): BucketTerms {
+    const others = holders.filter(one => one !== holder);
+    const holding = holder.holding(this.name);
+    const inUse = plus(this.sumOfMost(others, now), holding.strayAt(now));
+    const free = minus(this.budget, inUse);
+    const {told} = holding;
+    return lesser(target, greater(free, told));
+  }
+
+  private get budget(): BucketTerms {
+    return minus(this.terms, this.unknown);
+  }
+
+  private isWorthTelling(holding: ShareHolding, terms: BucketTerms): boolean {
+    const {told, isNews, edition} = holding;
+    if (isNews) return true;
+    if (edition !== this.edition && !isSame(told, terms)) return true;
+    return isChange(told, terms, SHARE_CHANGE_PART);
+  }
+
+  private planFor(
+    holders: readonly ShareHolder[],
+    now: number,
+  ): ReadonlyMap<ShareHolder, BucketTerms> {
+    if (now - this.plannedAt < PLAN_MS) return this.plan;
+    this.plan = this.makePlan(holders, now);
+    this.plannedAt = now;
+    return this.plan;
+  }
+
+  private makePlan(
+    holders: readonly ShareHolder[],
+    now: number,
+  ): Map<ShareHolder, BucketTerms> {
+    const {name} = this;
+    const plan = new Map<ShareHolder, BucketTerms>();
+    const eligible = holders.filter(holder => holder.isEligible(now));
+    const others = holders.filter(holder => !holder.isEligible(now));
+    for (const holder of others) {
+      if (holder.isToBeEmptied(now)) plan.set(holder, NO_SHARE);
+    }
+    const budget = minus(this.budget, this.sumOfMost(others, now));
+    const claims = eligible.map(holder => ({
+      demand: holder.demand(name, now),
+      isHolding: holder.most(name, now).depth >= 1,
+    }));
+    const parts = divide(budget, claims);
+    for (const [at, holder] of eligible.entries()) plan.set(holder, parts[at]!);
+    return plan;
+  }
+
+  private sumOfMost(holders: readonly ShareHolder[], now: number): BucketTerms {
+    return holders.reduce((sum, holder) => {
+      return plus(sum, holder.most(this.name, now));
+    }, NO_SHARE);
+  }
+}
--- a/src/services/account/common/permit_bucket.ts
+++ b/src/services/account/common/permit_bucket.ts
@@ -5,7 +5,7 @@
 /** A token that comes within this time is waited for, in milliseconds. */
 export const MOST_WAIT_MS = 150;
 /** The part of the depth for permits that are out. */
-const PERMIT_PART = 0.5;
+export const PERMIT_PART = 0.5;
 /** Permits beyond the first leave this part of the depth in the bucket. */
 const KEEP_PART = 0.5;
 /** What was granted longer ago does not come back, in milliseconds. */
--- /dev/null
+++ b/src/services/account/common/permit_question.ts
@@ -0,0 +1,34 @@
+import type {PermitDecision} from './counting';
+
+type Refusal = Extract<PermitDecision, {kind: 'refused'}>;
+
+/**
+ * An operation's question to one counter after the other. Guard: each counter
+ * has a part of the limit only; without asking on, one in fifty operations of a
+ * small account far below its limit is refused where too many come to one part
+ * by chance.
+ */
+export class PermitQuestion {
+  private refusals = 0;
+  private roomAt = Infinity;
+
+  /** @param further Counters worth asking after one that has no room. */
+  constructor(private readonly further: number) {}
+
+  onRefused(askedAt: number, {retryAfterMs}: Refusal): void {
+    this.refusals++;
+    this.roomAt = Math.min(this.roomAt, askedAt + retryAfterMs);
+  }
+
+  /** Whether another counter may be asked. */
+  get mayGoOn(): boolean {
+    return this.refusals <= this.further;
+  }
+
+  /** What those asked said together; undefined where none refused. */
+  refusalAt(now: number): Refusal | undefined {
+    if (this.refusals === 0) return undefined;
+    const retryAfterMs = Math.max(1, Math.ceil(this.roomAt - now));
+    return {kind: 'refused', retryAfterMs};
+  }
+}
--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -1,4 +1,4 @@
-import {NO_SHARE} from './share_holding';
+import {NO_SHARE} from './share_terms';
 import type {BucketTerms} from './token_bucket';
 
 /**
--- a/src/services/account/common/share_holder.ts
+++ b/src/services/account/common/share_holder.ts
@@ -1,11 +1,14 @@
 import type {
   AccountShare,
+  AccountShares,
   AccountUse,
   CounterEntry,
 } from '../../../schema/generated/fleet';
 import {SHARE_LEASE_MS} from './counting';
 import {DecayedRate} from './decayed_rate';
-import {NO_SHARE, ShareHolding} from './share_holding';
+import {PERMIT_VALID_MS} from './permit_bucket';
+import {ShareHolding} from './share_holding';
+import {NO_SHARE} from './share_terms';
 import type {BucketTerms} from './token_bucket';
 
 /**
@@ -14,7 +17,7 @@
  */
 const LEASE_MARGIN_MS = 1_000;
 /** What a counter that lost its shares granted may run so long, in ms. */
-const STRAY_MS = 600;
+const STRAY_MS = PERMIT_VALID_MS + 100;
 /** A counter that reported nothing for so long is told nothing, in ms. */
 const SILENT_MS = 1_500;
 /** One that retires is asked by proxies that heard nothing, for so long. */
@@ -30,13 +33,16 @@
 
 /** A counter, as the leader of control knows it. */
 export class ShareHolder {
-  readonly holdings = new Map<string, ShareHolding>();
+  private readonly holdings = new Map<string, ShareHolding>();
   private readonly demands = new Map<string, DecayedRate>();
   private isListed = false;
   private retiringSince = Infinity;
   private attachedAt = -Infinity;
   private renewedAt = -Infinity;
   private heardAt = -Infinity;
+  private emptyAt = -Infinity;
+  /** Whether it held shares when it came. */
+  hadShares = false;
   private number = 0;
   private acknowledged = 0;
 
@@ -60,17 +66,25 @@
     return now - this.heardAt < SILENT_MS;
   }
 
-  /** Whether it keeps what it has for proxies that still ask it. */
-  isLeaving(now: number): boolean {
-    return now - this.retiringSince < RETIRE_MS;
+  /** Whether it has to give back what it has. */
+  isToBeEmptied(now: number): boolean {
+    const isAsked = now - this.retiringSince < RETIRE_MS;
+    return !this.isListed && !isAsked && this.isHeard(now);
+  }
+
+  /** Whether it came without shares so shortly that its permits may be out. */
+  isFresh(now: number): boolean {
+    return now < this.emptyAt + STRAY_MS;
   }
 
   attach(shares: readonly AccountShare[], now: number): void {
     this.attachedAt = now;
     this.heardAt = now;
     this.restartLists();
-    if (shares.length === 0) this.lose(now);
-    else this.hold(shares, now);
+    this.hadShares = shares.length > 0;
+    if (this.hadShares) return this.hold(shares, now);
+    this.lose(now);
+    this.emptyAt = now;
   }
 
   report(uses: readonly AccountUse[], number: number, now: number): void {
@@ -90,13 +104,15 @@
     this.renewedAt = now;
   }
 
-  /** Drops what it held if its lease ended before a time. */
-  expire(confirmedAt: number, now: number): void {
+  /** Drops what it held if its lease ended before a time; whether it did. */
+  expire(confirmedAt: number, now: number): boolean {
     const heldSince = Math.max(this.renewedAt, this.attachedAt);
-    if (confirmedAt < leaseEnd(heldSince) || this.holdings.size === 0) return;
+    const isOver = confirmedAt >= leaseEnd(heldSince);
+    if (!isOver || this.holdings.size === 0) return false;
     this.holdings.clear();
     this.restartLists();
-    this.attachedAt = Math.max(this.attachedAt, now);
+    this.attachedAt = now;
+    return true;
   }
 
   most(account: string, now: number): BucketTerms {
@@ -114,9 +130,13 @@
     return holding;
   }
 
-  /** The number of the list that tells of its next shares. */
-  nextNumber(): number {
-    return ++this.number;
+  /** Makes the next list, of shares that are told from now on. */
+  tell(shares: AccountShare[]): AccountShares {
+    const number = ++this.number;
+    for (const {account, perSecond, depth} of shares) {
+      this.holding(account).tell({perSecond, depth}, number);
+    }
+    return {shares, number};
   }
 
   /** Whether no account can have a share here any more. */
--- a/src/services/account/common/share_holding.ts
+++ b/src/services/account/common/share_holding.ts
@@ -1,8 +1,7 @@
+import {PERMIT_PART} from './permit_bucket';
+import {greater, NO_SHARE, plus} from './share_terms';
 import type {BucketTerms} from './token_bucket';
 
-/** No operations. */
-export const NO_SHARE: BucketTerms = {perSecond: 0, depth: 0};
-
 interface ToldShare {
   readonly number: number;
   readonly terms: BucketTerms;
@@ -44,14 +43,17 @@
    * would be in use twice, and the account over its limit.
    */
   most(now: number): BucketTerms {
-    const isStray = this.stray !== undefined && now < this.stray.until;
-    let perSecond = 0;
-    let depth = isStray ? this.stray!.depth : 0;
-    for (const {terms} of this.lists) {
-      perSecond = Math.max(perSecond, terms.perSecond);
-      depth = Math.max(depth, terms.depth);
-    }
-    return {perSecond, depth};
+    const inUse = this.lists.reduce(
+      (most, {terms}) => greater(most, terms),
+      NO_SHARE,
+    );
+    return plus(inUse, this.strayAt(now));
+  }
+
+  /** Permits that an earlier life of the counter gave and that may be out. */
+  strayAt(now: number): BucketTerms {
+    if (!this.stray || now >= this.stray.until) return NO_SHARE;
+    return {perSecond: 0, depth: this.stray.depth};
   }
 
   tell(terms: BucketTerms, number: number): void {
@@ -67,7 +69,7 @@
 
   /** The counter lost the share; permits that it gave run until a time. */
   lose(until: number, now: number): void {
-    this.stray = {depth: this.most(now).depth, until};
+    this.stray = {depth: this.most(now).depth * PERMIT_PART, until};
     this.lists = [{number: 0, terms: NO_SHARE}];
     this.isNews = true;
   }
