--- a/src/services/account/common/counter_choice.ts
+++ b/src/services/account/common/counter_choice.ts
@@ -47,19 +47,20 @@
 }
 
 /**
- * The counter that is asked next; undefined where none can be asked now. Looks
- * at states in order and no further than it has to: a look opens a link.
+ * The counter that is asked next; 'soon' where a link to it is being opened, and
+ * undefined where none can be asked. Looks at states in order and no further
+ * than it has to: a look opens a link.
  */
 export function chooseCounter(
   ranked: readonly CounterEntry[],
   stateOf: (entry: CounterEntry) => CounterState,
   {passed, mayWait}: CounterWish,
-): CounterEntry | undefined {
+): CounterEntry | 'soon' | undefined {
   for (const entry of ranked) {
     if (passed.has(entry.instance)) continue;
     const state = stateOf(entry);
     if (state === 'here' || state === 'ready') return entry;
-    if (state === 'connecting' && mayWait) return undefined;
+    if (state === 'connecting' && mayWait) return 'soon';
   }
   return undefined;
 }
--- a/src/services/account/node/account_limits.ts
+++ b/src/services/account/node/account_limits.ts
@@ -2,7 +2,12 @@
 import {err, ok, type Result} from '../../../base/common/outcome';
 import {pause, settled, type Task} from '../../../base/node/task';
 import type {AccountEntry, CounterEntry} from '../../../schema/generated/fleet';
-import type {PermitBook, PermitDecision} from '../common/counting';
+import type {
+  PermitBook,
+  PermitDecision,
+  PermitKnowledge,
+} from '../common/counting';
+import {PermitQuestion} from '../common/permit_question';
 import type {Counters} from './counter_directory';
 import type {OperationLimits, OverLimit} from './operation_limits';
 
@@ -13,7 +18,7 @@
 const CONNECT_WAIT_MS = 60;
 /** While no counter can be asked, one is looked for this often, in ms. */
 const LOOK_MS = 15;
-/** Where none holds a share of an account they are asked again, in ms. */
+/** Where none decided on an account they are asked again, in ms. */
 const ROUND_MS = 100;
 /**
  * Whoever found no counter is asked to come back after this, in milliseconds:
@@ -28,10 +33,13 @@
   readonly at: number;
 }
 
-/** A decision, and who gave it. */
+type Granted = Extract<PermitDecision, {kind: 'granted'}>;
+type Refused = Extract<PermitDecision, {kind: 'refused'}>;
+type Asking = Extract<PermitKnowledge, {kind: 'ask'}>;
+
+/** A decision, and since when it counts. */
 interface Decided {
-  readonly counter: string;
-  readonly decision: Exclude<PermitDecision, {kind: 'unknown account'}>;
+  readonly decision: Granted | Refused;
   readonly askedAt: number;
 }
 
@@ -71,7 +79,7 @@
       case 'refused':
         return this.refuse(account, known.retryAfterMs);
       case 'ask':
-        return yield* this.askFor(account, known.wanted, deadline);
+        return yield* this.askFor(account, known, deadline);
     }
   }
 
@@ -84,20 +92,17 @@
 
   private *askFor(
     account: string,
-    wanted: number,
+    asking: Asking,
     deadline: number,
   ): Task<Result<void, OverLimit>> {
-    const decided = yield* this.decide(account, wanted, deadline);
+    const decided = yield* this.decide(account, asking, deadline);
     if (!decided) return this.refuseWithoutCounter(account);
-    const {counter, decision, askedAt} = decided;
+    const {decision, askedAt} = decided;
     const now = this.clock.now();
-    const answer = describe(decision);
-    this.words.set(account, {counter, answer, at: now});
     this.book.onAnswered(account, askedAt, decision, now);
     if (decision.kind === 'refused') {
       return this.refuse(account, decision.retryAfterMs);
     }
-    this.granters.set(account, counter);
     const {waitMs} = decision;
     if (waitMs <= 0) return ok(undefined);
     if (now + waitMs > deadline) {
@@ -111,28 +116,33 @@
   /** Asks one counter after the other; undefined where none decides in time. */
   private *decide(
     account: string,
-    wanted: number,
+    {wanted, further}: Asking,
     deadline: number,
   ): Task<Decided | undefined> {
     const {clock, counters} = this;
     const since = clock.now();
     const passed = new Set<string>();
-    while (clock.now() < deadline) {
+    const question = new PermitQuestion(further);
+    while (clock.now() < deadline && question.mayGoOn) {
       const askedAt = clock.now();
       const mayWait = askedAt - since < CONNECT_WAIT_MS;
       const counter = counters.choose(account, {passed, mayWait});
-      if (counter) {
-        passed.add(counter.instance);
-        const decision = yield* this.askOne(counter, account, wanted);
-        if (decision && decision.kind !== 'unknown account') {
-          return {counter: counter.instance, decision, askedAt};
-        }
-      } else {
+      if (counter === undefined) {
+        if (question.refusalAt(askedAt)) break;
         yield* pause(passed.size > 0 ? ROUND_MS : LOOK_MS);
         passed.clear();
+      } else if (counter === 'soon') {
+        yield* pause(LOOK_MS);
+      } else {
+        passed.add(counter.instance);
+        const decision = yield* this.askOne(counter, account, wanted);
+        if (decision?.kind === 'granted') return {decision, askedAt};
+        if (decision?.kind === 'refused') question.onRefused(askedAt, decision);
       }
     }
-    return undefined;
+    const now = clock.now();
+    const refusal = question.refusalAt(now);
+    return refusal && {decision: refusal, askedAt: now};
   }
 
   private *askOne(
@@ -144,11 +154,10 @@
     const asked = this.counters.ask(counter, account, wanted);
     const done = yield* settled(asked);
     const decision = 'value' in done ? done.value : undefined;
-    if (!decision || decision.kind === 'unknown account') {
-      const answer = decision?.kind ?? 'no answer';
-      const at = this.clock.now();
-      this.words.set(account, {counter: instance, answer, at});
-    }
+    const answer = describe(decision);
+    const at = this.clock.now();
+    this.words.set(account, {counter: instance, answer, at});
+    if (decision?.kind === 'granted') this.granters.set(account, instance);
     return decision;
   }
 
@@ -176,10 +185,13 @@
   }
 }
 
-function describe(decision: Decided['decision']): string {
-  if (decision.kind === 'refused') {
-    return `room in ${Math.ceil(decision.retryAfterMs)} ms`;
+function describe(decision: PermitDecision | undefined): string {
+  switch (decision?.kind) {
+    case 'granted':
+      return `${decision.count} after ${decision.waitMs} ms`;
+    case 'refused':
+      return `room in ${decision.retryAfterMs} ms`;
+    default:
+      return decision?.kind ?? 'no answer';
   }
-  const {count, waitMs} = decision;
-  return waitMs > 0 ? `${count} after ${waitMs} ms` : `${count} granted`;
 }
--- a/src/services/account/node/counter_directory.ts
+++ b/src/services/account/node/counter_directory.ts
@@ -19,8 +19,8 @@
 
 /** The counters that a proxy can ask. */
 export interface Counters {
-  /** Who is asked next about an account; undefined for nobody now. */
-  choose(account: string, wish: CounterWish): CounterEntry | undefined;
+  /** Who is asked next about an account; undefined for nobody. */
+  choose(account: string, wish: CounterWish): CounterEntry | 'soon' | undefined;
   /** Asks one that was chosen; undefined where it does not answer in time. */
   ask(
     counter: CounterEntry,
@@ -72,7 +72,10 @@
     this.tend();
   }
 
-  choose(account: string, wish: CounterWish): CounterEntry | undefined {
+  choose(
+    account: string,
+    wish: CounterWish,
+  ): CounterEntry | 'soon' | undefined {
     return chooseCounter(
       this.rank(account),
       entry => this.stateOf(entry),
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -325,6 +325,7 @@
     const {instance} = follower;
     const now = this.clock.now();
     this.allocatorOf(follower).report(instance, uses, sharesNumber, now);
+    this.pushShares(follower);
   }
 
   private pushCatalog(follower: Follower): void {
