--- /dev/null
+++ b/src/services/fleet_link/node/counter_exchange.ts
@@ -0,0 +1,99 @@
+import type {Clock} from '../../../base/common/clock';
+import type {Log} from '../../../base/node/log';
+import type {
+  AccountShare,
+  CounterEntry,
+  FollowerHello,
+  LeaderMessage,
+  RenewLeases,
+} from '../../../schema/generated/fleet';
+import type {ShareAllocator} from '../../account/common/counting';
+
+/** Where limits of accounts are divided. */
+export interface CountingSource {
+  /** Who counts operations of accounts, or may still do so. */
+  counters(): readonly CounterEntry[];
+  /** Divides the limits of accounts, in this leadership. */
+  shares(): ShareAllocator;
+}
+
+/** What the leader of control and one proxy tell each other about limits. */
+export class CounterExchange {
+  private instance = '';
+  /** The shares that the proxy held when it came. */
+  private held: readonly AccountShare[] = [];
+  /** Who was told of it and of what it holds; another one a leadership. */
+  private toldAllocator: ShareAllocator | undefined;
+  private toldCounters: readonly CounterEntry[] | undefined;
+
+  constructor(
+    private readonly source: CountingSource,
+    private readonly clock: Clock,
+    private readonly write: (message: LeaderMessage) => void,
+  ) {}
+
+  onHello({instance, shares}: FollowerHello): void {
+    this.instance = instance;
+    this.held = shares;
+  }
+
+  /** Takes what the proxy counted, and tells it what that changes for it. */
+  onReport({uses, sharesNumber}: RenewLeases): void {
+    const {allocator, instance} = this;
+    allocator.report(instance, uses, sharesNumber, this.clock.now());
+    this.pushShares();
+  }
+
+  /** A majority confirmed this leader after a question of the proxy. */
+  onRenewed(): void {
+    this.allocator.onRenewed(this.instance, this.clock.now());
+  }
+
+  /** Sends what the proxy has not heard of yet. */
+  push(): void {
+    const counters = this.source.counters();
+    if (this.toldCounters !== counters) {
+      this.toldCounters = counters;
+      const value = {counters: [...counters]};
+      this.write({body: {$case: 'counters', value}});
+    }
+    this.pushShares();
+  }
+
+  private pushShares(): void {
+    const {allocator, instance} = this;
+    const value = allocator.sharesFor(instance, this.clock.now());
+    if (value) this.write({body: {$case: 'shares', value}});
+  }
+
+  /**
+   * The one that divides limits, once it knows of the proxy. Guard: a proxy may
+   * have waited here for an election with shares in force; the new leader would
+   * give the same ones to others.
+   */
+  private get allocator(): ShareAllocator {
+    const allocator = this.source.shares();
+    if (this.toldAllocator !== allocator) {
+      this.toldAllocator = allocator;
+      const {instance, held} = this;
+      allocator.onAttached(instance, held, this.clock.now());
+    }
+    return allocator;
+  }
+}
+
+/** Logs which accounts came close to their limits, or have room again. */
+export function logJudgements(
+  allocator: ShareAllocator,
+  clock: Clock,
+  log: Log,
+): void {
+  for (const judgement of allocator.judge(clock.now())) {
+    const {account, isLimited, demand, terms, counters} = judgement;
+    const sentence = isLimited
+      ? 'An account is over its limit.'
+      : 'An account is below its limit.';
+    const {perSecond, depth} = terms;
+    log.info(sentence, {account, demand, perSecond, depth, counters});
+  }
+}
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -3,23 +3,24 @@
 import type {MessageLink} from '../../../base/node/message_link';
 import type {MessageServer} from '../../../base/node/message_server';
 import {every} from '../../../base/node/timers';
-import type {ShareAllocator} from '../../account/common/counting';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
 import {CatalogMessages} from './catalog_messages';
+import {
+  CounterExchange,
+  logJudgements,
+  type CountingSource,
+} from './counter_exchange';
 import {FLEET_PROTOCOL} from './fleet_protocol';
 import {MEMBERS, POOLERS} from '../common/fleet_lists';
 import {ListFrames} from './list_frames';
 import type {
-  AccountShare,
   Catalog,
-  CounterEntry,
   FollowerMessage,
   LeaderMessage,
   Member,
   PoolerEntry,
   PrimaryReport,
-  RenewLeases,
 } from '../../../schema/generated/fleet';
 
 type Link = MessageLink<LeaderMessage, FollowerMessage>;
@@ -38,15 +39,11 @@
   catalogVersion: number;
   membersRevision: number;
   readonly complaints: Map<string, PrimaryReport>;
-  /** The shares of accounts that it held when it came. */
-  held: readonly AccountShare[];
-  /** Who was told of it and of what it holds; another one a leadership. */
-  toldAllocator: ShareAllocator | undefined;
-  toldCounters: readonly CounterEntry[] | undefined;
+  readonly counting: CounterExchange;
 }
 
 /** What the leader tells its proxies from. */
-export interface FleetSource {
+export interface FleetSource extends CountingSource {
   /** Whether this instance leads and knows all that was committed. */
   isLeading(): boolean;
   leaderAddress(): string;
@@ -59,10 +56,6 @@
   usualProxies(): number;
   leads(): LeadBoard;
   holders(): LeaseHolders;
-  /** Who counts operations of accounts, or may still do so. */
-  counters(): readonly CounterEntry[];
-  /** Divides the limits of accounts, in this leadership. */
-  shares(): ShareAllocator;
   /** Proves by a majority that this instance led after the call. */
   confirm(): Promise<boolean>;
 }
@@ -120,7 +113,7 @@
   push(): void {
     if (this.source.isLeading()) {
       this.countProxies();
-      this.judgeAccounts();
+      logJudgements(this.source.shares(), this.clock, this.log);
       for (const follower of this.followers) this.pushTo(follower);
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
@@ -208,9 +201,9 @@
       membersRevision: 0,
       toldProxies: undefined,
       complaints: new Map(),
-      held: [],
-      toldAllocator: undefined,
-      toldCounters: undefined,
+      counting: new CounterExchange(this.source, this.clock, message => {
+        link.write(message);
+      }),
     };
     this.followers.add(follower);
     link.start({
@@ -221,7 +214,7 @@
 
   private onMessage(follower: Follower, {body}: FollowerMessage): void {
     if (body?.$case === 'hello') {
-      const {instance, catalogVersion, site, address, shares} = body.value;
+      const {instance, catalogVersion, site, address} = body.value;
       for (const other of this.followers) {
         // The same proxy came again; its old stream may be half dead.
         if (other.instance === instance) this.leave(other);
@@ -230,7 +223,7 @@
       follower.site = site;
       follower.address = address;
       follower.catalogVersion = catalogVersion;
-      follower.held = shares;
+      follower.counting.onHello(body.value);
       this.log.info('A proxy is attached.', {instance, catalogVersion});
       if (this.source.isLeading()) this.pushTo(follower);
       else this.push();
@@ -242,7 +235,8 @@
       this.log.info('A proxy judges.', {proxy, service, instance, trouble});
     } else if (body?.$case === 'renew') {
       follower.renewal = body.value.number;
-      this.takeReport(follower, body.value);
+      // One that waits here for an election has counted nothing.
+      if (this.source.isLeading()) follower.counting.onReport(body.value);
       this.renew();
     } else if (body?.$case === 'returned') {
       const {service, epoch} = body.value;
@@ -274,10 +268,7 @@
         if (!this.followers.has(follower)) continue;
         // Counted before it goes out: a lease must never be longer than known.
         holders.onRenewed(follower.instance, this.clock.now());
-        this.allocatorOf(follower).onRenewed(
-          follower.instance,
-          this.clock.now(),
-        );
+        follower.counting.onRenewed();
         // Its lease on the catalog counts only with the newest one.
         this.pushCatalog(follower);
         const {catalogVersion} = follower;
@@ -301,31 +292,7 @@
     this.pushCount(follower);
     this.pushMembers(follower);
     this.pushLeads(follower);
-    this.pushCounters(follower);
-    this.pushShares(follower);
-  }
-
-  /** The one that divides limits, once it knows of a proxy. */
-  private allocatorOf(follower: Follower): ShareAllocator {
-    const allocator = this.source.shares();
-    if (follower.toldAllocator !== allocator) {
-      follower.toldAllocator = allocator;
-      const {instance, held} = follower;
-      allocator.onAttached(instance, held, this.clock.now());
-    }
-    return allocator;
-  }
-
-  /** Takes what a proxy counted; one that waits here reports nothing. */
-  private takeReport(
-    follower: Follower,
-    {uses, sharesNumber}: RenewLeases,
-  ): void {
-    if (!this.source.isLeading()) return;
-    const {instance} = follower;
-    const now = this.clock.now();
-    this.allocatorOf(follower).report(instance, uses, sharesNumber, now);
-    this.pushShares(follower);
+    follower.counting.push();
   }
 
   private pushCatalog(follower: Follower): void {
@@ -365,32 +332,6 @@
     follower.link.write({body: {$case: 'count', value: {proxies}}});
   }
 
-  private judgeAccounts(): void {
-    for (const judgement of this.source.shares().judge(this.clock.now())) {
-      const {account, isLimited, demand, terms, counters} = judgement;
-      const sentence = isLimited
-        ? 'An account is over its limit.'
-        : 'An account is below its limit.';
-      const {perSecond, depth} = terms;
-      this.log.info(sentence, {account, demand, perSecond, depth, counters});
-    }
-  }
-
-  private pushShares(follower: Follower): void {
-    const {instance} = follower;
-    const allocator = this.allocatorOf(follower);
-    const value = allocator.sharesFor(instance, this.clock.now());
-    if (value) follower.link.write({body: {$case: 'shares', value}});
-  }
-
-  private pushCounters(follower: Follower): void {
-    const counters = this.source.counters();
-    if (follower.toldCounters === counters) return;
-    follower.toldCounters = counters;
-    const value = {counters: [...counters]};
-    follower.link.write({body: {$case: 'counters', value}});
-  }
-
   private pushLeads(follower: Follower): void {
     const board = this.source.leads();
     const leads = board.since(follower.leadsRevision);
