--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -5,14 +5,11 @@
  * The part of what an account does not ask for that stays with control, for the
  * counter that asks for more next.
  */
-const LEFT_OVER_PART = 0.25;
+const LEFT_OVER_PART = 0.15;
 /** The part of it that all counters get alike, asked or not. */
 const EQUAL_PART = 0.25;
 /** All counters alike get at least this part of the limit. */
 const FLOOR_PART = 0.04;
-/** The part of the depth that all counters get alike. */
-const EQUAL_DEPTH_PART = 0.3;
-
 /** A counter among those that get shares of an account. */
 export interface Claim {
   /** Operations a second that it is asked for. */
@@ -29,11 +26,12 @@
   const shared = choose(claims, terms.depth);
   const demands = shared.map(claim => claim.demand);
   const rates = divideRate(terms.perSecond, demands);
-  const depths = divideDepth(terms.depth, demands);
+  // Tokens that wait are lost where depth moves away: it is divided evenly.
+  const depth = terms.depth / Math.max(1, shared.length);
   return claims.map(claim => {
     const at = shared.indexOf(claim);
     if (at < 0) return NO_SHARE;
-    return {perSecond: rates[at]!, depth: depths[at]!};
+    return {perSecond: rates[at]!, depth};
   });
 }
 
@@ -60,18 +58,6 @@
   });
 }
 
-function divideDepth(all: number, demands: readonly number[]): number[] {
-  const total = sumOf(demands);
-  const count = demands.length;
-  const least = Math.min(1, all / count);
-  const rest = all - least * count;
-  const alike = (rest * EQUAL_DEPTH_PART) / count;
-  return demands.map(demand => {
-    const part = total > 0 ? demand / total : 1 / count;
-    return least + alike + rest * (1 - EQUAL_DEPTH_PART) * part;
-  });
-}
-
 function sumOf(numbers: readonly number[]): number {
   return numbers.reduce((sum, one) => sum + one, 0);
 }
