--- /dev/null
+++ b/src/services/account/common/limit_allocator.ts
@@ -0,0 +1,202 @@
+import type {
+  AccountEntry,
+  AccountLimit,
+  AccountShare,
+  AccountShares,
+  AccountUse,
+  CounterEntry,
+} from '../../../schema/generated/fleet';
+import type {AccountJudgement, ShareAllocator} from './counting';
+import {PLAIN_BUCKETS, type LimitPrecision} from './enforcement';
+import {LimitedAccount} from './limited_account';
+import {leaseEnd, ShareHolder} from './share_holder';
+
+/**
+ * The leader of control's part in limits: divides what each account may run
+ * among the counters, by what they are asked for.
+ *
+ * Shares of an account never add up to more than its limit. A share is lowered
+ * first, and another raised once the counter keeps to less, or its lease ended.
+ */
+export class LimitAllocator implements ShareAllocator {
+  private readonly accounts = new Map<string, LimitedAccount>();
+  /** All proxies that came, and counters that did not. */
+  private readonly holders = new Map<string, ShareHolder>();
+  private listed: ReadonlySet<string> = new Set();
+  /** Those that are listed or may hold shares. */
+  private active: readonly ShareHolder[] = [];
+  /** When a majority last confirmed this leader. */
+  private confirmedAt: number;
+  private wasUnknown = false;
+
+  /** @param since When this leadership began. */
+  constructor(
+    private readonly since: number,
+    private readonly precision: LimitPrecision = PLAIN_BUCKETS,
+  ) {
+    this.confirmedAt = since;
+  }
+
+  setAccounts(entries: readonly AccountEntry[], now: number): void {
+    const limits = new Map(entries.map(({account, limit}) => [account, limit]));
+    for (const account of this.accounts.keys()) {
+      if (!limits.get(account)) this.drop(account);
+    }
+    for (const [account, limit] of limits) {
+      if (limit) this.setLimit(account, limit, now);
+    }
+  }
+
+  setCounters(entries: readonly CounterEntry[], now: number): void {
+    const byName = new Map(entries.map(entry => [entry.instance, entry]));
+    this.listed = new Set(byName.keys());
+    for (const name of byName.keys()) this.holderOf(name);
+    for (const [name, holder] of this.holders) {
+      holder.place(byName.get(name), now);
+      const isGone = !byName.has(name) && !holder.isHeard(now);
+      if (isGone && holder.holdsNothing(now)) this.holders.delete(name);
+    }
+    this.refresh(now);
+  }
+
+  onAttached(
+    counter: string,
+    shares: readonly AccountShare[],
+    now: number,
+  ): void {
+    const holder = this.holderOf(counter);
+    const wasUnknown = this.listed.has(counter) && !holder.isAttached;
+    holder.attach(shares, now);
+    if (wasUnknown) this.learn(shares);
+    this.refresh(now);
+  }
+
+  report(
+    counter: string,
+    uses: readonly AccountUse[],
+    sharesNumber: number,
+    now: number,
+  ): void {
+    this.holders.get(counter)?.report(uses, sharesNumber, now);
+  }
+
+  onRenewed(counter: string, now: number): void {
+    this.confirmedAt = Math.max(this.confirmedAt, now);
+    this.holders.get(counter)?.renew(now);
+    this.expire(now);
+  }
+
+  sharesFor(counter: string, now: number): AccountShares | undefined {
+    const holder = this.holders.get(counter);
+    if (!holder || !this.active.includes(holder)) return undefined;
+    // Guard: what is told to a counter that hears nothing would count as in use
+    // when it comes again with less, and for a lease longer.
+    if (!holder.isAttached || !holder.isHeard(now)) return undefined;
+    const shares: AccountShare[] = [];
+    for (const [name, account] of this.accounts) {
+      const terms = account.newsFor(holder, this.active, now);
+      if (terms) shares.push({account: name, ...terms});
+    }
+    return shares.length > 0 ? holder.tell(shares) : undefined;
+  }
+
+  judge(now: number): AccountJudgement[] {
+    const changed: AccountJudgement[] = [];
+    for (const [account, state] of this.accounts) {
+      const demand = this.demandOf(account, now);
+      if (!state.judge(demand)) continue;
+      const {isLimited, terms} = state;
+      const counters = this.active.filter(holder => {
+        return holder.most(account, now).perSecond > 0;
+      }).length;
+      const rounded = Math.round(demand);
+      changed.push({account, isLimited, demand: rounded, terms, counters});
+    }
+    return changed;
+  }
+
+  isFree(counter: string, now: number): boolean {
+    const holder = this.holders.get(counter);
+    if (!holder?.isAttached) return !this.hasUnknown;
+    return holder.holdsNothing(now);
+  }
+
+  private setLimit(name: string, limit: AccountLimit, now: number): void {
+    const known = this.accounts.get(name);
+    if (known) return known.setLimit(limit);
+    const account = new LimitedAccount(name, limit, this.precision);
+    this.accounts.set(name, account);
+    if (this.hasUnknown) account.withhold(this.active, now);
+  }
+
+  private drop(account: string): void {
+    this.accounts.delete(account);
+    for (const holder of this.holders.values()) holder.forget(account);
+  }
+
+  /**
+   * Whether a counter may hold shares of an earlier leader's that this one does
+   * not know.
+   */
+  private get hasUnknown(): boolean {
+    if (this.confirmedAt >= leaseEnd(this.since)) return false;
+    const counters = [...this.listed].map(name => this.holders.get(name)!);
+    if (counters.some(({isAttached}) => !isAttached)) return true;
+    // One that lost its shares may have permits out. Where all lost theirs, no
+    // leader was there for longer than permits last.
+    const isFresh = counters.some(one => one.isFresh(this.confirmedAt));
+    return isFresh && counters.some(({hadShares}) => hadShares);
+  }
+
+  /** What a counter that came holds is unknown no more. */
+  private learn(shares: readonly AccountShare[]): void {
+    for (const share of shares) {
+      this.accounts.get(share.account)?.release(share);
+    }
+  }
+
+  /** Counters or their places changed. */
+  private refresh(now: number): void {
+    const holders = [...this.holders];
+    this.active = holders
+      .filter(([name, holder]) => {
+        return this.listed.has(name) || !holder.holdsNothing(now);
+      })
+      .map(([, holder]) => holder);
+    const isUnknown = this.hasUnknown;
+    for (const account of this.accounts.values()) {
+      account.replan();
+      // Guard: shares that an earlier leader gave are in use until their lease
+      // ends. Given away meanwhile they would be in use twice.
+      if (isUnknown && !this.wasUnknown) account.withhold(this.active, now);
+      if (!isUnknown) account.releaseAll();
+    }
+    this.wasUnknown = isUnknown;
+  }
+
+  /**
+   * Frees what counters held whose lease is over. Guard: at the time of the
+   * last confirmation and not by the clock; a leader that was deposed without
+   * knowing it would give away what its successor left to a counter.
+   */
+  private expire(now: number): void {
+    let isChanged = this.wasUnknown && !this.hasUnknown;
+    for (const holder of this.active) {
+      if (holder.expire(this.confirmedAt, now)) isChanged = true;
+    }
+    if (isChanged) this.refresh(now);
+  }
+
+  private demandOf(account: string, now: number): number {
+    let sum = 0;
+    for (const holder of this.active) sum += holder.demand(account, now);
+    return sum;
+  }
+
+  private holderOf(name: string): ShareHolder {
+    const known = this.holders.get(name);
+    const holder = known ?? new ShareHolder();
+    this.holders.set(name, holder);
+    return holder;
+  }
+}
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -3,10 +3,14 @@
 import type {MessageLink} from '../../../base/node/message_link';
 import type {MessageServer} from '../../../base/node/message_server';
 import {every} from '../../../base/node/timers';
-import type {AccountLedger} from '../../account/common/account_ledger';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
 import {CatalogMessages} from './catalog_messages';
+import {
+  CounterExchange,
+  logJudgements,
+  type CountingSource,
+} from './counter_exchange';
 import {FLEET_PROTOCOL} from './fleet_protocol';
 import {MEMBERS, POOLERS} from '../common/fleet_lists';
 import {ListFrames} from './list_frames';
@@ -35,10 +39,11 @@
   catalogVersion: number;
   membersRevision: number;
   readonly complaints: Map<string, PrimaryReport>;
+  readonly counting: CounterExchange;
 }
 
 /** What the leader tells its proxies from. */
-export interface FleetSource {
+export interface FleetSource extends CountingSource {
   /** Whether this instance leads and knows all that was committed. */
   isLeading(): boolean;
   leaderAddress(): string;
@@ -51,8 +56,6 @@
   usualProxies(): number;
   leads(): LeadBoard;
   holders(): LeaseHolders;
-  /** What accounts ask of all proxies, in this leadership. */
-  accounts(): AccountLedger;
   /** Proves by a majority that this instance led after the call. */
   confirm(): Promise<boolean>;
 }
@@ -110,7 +113,7 @@
   push(): void {
     if (this.source.isLeading()) {
       this.countProxies();
-      this.judgeAccounts();
+      logJudgements(this.source.shares(), this.clock, this.log);
       for (const follower of this.followers) this.pushTo(follower);
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
@@ -198,6 +201,9 @@
       membersRevision: 0,
       toldProxies: undefined,
       complaints: new Map(),
+      counting: new CounterExchange(this.source, this.clock, message => {
+        link.write(message);
+      }),
     };
     this.followers.add(follower);
     link.start({
@@ -217,7 +223,7 @@
       follower.site = site;
       follower.address = address;
       follower.catalogVersion = catalogVersion;
-      this.source.accounts().forgetTold(instance);
+      follower.counting.onHello(body.value);
       this.log.info('A proxy is attached.', {instance, catalogVersion});
       if (this.source.isLeading()) this.pushTo(follower);
       else this.push();
@@ -229,9 +235,8 @@
       this.log.info('A proxy judges.', {proxy, service, instance, trouble});
     } else if (body?.$case === 'renew') {
       follower.renewal = body.value.number;
-      this.source
-        .accounts()
-        .report(follower.instance, body.value.uses, this.clock.now());
+      // One that waits here for an election has counted nothing.
+      if (this.source.isLeading()) follower.counting.onReport(body.value);
       this.renew();
     } else if (body?.$case === 'returned') {
       const {service, epoch} = body.value;
@@ -263,6 +268,7 @@
         if (!this.followers.has(follower)) continue;
         // Counted before it goes out: a lease must never be longer than known.
         holders.onRenewed(follower.instance, this.clock.now());
+        follower.counting.onRenewed();
         // Its lease on the catalog counts only with the newest one.
         this.pushCatalog(follower);
         const {catalogVersion} = follower;
@@ -286,7 +292,7 @@
     this.pushCount(follower);
     this.pushMembers(follower);
     this.pushLeads(follower);
-    this.pushShares(follower);
+    follower.counting.push();
   }
 
   private pushCatalog(follower: Follower): void {
@@ -326,25 +332,6 @@
     follower.link.write({body: {$case: 'count', value: {proxies}}});
   }
 
-  private judgeAccounts(): void {
-    for (const judgement of this.source.accounts().judge(this.clock.now())) {
-      const {account, isLimited, demand, terms, proxies} = judgement;
-      const sentence = isLimited
-        ? 'An account is over its limit.'
-        : 'An account is below its limit.';
-      const {perSecond, depth} = terms;
-      this.log.info(sentence, {account, demand, perSecond, depth, proxies});
-    }
-  }
-
-  private pushShares(follower: Follower): void {
-    const {instance} = follower;
-    const ledger = this.source.accounts();
-    const shares = ledger.sharesFor(instance, this.clock.now());
-    if (!shares) return;
-    follower.link.write({body: {$case: 'shares', value: {shares, number: 0}}});
-  }
-
   private pushLeads(follower: Follower): void {
     const board = this.source.leads();
     const leads = board.since(follower.leadsRevision);
