--- /dev/null
+++ b/src/services/dispatch/node/connection_limits.ts
@@ -0,0 +1,73 @@
+import type {Member, ServiceEntry} from '../../../schema/generated/fleet';
+import {
+  connectionLimit,
+  equalShare,
+  keepsStandby,
+  type ConnectionSharers,
+} from '../common/connection_share';
+import {sharedConnections} from '../common/shared_connections';
+import type {DispatcherSurroundings} from './dispatcher_messages';
+
+/** How many connections to each member of a service this instance may have. */
+export class ConnectionLimits {
+  private definition: ServiceEntry;
+  private sharers: ConnectionSharers = {all: 1, near: 0};
+  /** Work of accounts came, which cannot use a connection kept for anybody. */
+  private servesAccounts = false;
+  private readonly since: number;
+
+  constructor(private readonly around: DispatcherSurroundings) {
+    const {service, clock} = around;
+    this.since = clock.now();
+    this.definition = {service, connections: 8, confirmations: 0};
+  }
+
+  setDefinition(definition: ServiceEntry): void {
+    this.definition = definition;
+  }
+
+  setSharers(sharers: ConnectionSharers): void {
+    this.sharers = sharers;
+  }
+
+  /** Takes note that work of an account came. */
+  onAccount(): void {
+    this.servesAccounts = true;
+  }
+
+  /** Connections that this instance may have to one member. */
+  limitOf(member: Member): number {
+    return connectionLimit({
+      shared: this.shared,
+      equal: this.shareOf(member),
+      ageMs: this.around.clock.now() - this.since,
+    });
+  }
+
+  /** Its equal share of a member; may be below 1. */
+  shareOf(member: Member): number {
+    const {all, near} = this.sharers;
+    const sharers = {all, near: this.servesAccounts ? near : 0};
+    return equalShare(this.shared, sharers, this.isNear(member));
+  }
+
+  /** Whether one connection to a member is kept while it has no work. */
+  keepsStandby(member: Member, isPrimary: boolean): boolean {
+    return keepsStandby({
+      servesAccounts: this.servesAccounts,
+      equal: this.shareOf(member),
+      isPrimary,
+      sameRegion: this.isNear(member),
+    });
+  }
+
+  /** Whether a member is in the region of this instance. */
+  isNear({site}: Member): boolean {
+    return this.around.regionOf(site) === this.around.region;
+  }
+
+  /** Connections to one member that all instances together may have. */
+  private get shared(): number {
+    return sharedConnections(this.definition.connections);
+  }
+}
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -3,7 +3,6 @@
 import {
   ClaimedRole,
   type Member,
-  type ServiceEntry,
   type ServiceLead,
 } from '../../../schema/generated/fleet';
 import {SHARED_USER} from '../../target_link/common/target_link';
@@ -12,16 +11,11 @@
 import {PrimaryBelief} from '../common/primary_belief';
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
-import {
-  connectionLimit,
-  equalShare,
-  keepsStandby,
-  type ConnectionSharers,
-} from '../common/connection_share';
+import type {ConnectionSharers} from '../common/connection_share';
 import type {PlaceRequest} from '../common/place_request';
 import {RequestOpenings} from '../common/request_openings';
-import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
+import {ConnectionLimits} from './connection_limits';
 import type {
   DispatcherMessage,
   DispatcherSurroundings,
@@ -59,28 +53,23 @@
   private readonly mailbox = new Mailbox<DispatcherMessage>();
   private readonly pools = new Map<string, MemberPool>();
   private readonly samples = new PositionSamples();
-  private definition: ServiceEntry;
-  private sharers: ConnectionSharers = {all: 1, near: 0};
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
   private readonly openings = new RequestOpenings<PlaceRequest<Grant>>();
   private lastRead = -Infinity;
   private lastRequest = -Infinity;
-  /** Work of accounts came, which cannot use a connection kept for anybody. */
-  private servesAccounts = false;
   private readonly probe: PrimaryProbe;
   private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
   private judged = '';
   private changedQueued = false;
   private signal = new AbortController().signal;
-  private readonly since: number;
+  private readonly limits: ConnectionLimits;
 
   constructor(private readonly around: DispatcherSurroundings) {
     const {service} = around;
-    this.since = around.clock.now();
-    this.definition = {service, connections: 8, confirmations: 0};
+    this.limits = new ConnectionLimits(around);
     this.probe = new PrimaryProbe(around.clock, (observation, returned) => {
       this.mailbox.post({kind: 'observed', observation});
       this.mailbox.post({kind: 'return', returned});
@@ -133,8 +122,7 @@
       case 'members':
         return this.onMembers(message.members, message.sharers);
       case 'definition':
-        this.definition = message.definition;
-        return;
+        return this.limits.setDefinition(message.definition);
       case 'lead':
         return this.onLead(message.lead);
       case 'witness':
@@ -152,7 +140,7 @@
   private onRequest(request: PlaceRequest<Grant>): void {
     const now = this.now();
     this.lastRequest = now;
-    this.servesAccounts ||= request.user !== SHARED_USER;
+    if (request.user !== SHARED_USER) this.limits.onAccount();
     if (request.need.kind === 'read') this.lastRead = now;
     this.waiting.add(request, now);
     this.dispatch();
@@ -208,7 +196,7 @@
 
   private openFor(request: PlaceRequest<Grant>, pool: MemberPool): void {
     const {user} = request;
-    const limit = this.limitOf(pool);
+    const limit = this.limits.limitOf(pool.member);
     if (this.awaitsOpening(request) || !pool.mayOpen(limit, user)) return;
     pool.openWithin(limit, user);
     this.openings.note(request, pool.member.instance, this.now());
@@ -237,46 +225,17 @@
         latencyMs: pool.latencyMs,
         hasRoom:
           pool.hasWindow &&
-          (hasIdle || (mayOpen && pool.mayOpen(this.limitOf(pool), user))),
+          (hasIdle ||
+            (mayOpen && pool.mayOpen(this.limits.limitOf(pool.member), user))),
         needsOpening: !hasIdle && user !== SHARED_USER,
         lagMs: pool.lagMs,
-        sameRegion: this.isNear(member),
+        sameRegion: this.limits.isNear(member),
       };
     });
   }
 
-  /** Connections to one member that all instances together may have. */
-  private get sharedConnections(): number {
-    return sharedConnections(this.definition.connections);
-  }
-
-  private shareOf({member}: MemberPool): number {
-    const {all, near} = this.sharers;
-    const sharers = {all, near: this.servesAccounts ? near : 0};
-    return equalShare(this.sharedConnections, sharers, this.isNear(member));
-  }
-
-  /** Connections that this instance may have to one member. */
-  private limitOf(pool: MemberPool): number {
-    return connectionLimit({
-      shared: this.sharedConnections,
-      equal: this.shareOf(pool),
-      ageMs: this.now() - this.since,
-    });
-  }
-
-  private keepsStandby(pool: MemberPool): boolean {
-    const {member} = pool;
-    return keepsStandby({
-      servesAccounts: this.servesAccounts,
-      equal: this.shareOf(pool),
-      isPrimary: this.isPrimary(member.instance),
-      sameRegion: this.isNear(member),
-    });
-  }
-
-  private isNear({site}: Member): boolean {
-    return this.around.regionOf(site) === this.around.region;
+  private keepsStandby({member}: MemberPool): boolean {
+    return this.limits.keepsStandby(member, this.isPrimary(member.instance));
   }
 
   private onReturn({pooled, clean}: Return): void {
@@ -398,7 +357,7 @@
     members: readonly Member[],
     sharers: ConnectionSharers,
   ): void {
-    this.sharers = sharers;
+    this.limits.setSharers(sharers);
     const own = members.filter(({service}) => service === this.around.service);
     for (const member of own) this.onMember(member);
     for (const [instance, pool] of this.pools) {
@@ -470,7 +429,7 @@
     const now = this.now();
     for (const pool of this.pools.values()) {
       const isKept = this.keepsStandby(pool);
-      pool.maintain(this.shareOf(pool), isKept);
+      pool.maintain(this.limits.shareOf(pool.member), isKept);
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
     }
     this.judgePrimary();
@@ -507,7 +466,7 @@
     if (this.probe.isRunning(pool.member.instance)) return;
     const pooled = pool.checkoutAny();
     if (pooled) return this.probe.start(pooled, this.belief.epoch);
-    const limit = this.limitOf(pool);
+    const limit = this.limits.limitOf(pool.member);
     if (pool.size === 0 && pool.mayOpen(limit)) pool.open(SHARED_USER);
   }
 
