Hand out the connections of members by demand

A member takes so many connections from all instances together. Each pooler kept to an equal share with a factor, so that the sum went beyond the cap by half and no part followed the work.

The leader of control now hands them out where poolers serve accounts with limits or instances differ in size (capacity_cores and capacity_link_mbps of the settings, told with the hello). It asks all that follow it what they have; they tell it for each member what is open, wanted and granted, changes only, and at once when they want twice as much. Grants go as numbered changes; a pooler counts with the most that it may go by and has open until it reports less. A leader that follows another changes nothing until all answered or a lease of 3 s is over. Elsewhere nothing is asked, told or decided otherwise.

ConnectionUse has a new field, the grant in force: with it the next leader goes on from the grants of the last one; without it, it would have to lower all to what is open first.

--- a/src/services/dispatch/node/connection_limits.ts
+++ b/src/services/dispatch/node/connection_limits.ts
@@ -37,15 +37,29 @@
 
   /** Connections that this instance may have to one member. */
   limitOf(member: Member): number {
+    const granted = this.grantOf(member);
+    if (granted !== undefined) return granted;
     return connectionLimit({
       shared: this.shared,
-      equal: this.shareOf(member),
+      equal: this.equalShareOf(member),
       ageMs: this.around.clock.now() - this.since,
     });
   }
 
-  /** Its equal share of a member; may be below 1. */
+  /** What of it is not for others too: a grant, or its equal share. */
   shareOf(member: Member): number {
+    return this.grantOf(member) ?? this.equalShareOf(member);
+  }
+
+  /** What control granted; undefined where it hands no connections out. */
+  grantOf(member: Member): number | undefined {
+    const {service, instance} = member;
+    const equal = this.equalShareOf(member);
+    return this.around.room.limitOf(service, instance, equal);
+  }
+
+  /** Its equal share of a member; may be below 1. */
+  private equalShareOf(member: Member): number {
     const {all, near} = this.sharers;
     const sharers = {all, near: this.servesAccounts ? near : 0};
     return equalShare(this.shared, sharers, this.isNear(member));
@@ -55,7 +69,7 @@
   keepsStandby(member: Member, isPrimary: boolean): boolean {
     return keepsStandby({
       servesAccounts: this.servesAccounts,
-      equal: this.shareOf(member),
+      equal: this.equalShareOf(member),
       isPrimary,
       sameRegion: this.isNear(member),
     });
--- a/src/services/dispatch/node/dispatcher_messages.ts
+++ b/src/services/dispatch/node/dispatcher_messages.ts
@@ -7,6 +7,7 @@
 } from '../../../schema/generated/fleet';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import type {Position} from '../../position/common/position';
+import type {ConnectionRoom} from '../../room/common/connection_room';
 import type {StatusReader} from '../../target_link/common/member_status';
 import type {TargetConnector} from '../../target_link/common/target_link';
 import type {ConnectionSharers} from '../common/connection_share';
@@ -81,6 +82,8 @@
   readonly connector: TargetConnector;
   readonly leases: LeadProofs;
   readonly statusReader: StatusReader;
+  /** What control hands out of the members' connections. */
+  readonly room: ConnectionRoom;
   readonly clock: Clock;
   readonly log: Log;
   /** Trouble with the primary began (a text) or ended (''). */
--- /dev/null
+++ b/src/services/dispatch/node/member_demand.ts
@@ -0,0 +1,69 @@
+import type {PlaceNeed} from '../common/place_request';
+import type {ConnectionLimits} from './connection_limits';
+import type {DispatcherSurroundings} from './dispatcher_messages';
+import type {MemberPool} from './member_pool';
+
+/** What this instance has and would use of each member of a service. */
+export class MemberDemand {
+  private waiting = {primary: 0, read: 0};
+
+  constructor(
+    private readonly around: DispatcherSurroundings,
+    private readonly limits: ConnectionLimits,
+  ) {}
+
+  /** Takes note that all that wait are offered places now. */
+  onServing(): void {
+    this.waiting = {primary: 0, read: 0};
+  }
+
+  /** Takes note that one of them found none. */
+  onUnplaced({kind}: PlaceNeed): void {
+    this.waiting[kind]++;
+  }
+
+  /** Tells what is handed out of connections what they are wanted for. */
+  tell(pools: Iterable<MemberPool>, primary: string): void {
+    const {room, service} = this.around;
+    if (!room.isAsked) return;
+    const all = [...pools];
+    const readers = this.readersOf(all).length;
+    for (const pool of all) {
+      const {instance} = pool.member;
+      const wanted = pool.running + this.waitingFor(pool, primary, readers);
+      room.note(service, instance, {open: pool.size, wanted});
+    }
+  }
+
+  /** Closes what is beyond the grants, as far as it rests. */
+  giveBack(pool: MemberPool): void {
+    const granted = this.limits.grantOf(pool.member);
+    if (granted !== undefined) pool.shrinkTo(granted);
+  }
+
+  /** A member whose slots are full serves no more by more connections. */
+  private waitingFor(
+    pool: MemberPool,
+    primary: string,
+    readers: number,
+  ): number {
+    if (!pool.hasWindow || pool.isFailing) return 0;
+    const writes = pool.member.instance === primary ? this.waiting.primary : 0;
+    const isReader = this.isReader(pool) || readers === 0;
+    return writes + (isReader ? this.readsEach(readers) : 0);
+  }
+
+  private readsEach(readers: number): number {
+    return Math.ceil(this.waiting.read / Math.max(1, readers));
+  }
+
+  private readersOf(pools: readonly MemberPool[]): MemberPool[] {
+    return pools.filter(pool => this.isReader(pool));
+  }
+
+  /** Reads wait for the members of the own region first. */
+  private isReader(pool: MemberPool): boolean {
+    const {member} = pool;
+    return this.limits.isNear(member) && !member.draining && !pool.isFailing;
+  }
+}
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -274,6 +274,12 @@
     }
   }
 
+  /** Gives back what is beyond a limit and rests; the longest rest first. */
+  shrinkTo(limit: number): void {
+    const surplus = Math.max(0, this.size - limit);
+    for (const pooled of this.idle.slice(0, surplus)) this.drop(pooled);
+  }
+
   private mostRest({user}: PooledLink, keepsStandby: boolean): number {
     if (this.equalShare < 1) return SCARCE_CLOSE_MS;
     const isSurplus = this.all.size > this.equalShare;
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -5,7 +5,10 @@
   type Member,
   type ServiceLead,
 } from '../../../schema/generated/fleet';
-import {SHARED_USER} from '../../target_link/common/target_link';
+import {
+  SHARED_USER,
+  type ConnectFailure,
+} from '../../target_link/common/target_link';
 import {PositionSamples} from '../../freshness/common/position_samples';
 import {laterPosition, type Position} from '../../position/common/position';
 import {PrimaryBelief} from '../common/primary_belief';
@@ -25,6 +28,7 @@
   Return,
 } from './dispatcher_messages';
 import {LeadWitness, type WitnessedLead} from './lead_witness';
+import {MemberDemand} from './member_demand';
 import {MemberPool, type PooledLink} from './member_pool';
 import {PrimaryProbe} from './primary_probe';
 
@@ -66,10 +70,12 @@
   private changedQueued = false;
   private signal = new AbortController().signal;
   private readonly limits: ConnectionLimits;
+  private readonly demand: MemberDemand;
 
   constructor(private readonly around: DispatcherSurroundings) {
     const {service} = around;
     this.limits = new ConnectionLimits(around);
+    this.demand = new MemberDemand(around, this.limits);
     this.probe = new PrimaryProbe(around.clock, (observation, returned) => {
       this.mailbox.post({kind: 'observed', observation});
       this.mailbox.post({kind: 'return', returned});
@@ -147,7 +153,12 @@
   }
 
   private dispatch(): void {
-    this.waiting.serve(this.now(), request => this.place(request));
+    this.demand.onServing();
+    this.waiting.serve(this.now(), request => {
+      const grant = this.place(request);
+      if (!grant) this.demand.onUnplaced(request.need);
+      return grant;
+    });
   }
 
   private place(request: PlaceRequest<Grant>): Grant | undefined {
@@ -240,8 +251,10 @@
 
   private onReturn({pooled, clean}: Return): void {
     const pool = this.pools.get(pooled.instance);
-    if (pool) pool.release(pooled, clean);
-    else pooled.link.close();
+    if (pool) {
+      pool.release(pooled, clean);
+      this.demand.giveBack(pool);
+    } else pooled.link.close();
     this.dispatch();
   }
 
@@ -364,6 +377,7 @@
       if (own.some(member => member.instance === instance)) continue;
       pool.closeAll();
       this.pools.delete(instance);
+      this.around.room.forget(this.around.service, instance);
       const {service, log} = this.around;
       log.info('Forgets a member.', {service, instance});
     }
@@ -389,7 +403,10 @@
     const listener = {
       onDidChange: () => this.noteChange(),
       onDidOpen: () => this.judgePrimary(),
-      onDidFailToOpen: () => this.judgePrimary(),
+      onDidFailToOpen: (name: string, failure: ConnectFailure) => {
+        if (failure === 'too many connections') this.onFull(name);
+        this.judgePrimary();
+      },
     };
     const pool = new MemberPool(
       member,
@@ -402,6 +419,11 @@
     if (this.keepsStandby(pool)) pool.open(SHARED_USER);
   }
 
+  private onFull(instance: string): void {
+    const open = this.pools.get(instance)?.size ?? 0;
+    this.around.room.onFull(this.around.service, instance, open);
+  }
+
   private noteChange(): void {
     if (this.changedQueued) return;
     this.changedQueued = this.mailbox.post({kind: 'changed'});
@@ -428,6 +450,7 @@
   private onTick(): void {
     const now = this.now();
     for (const pool of this.pools.values()) {
+      this.demand.giveBack(pool);
       const isKept = this.keepsStandby(pool);
       pool.maintain(this.limits.shareOf(pool.member), isKept);
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
@@ -440,6 +463,7 @@
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
     if (wanted && isOld) this.probePrimary();
     this.dispatch();
+    this.demand.tell(this.pools.values(), this.belief.instance);
   }
 
   /** Asks the primary for its position where no request did lately. */
--- /dev/null
+++ b/src/services/dispatch/test/node/granted_connections.test.ts
@@ -0,0 +1,69 @@
+import {afterEach, beforeEach, expect, it} from 'vitest';
+import {FakeGroup} from '../../../gateway/test/node/fake_group';
+import {
+  BEGIN,
+  Caller,
+  COMMIT,
+  makeCatalog,
+  makeRoute,
+  TestGateway,
+  WRITE,
+} from '../../../gateway/test/node/session_fixture';
+import {ConnectionRoom} from '../../../room/common/connection_room';
+
+let group: FakeGroup;
+let gateway: TestGateway;
+let room: ConnectionRoom;
+
+beforeEach(() => {
+  group = new FakeGroup(['a', 'b']);
+  gateway = new TestGateway(group, makeCatalog([makeRoute()]));
+  ({room} = gateway);
+  room.onDidAttach();
+  room.onDidHear(gateway.clock.now());
+});
+
+afterEach(() => gateway.stop.abort());
+
+let number = 0;
+
+function grant(connections: number): void {
+  const grants = [{service: 'books', instance: 'a', connections}];
+  room.setGrants({grants, number: ++number});
+}
+
+const rest = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+it('are no more than control granted, and given back when that falls', async () => {
+  // Members reset what is beyond their cap, and the statements on it are run
+  // again elsewhere. An instance keeps what it opened in a burst, rested or
+  // not, while control gives the same connections to another one.
+  grant(4);
+  const callers = [...Array(8).keys()].map(() => new Caller(gateway, 'db'));
+  const begin = async (caller: Caller) => {
+    await caller.ask(BEGIN);
+    return caller.ask(WRITE);
+  };
+  const begun = callers.map(begin);
+  await rest(200);
+  expect(group.member('a').connections).toBe(4);
+  grant(1);
+  await rest(120);
+  // Work under way goes on; what rests after it is closed.
+  expect(group.member('a').connections).toBe(4);
+  for (const caller of callers) void caller.ask(COMMIT);
+  await Promise.all(begun);
+  await rest(400);
+  expect(group.member('a').connections).toBe(1);
+});
+
+it('are told to control with what waits for one', async () => {
+  grant(2);
+  const callers = [...Array(5).keys()].map(() => new Caller(gateway, 'db'));
+  for (const caller of callers) {
+    void caller.ask(BEGIN).then(() => caller.ask(WRITE));
+  }
+  await rest(150);
+  const use = room.views.find(({instance}) => instance === 'a');
+  expect(use).toMatchObject({open: 2, wanted: 5, granted: 2});
+});
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -22,6 +22,8 @@
 import {Roster, type Announcement} from '../../roster/common/roster';
 import {OneAtATime} from '../common/one_at_a_time';
 import {UsualCount} from '../common/usual_count';
+import type {RoomAllocator} from '../../room/common/room_allocator';
+import {ControlRoom} from '../../room/common/control_room';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
 /** Why control cannot answer for certain now. */
@@ -69,10 +71,18 @@
   /** The catalog whose limits the ledger has. */
   private ledgerVersion = 0;
   private known: {version: number; catalog: Catalog} | undefined;
+  private readonly controlRoom: ControlRoom;
   leader: FleetLeader | undefined;
 
   constructor(private readonly around: FleetControlSurroundings) {
     this.accountLedger = new AccountLedger(0, around.limitPrecision);
+    this.controlRoom = new ControlRoom({
+      catalog: () => this.catalog(),
+      members: () => this.roster.all(),
+      membersRevision: () => this.roster.revision,
+      poolers: () => around.machine.poolers,
+      capacities: () => this.leader?.attached.map(one => one.capacity) ?? [],
+    });
   }
 
   start(signal: AbortSignal): void {
@@ -125,6 +135,11 @@
     return this.accountLedger;
   }
 
+  /** Who may open how many connections to members. */
+  get room(): RoomAllocator {
+    return this.controlRoom.current;
+  }
+
   /** Begins or ends what only a leader does. */
   onDidChangeRole(isLeader: boolean): void {
     const wasLeader = this.leadingSince !== Infinity;
@@ -137,6 +152,7 @@
     this.usualCount = new UsualCount();
     this.leadBoard = new LeadBoard();
     this.leaseHolders = new LeaseHolders(this.leadingSince);
+    this.controlRoom.begin(this.around.clock.now());
     this.accountLedger = new AccountLedger(
       this.around.clock.now(),
       this.around.limitPrecision,
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -22,6 +22,11 @@
   type FleetMembers,
   type FleetPoolers,
 } from '../common/fleet_lists';
+import type {InstanceCapacity} from '../../room/common/capacity';
+import {
+  NO_REPORT,
+  type ConnectionRoom,
+} from '../../room/common/connection_room';
 import {applyListDelta} from '../common/keyed_changes';
 import {FollowerStream} from './follower_stream';
 
@@ -46,6 +51,8 @@
   readonly leases: LeadLeases;
   readonly catalogLease: CatalogLease;
   readonly throttle: AccountThrottle;
+  readonly capacity: InstanceCapacity;
+  readonly room: ConnectionRoom;
 }
 
 /**
@@ -64,6 +71,8 @@
  * election two instances may each name the other.
  */
 const MOST_REDIRECTS = 2;
+/** How often something to tell control at once is looked for, in ms. */
+const LOOK_MS = 50;
 /** Control instances that are asked at once. */
 const MOST_ATTEMPTS = 3;
 
@@ -101,6 +110,10 @@
     every(this.signal, RENEW_EVERY_MS, () => {
       if (this.attached) this.renewLeases(this.attached);
     });
+    every(this.signal, LOOK_MS, () => {
+      const {room} = this.options;
+      if (this.attached && room.isUrgent) this.renewLeases(this.attached);
+    });
   }
 
   /**
@@ -140,16 +153,23 @@
   }
 
   private greet(stream: FollowerStream): void {
-    const {instance, site, address} = this.options;
-    const catalogVersion = this.catalog?.version ?? 0;
-    const hello = {instance, site, catalogVersion, address, shares: []};
-    stream.write({$case: 'hello', value: hello});
+    const {instance, site, address, capacity} = this.options;
+    const value = {
+      instance,
+      site,
+      catalogVersion: this.catalog?.version ?? 0,
+      address,
+      shares: [],
+      capacityCores: capacity.cores,
+      capacityLinkMbps: capacity.linkMbps,
+    };
+    stream.write({$case: 'hello', value});
     // Asked at once: a proxy that starts serves primaries a way sooner.
     this.renewLeases(stream);
   }
 
   private renewLeases(stream: FollowerStream): void {
-    const {leases, throttle} = this.options;
+    const {leases, throttle, room} = this.options;
     const number = leases.ask();
     // Counts are told once, to the leader that this proxy follows.
     const uses = stream === this.attached ? throttle.takeReport() : [];
@@ -157,8 +177,7 @@
       number,
       uses,
       sharesNumber: 0,
-      connections: [],
-      grantsNumber: 0,
+      ...(stream === this.attached ? room.takeReport() : NO_REPORT),
     };
     stream.write({$case: 'renew', value});
   }
@@ -193,12 +212,16 @@
       case 'shares':
         if (stream !== this.attached) return;
         return this.options.throttle.setShares(body.value.shares);
+      case 'connections':
+        this.attach(stream);
+        return this.options.room.setGrants(body.value);
     }
   }
 
   private onRenewed({number, catalogVersion}: LeasesRenewed): void {
-    const {leases, catalogLease, throttle} = this.options;
+    const {leases, catalogLease, throttle, room} = this.options;
     const askedAt = leases.onRenewed(number);
+    if (askedAt !== undefined) room.onDidHear(askedAt);
     const holdsNewest = (this.catalog?.version ?? 0) >= catalogVersion;
     if (askedAt === undefined || !holdsNewest) return;
     catalogLease.extend(askedAt);
@@ -261,6 +284,7 @@
   private attach(stream: FollowerStream): void {
     if (this.attached === stream) return;
     this.attached = stream;
+    this.options.room.onDidAttach();
     for (const other of [...this.attempts.values()]) {
       if (other !== stream) this.drop(other);
     }
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -9,6 +9,12 @@
 import {CatalogMessages} from './catalog_messages';
 import {FLEET_PROTOCOL} from './fleet_protocol';
 import {MEMBERS, POOLERS} from '../common/fleet_lists';
+import {
+  capacityOf,
+  UNKNOWN_CAPACITY,
+  type InstanceCapacity,
+} from '../../room/common/capacity';
+import type {RoomAllocator} from '../../room/common/room_allocator';
 import {ListFrames} from './list_frames';
 import type {
   Catalog,
@@ -26,6 +32,7 @@
   instance: string;
   site: string;
   address: string;
+  capacity: InstanceCapacity;
   poolersRevision: number;
   /** The number of proxies that it was told; undefined before. */
   toldProxies: number | undefined;
@@ -53,6 +60,8 @@
   holders(): LeaseHolders;
   /** What accounts ask of all proxies, in this leadership. */
   accounts(): AccountLedger;
+  /** Who may open how many connections, in this leadership. */
+  room(): RoomAllocator;
   /** Proves by a majority that this instance led after the call. */
   confirm(): Promise<boolean>;
 }
@@ -112,6 +121,7 @@
       this.countProxies();
       this.judgeAccounts();
       for (const follower of this.followers) this.pushTo(follower);
+      this.pushRoom();
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
     }
@@ -191,6 +201,7 @@
       instance: '',
       site: '',
       address: '',
+      capacity: UNKNOWN_CAPACITY,
       poolersRevision: 0,
       leadsRevision: 0,
       renewal: 0,
@@ -216,6 +227,7 @@
       follower.instance = instance;
       follower.site = site;
       follower.address = address;
+      follower.capacity = capacityOf(body.value);
       follower.catalogVersion = catalogVersion;
       this.source.accounts().forgetTold(instance);
       this.log.info('A proxy is attached.', {instance, catalogVersion});
@@ -232,6 +244,10 @@
       this.source
         .accounts()
         .report(follower.instance, body.value.uses, this.clock.now());
+      this.source
+        .room()
+        .report(follower.instance, body.value, this.clock.now());
+      this.pushRoom();
       this.renew();
     } else if (body?.$case === 'returned') {
       const {service, epoch} = body.value;
@@ -345,6 +361,23 @@
     follower.link.write({body: {$case: 'shares', value: {shares, number: 0}}});
   }
 
+  /** Who may open how many connections, to whom that changed for. */
+  private pushRoom(): void {
+    if (!this.source.isLeading()) return;
+    const followers = new Map(this.attached.map(one => [one.instance, one]));
+    const room = this.source.room();
+    for (const {pooler, value} of room.take(
+      followers.keys(),
+      this.clock.now(),
+    )) {
+      const link = followers.get(pooler)?.link;
+      link?.write({body: {$case: 'connections', value}});
+    }
+    for (const change of room.takeChanges()) {
+      this.log.info('Shares connections anew.', {...change});
+    }
+  }
+
   private pushLeads(follower: Follower): void {
     const board = this.source.leads();
     const leads = board.since(follower.leadsRevision);
@@ -358,6 +391,9 @@
     follower.link.finish();
     const {instance} = follower;
     this.log.info('A proxy is detached.', {instance});
+    if (instance === '') return;
+    this.source.room().detach(instance);
+    this.pushRoom();
   }
 
   private endAll(): void {
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -19,6 +19,9 @@
 import {LeadLeases} from '../../../lease/common/lead_leases';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
 import {makeLead} from '../../../lease/test/common/lease_fixture';
+import {ConnectionRoom} from '../../../room/common/connection_room';
+import {UNKNOWN_CAPACITY} from '../../../room/common/capacity';
+import {RoomAllocator} from '../../../room/common/room_allocator';
 import {FleetFollower} from '../../node/fleet_follower';
 import {FleetLeader} from '../../node/fleet_leader';
 
@@ -35,6 +38,7 @@
   usualProxies = 0;
   readonly board = new LeadBoard();
   readonly ledger = new AccountLedger(0);
+  room = new RoomAllocator(-Infinity);
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
   readonly logged = makeLog();
@@ -54,6 +58,7 @@
         leads: () => this.board,
         holders: () => this.holders,
         accounts: () => this.ledger,
+        room: () => this.room,
         confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
@@ -80,6 +85,7 @@
 let rosters: string[];
 let leases: LeadLeases;
 let catalogLease: CatalogLease;
+let room: ConnectionRoom;
 
 beforeEach(async () => {
   stop = new AbortController();
@@ -88,6 +94,7 @@
   counts = [];
   rosters = [];
   leases = new LeadLeases(new MonotonicClock());
+  room = new ConnectionRoom(new MonotonicClock());
   catalogLease = new CatalogLease(5_000, new MonotonicClock());
   first = new Instance();
   second = new Instance();
@@ -107,6 +114,8 @@
       leases,
       catalogLease,
       throttle: new AccountThrottle(new MonotonicClock()),
+      room,
+      capacity: UNKNOWN_CAPACITY,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -16,6 +16,7 @@
 } from '../../../gateway/test/node/session_fixture';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
+import {RoomAllocator} from '../../../room/common/room_allocator';
 import {FleetLeader} from '../../node/fleet_leader';
 
 /** One proxy's link to the leader, which counts what it is sent. */
@@ -37,6 +38,8 @@
       catalogVersion: 1,
       address: instance,
       shares: [],
+      capacityCores: 0,
+      capacityLinkMbps: 0,
     };
     this.listener?.onDidReceive({body: {$case: 'hello', value}});
   }
@@ -65,6 +68,7 @@
   constructor(members: readonly Member[]) {
     const board = new LeadBoard();
     const holders = new LeaseHolders(-Infinity);
+    const room = new RoomAllocator(0);
     const ledger = new AccountLedger(0);
     const catalog = makeCatalog([makeRoute()]);
     this.leader = new FleetLeader(
@@ -80,6 +84,7 @@
         leads: () => board,
         holders: () => holders,
         accounts: () => ledger,
+        room: () => room,
         confirm: () => Promise.resolve(true),
       },
       this.clock,
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -21,6 +21,7 @@
   FleetPoolers,
 } from '../../fleet_link/common/fleet_lists';
 import type {LeadProofs} from '../../lease/common/lead_leases';
+import type {ConnectionRoom} from '../../room/common/connection_room';
 import type {StatusReader} from '../../target_link/common/member_status';
 import {
   SHARED_USER,
@@ -47,6 +48,8 @@
   /** For how long control's word on keys is good. */
   readonly catalogLease: CatalogLease;
   readonly throttle: AccountThrottle;
+  /** What control hands out of the members' connections. */
+  readonly room: ConnectionRoom;
   readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -16,6 +16,7 @@
 import {AccountThrottle} from '../../../account/common/account_throttle';
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
+import {ConnectionRoom} from '../../../room/common/connection_room';
 import {GatewayMeter} from '../../node/gateway_meter';
 import {LOCAL_RUNNER} from '../../node/work_runner';
 import type {FakeGroup} from './fake_group';
@@ -138,6 +139,7 @@
   /** Needed where the catalog has accounts only; their tests bring their own. */
   readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
   readonly throttle = new AccountThrottle(this.clock);
+  readonly room = new ConnectionRoom(this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
   private epoch = 0;
 
@@ -155,6 +157,7 @@
         leases: this.leases,
         catalogLease: this.catalogLease,
         throttle: this.throttle,
+        room: this.room,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
--- a/src/services/instance/common/instance_settings.ts
+++ b/src/services/instance/common/instance_settings.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from '../../../base/common/outcome';
 import type {LimitPrecision} from '../../account/common/enforcement';
+import type {InstanceCapacity} from '../../room/common/capacity';
 import {readIni} from '../../settings/common/ini_file';
 import type {SettingsFault} from '../../settings/common/settings';
 
@@ -37,6 +38,8 @@
   readonly revocationMs: number;
   /** How exactly limits of accounts have to be kept. */
   readonly limitPrecision: LimitPrecision;
+  /** Processor time and link; 0 where they are not known. */
+  readonly capacity: InstanceCapacity;
   /** The region of each site. */
   readonly regions: ReadonlyMap<string, string>;
 }
@@ -92,6 +95,10 @@
       excess: numberOr('limit_excess', 0),
       slack: numberOr('limit_slack', 0),
     },
+    capacity: {
+      cores: numberOr('capacity_cores', 0),
+      linkMbps: numberOr('capacity_link_mbps', 0),
+    },
     regions,
   };
   return faults.length > 0 ? err(faults) : ok(settings);
--- /dev/null
+++ b/src/services/room/common/control_room.ts
@@ -0,0 +1,52 @@
+import type {
+  Catalog,
+  Member,
+  PoolerEntry,
+} from '../../../schema/generated/fleet';
+import {areUneven, type InstanceCapacity} from './capacity';
+import {RoomAllocator} from './room_allocator';
+import {roomServices} from './room_fleet';
+
+/** What connections are handed out by. */
+export interface RoomSource {
+  catalog(): Catalog | undefined;
+  members(): readonly Member[];
+  membersRevision(): number;
+  poolers(): readonly PoolerEntry[];
+  /** Of the proxies that are attached. */
+  capacities(): readonly InstanceCapacity[];
+}
+
+/** Control's part in handing out connections, over its leaderships. */
+export class ControlRoom {
+  private allocator = new RoomAllocator(0);
+  private known: readonly unknown[] = [];
+  /** Once seen: proxies that come back one by one would switch it off. */
+  private uneven = false;
+
+  constructor(private readonly source: RoomSource) {}
+
+  /** Begins anew with a leadership. */
+  begin(now: number): void {
+    this.allocator = new RoomAllocator(now);
+    this.known = [];
+    this.uneven = false;
+  }
+
+  /** Who may open how many connections, by what is known now. */
+  get current(): RoomAllocator {
+    const {source} = this;
+    const catalog = source.catalog();
+    const poolers = source.poolers();
+    if (poolers.length > 0) this.uneven ||= areUneven(source.capacities());
+    const revision = source.membersRevision();
+    const known = [catalog, poolers, revision, this.uneven];
+    if (known.some((value, at) => value !== this.known[at])) {
+      this.known = known;
+      const members = source.members();
+      const inputs = {catalog, members, poolers, areUneven: this.uneven};
+      this.allocator.setServices(roomServices(inputs));
+    }
+    return this.allocator;
+  }
+}
--- /dev/null
+++ b/src/services/room/test/common/connection_room.test.ts
@@ -0,0 +1,125 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {ManualClock} from '../../../../base/common/clock';
+import {ConnectionRoom} from '../../common/connection_room';
+
+let clock: ManualClock;
+let room: ConnectionRoom;
+
+beforeEach(() => {
+  clock = new ManualClock();
+  clock.advance(100_000);
+  room = new ConnectionRoom(clock);
+  room.onDidAttach();
+  room.onDidHear(clock.now());
+});
+
+function grant(connections: number, number: number): void {
+  const grants = [{service: 'books', instance: 'm1', connections}];
+  room.setGrants({grants, number});
+}
+
+const note = (open: number, wanted: number) => {
+  room.note('books', 'm1', {open, wanted});
+};
+const limit = () => room.limitOf('books', 'm1', 7.8);
+
+describe('a proxy that control did not ask', () => {
+  it('says nothing and keeps to its own shares', () => {
+    // Deployments whose connections are not handed out pay no byte for it.
+    note(3, 200);
+    clock.advance(5_000);
+    expect(room.isUrgent).toBe(false);
+    expect(room.takeReport()).toEqual({connections: [], grantsNumber: 0});
+    expect(limit()).toBeUndefined();
+  });
+});
+
+describe('a proxy that control asked', () => {
+  it('tells what it has at once, and then only what changed', () => {
+    note(3, 4);
+    room.setGrants({grants: [], number: 1});
+    expect(room.isUrgent).toBe(true);
+    const [use] = room.takeReport().connections;
+    expect(use).toMatchObject({open: 3, wanted: 4, granted: 0});
+    expect(room.takeReport().connections).toEqual([]);
+    note(3, 9);
+    expect(room.takeReport().connections).toHaveLength(1);
+  });
+
+  it('cannot wait while it wants twice what it may have', () => {
+    note(3, 4);
+    grant(5, 1);
+    room.takeReport();
+    note(5, 10);
+    expect(room.isUrgent).toBe(false);
+    clock.advance(100);
+    expect(room.isUrgent).toBe(true);
+  });
+
+  it('keeps to no list that is older than the one in force', () => {
+    grant(5, 2);
+    grant(40, 1);
+    expect(limit()).toBe(5);
+  });
+
+  it('wants less only over seconds', () => {
+    note(0, 16);
+    clock.advance(500);
+    note(0, 0);
+    expect(room.views[0]!.wanted).toBeGreaterThan(10);
+    clock.advance(6_000);
+    note(0, 0);
+    expect(room.views[0]!.wanted).toBeLessThanOrEqual(1);
+  });
+
+  it('takes the word of a member that is full', () => {
+    grant(12, 1);
+    room.onFull('books', 'm1', 8);
+    expect(limit()).toBe(8);
+    expect(room.takeReport().connections[0]!.granted).toBe(8);
+  });
+});
+
+describe('a proxy that lost control', () => {
+  it('falls back to its equal share after the lease', () => {
+    // Control frees the part of whoever it does not hear for 3 s. A pooler
+    // that was cut off and kept its 20 connections would share them with the
+    // ones that they went to, and the member resets both.
+    grant(20, 1);
+    clock.advance(2_900);
+    expect(limit()).toBe(20);
+    clock.advance(100);
+    expect(limit()).toBe(7);
+  });
+
+  it('counts the lease from its question, not from the answer', () => {
+    grant(20, 1);
+    const askedAt = clock.now();
+    clock.advance(2_000);
+    room.onDidHear(askedAt);
+    clock.advance(1_000);
+    expect(limit()).toBe(7);
+  });
+
+  it('tells the next leader what it goes by', () => {
+    grant(20, 3);
+    note(12, 12);
+    clock.advance(800);
+    room.onDidAttach();
+    expect(limit()).toBe(20);
+    room.setGrants({grants: [], number: 1});
+    const {connections, grantsNumber} = room.takeReport();
+    expect(connections[0]).toMatchObject({open: 12, granted: 20});
+    expect(grantsNumber).toBe(1);
+  });
+
+  it('forgets grants where the next leader hands out none', () => {
+    grant(20, 1);
+    room.onDidAttach();
+    for (let asked = 0; asked < 8; asked++) {
+      clock.advance(400);
+      room.onDidHear(clock.now());
+    }
+    expect(limit()).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/services/room/test/node/room_exchange.test.ts
@@ -0,0 +1,144 @@
+import {afterEach, beforeEach, expect, it} from 'vitest';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
+import {MessageServer} from '../../../../base/node/message_server';
+import type {Member} from '../../../../schema/generated/fleet';
+import {AccountLedger} from '../../../account/common/account_ledger';
+import {AccountThrottle} from '../../../account/common/account_throttle';
+import {CatalogLease} from '../../../account/common/catalog_lease';
+import {FleetFollower} from '../../../fleet_link/node/fleet_follower';
+import {FleetLeader} from '../../../fleet_link/node/fleet_leader';
+import {
+  makeCatalog,
+  makeLog,
+  makeRoute,
+} from '../../../gateway/test/node/session_fixture';
+import {LeadBoard} from '../../../lease/common/lead_board';
+import {LeadLeases} from '../../../lease/common/lead_leases';
+import {LeaseHolders} from '../../../lease/common/lease_holders';
+import {ConnectionRoom} from '../../common/connection_room';
+import {ControlRoom} from '../../common/control_room';
+
+const MEMBER: Member = {
+  ...{instance: 'm1', service: 'books', address: 'm1:1', site: 'a', slots: 2},
+  ...{draining: false, role: 1, born: 0, recovering: false},
+};
+
+const clock = new MonotonicClock();
+let stop: AbortController;
+let address: string;
+let lines: readonly string[];
+
+beforeEach(async () => {
+  stop = new AbortController();
+  const logged = makeLog();
+  ({lines} = logged);
+  const catalog = makeCatalog([makeRoute()]);
+  const poolers = ['p1', 'p2'].map(instance => {
+    return {service: 'books', instance, site: 'a', address: `${instance}:1`};
+  });
+  const board = new LeadBoard();
+  const ledger = new AccountLedger(0);
+  const holders = new LeaseHolders(-Infinity);
+  const control: ControlRoom = new ControlRoom({
+    catalog: () => catalog,
+    members: () => [MEMBER],
+    membersRevision: () => 1,
+    poolers: () => poolers,
+    capacities: () => leader.attached.map(({capacity}) => capacity),
+  });
+  const leader: FleetLeader = new FleetLeader(
+    {
+      isLeading: () => true,
+      leaderAddress: () => '',
+      catalog: () => catalog,
+      members: () => [MEMBER],
+      membersRevision: () => 1,
+      poolers: () => poolers,
+      poolersRevision: () => 1,
+      usualProxies: () => 0,
+      leads: () => board,
+      holders: () => holders,
+      accounts: () => ledger,
+      room: () => control.current,
+      confirm: () => Promise.resolve(true),
+    },
+    clock,
+    logged.log,
+  );
+  control.begin(clock.now());
+  const server = new MessageServer(makeLog().log);
+  leader.serve(server);
+  const port = await server.listen('127.0.0.1:0', stop.signal);
+  if (port.isErr) throw port.error;
+  address = `127.0.0.1:${port.value}`;
+  leader.start(stop.signal);
+});
+
+afterEach(() => stop.abort());
+
+function follow(instance: string, cores: number) {
+  const ended = new AbortController();
+  stop.signal.addEventListener('abort', () => ended.abort());
+  const room = new ConnectionRoom(clock);
+  const follower = new FleetFollower(
+    {
+      instance,
+      site: 'a',
+      address: `${instance}:1`,
+      addresses: () => [address],
+      leases: new LeadLeases(clock),
+      catalogLease: new CatalogLease(5_000, clock),
+      throttle: new AccountThrottle(clock),
+      capacity: {cores, linkMbps: 0},
+      room,
+    },
+    {
+      onDidReceiveCatalog: () => {},
+      onDidReceiveMembers: () => {},
+      onDidReceiveLeads: () => {},
+      onDidConfirmCatalog: () => {},
+      onDidReceivePoolers: () => {},
+    },
+    makeLog().log,
+    ended.signal,
+  );
+  follower.start();
+  const limit = () => room.limitOf('books', 'm1', 7) ?? 0;
+  const use = (wanted: number) => {
+    room.note('books', 'm1', {open: limit(), wanted});
+  };
+  return {follower, room, use, limit, end: () => ended.abort()};
+}
+
+async function until(holds: () => boolean, mostMs = 4_000): Promise<void> {
+  const since = clock.now();
+  while (!holds() && clock.now() - since < mostMs) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  expect(holds()).toBe(true);
+}
+
+it('gives a lost pooler’s part to the other one within 300 ms', async () => {
+  // A pooler is killed while callers ask for more than two of them may open.
+  const [lost, other] = [follow('p1', 1), follow('p2', 2)];
+  for (const {use} of [lost, other]) use(14);
+  await until(() => lost.room.isAsked && other.room.isAsked);
+  for (const {use} of [lost, other]) use(14);
+  await until(() => lost.limit() > 0 && other.limit() > 0);
+  expect(lost.limit() + other.limit()).toBeLessThanOrEqual(12);
+  lost.end();
+  await until(() => other.limit() === 12, 300);
+  expect(lines.join()).toContain('"reason":"others left"');
+});
+
+it('says and asks nothing where instances are of one size', async () => {
+  const both = [follow('p1', 1), follow('p2', 1)];
+  for (const {use} of both) use(14);
+  await until(() => both.every(({follower}) => follower.isAttached));
+  await new Promise(resolve => setTimeout(resolve, 600));
+  for (const {room, limit} of both) {
+    expect(room.isAsked).toBe(false);
+    expect(room.takeReport().connections).toEqual([]);
+    expect(limit()).toBe(0);
+  }
+});
