Say what work that waits for a primary waits for

Of 825 refusals "no member" with need=primary in a burst nothing told whether connections, windows, pauses or the member's slots were short. A line each 0.5 s and service says so while some wait.

--- a/src/services/dispatch/common/concurrency_window.ts
+++ b/src/services/dispatch/common/concurrency_window.ts
@@ -15,8 +15,13 @@
 export class ConcurrencyWindow {
   private width = WIDEST;
 
+  /** Transactions at a time. */
+  get size(): number {
+    return Math.max(1, Math.floor(this.width));
+  }
+
   allows(running: number): boolean {
-    return running < Math.max(1, Math.floor(this.width));
+    return running < this.size;
   }
 
   onAnswer(): void {
--- a/src/services/dispatch/node/member_demand.ts
+++ b/src/services/dispatch/node/member_demand.ts
@@ -3,9 +3,13 @@
 import type {DispatcherSurroundings} from './dispatcher_messages';
 import type {MemberPool} from './member_pool';
 
+/** Waiting is logged at most so often, in milliseconds. */
+const LOG_EVERY_MS = 500;
+
 /** What this instance has and would use of each member of a service. */
 export class MemberDemand {
   private waiting = {primary: 0, read: 0};
+  private loggedAt = -Infinity;
 
   constructor(
     private readonly around: DispatcherSurroundings,
@@ -25,8 +29,9 @@
   /** Tells what is handed out of connections what they are wanted for. */
   tell(pools: Iterable<MemberPool>, primary: string): void {
     const {room, service} = this.around;
-    if (!room.isAsked) return;
     const all = [...pools];
+    this.logWaiting(all, primary);
+    if (!room.isAsked) return;
     const readers = this.readersOf(all).length;
     for (const pool of all) {
       const {instance} = pool.member;
@@ -35,6 +40,20 @@
     }
   }
 
+  /** Says what those that wait for the primary wait for. */
+  private logWaiting(pools: readonly MemberPool[], primary: string): void {
+    const {service, clock, log} = this.around;
+    const now = clock.now();
+    const pool = pools.find(({member}) => member.instance === primary);
+    if (this.waiting.primary === 0 || !pool) return;
+    if (now - this.loggedAt < LOG_EVERY_MS) return;
+    this.loggedAt = now;
+    const {primary: waiting, read: reads} = this.waiting;
+    const limit = this.limits.limitOf(pool.member);
+    const fields = {service, instance: primary, waiting, reads, limit};
+    log.info('Work waits for a primary.', {...fields, ...pool.state});
+  }
+
   /** Closes what is beyond the grants, as far as it rests. */
   giveBack(pool: MemberPool): void {
     const granted = this.limits.grantOf(pool.member);
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -79,6 +79,18 @@
   idleSince: number;
 }
 
+/** How a pool is doing. */
+export interface PoolState {
+  readonly running: number;
+  readonly idle: number;
+  readonly opening: number;
+  /** Transactions that the member takes at a time, as far as it showed. */
+  readonly window: number;
+  /** For how long none is opened. */
+  readonly pausedMs: number;
+  readonly latencyMs: number;
+}
+
 /** What a pool tells its owner. */
 export interface PoolListener {
   /** A connection became free, or an opening ended. */
@@ -121,6 +133,18 @@
     return this.latency;
   }
 
+  /** What keeps it from serving more at present, for the log. */
+  get state(): PoolState {
+    return {
+      running: this.running,
+      idle: this.idle.length,
+      opening: this.opening,
+      window: this.window.size,
+      pausedMs: Math.max(0, Math.round(this.pausedUntil - this.clock.now())),
+      latencyMs: Math.round(this.latency),
+    };
+  }
+
   private get opening(): number {
     return [...this.openings.values()].reduce((sum, one) => sum + one, 0);
   }
