Keep no standby connections where others are poolers

Where control hands connections out, they are closed after their usual rest. Other deployments keep theirs, as before.

--- a/src/services/dispatch/common/connection_share.ts
+++ b/src/services/dispatch/common/connection_share.ts
@@ -13,6 +13,8 @@
   readonly all: number;
   /** Those of this instance's region; 0 where regions do not matter. */
   readonly near: number;
+  /** Others keep the connections; this instance is none of them. */
+  readonly elsewhere: boolean;
 }
 
 /**
@@ -25,7 +27,7 @@
 /** Connections to one member for each instance; may be below 1. */
 export function equalShare(
   shared: number,
-  {all, near}: ConnectionSharers,
+  {all, near}: Pick<ConnectionSharers, 'all' | 'near'>,
   isNear: boolean,
 ): number {
   const far = all - near;
--- a/src/services/dispatch/node/connection_limits.ts
+++ b/src/services/dispatch/node/connection_limits.ts
@@ -11,7 +11,7 @@
 /** How many connections to each member of a service this instance may have. */
 export class ConnectionLimits {
   private definition: ServiceEntry;
-  private sharers: ConnectionSharers = {all: 1, near: 0};
+  private sharers: ConnectionSharers = {all: 1, near: 0, elsewhere: false};
   /** Work of accounts came, which cannot use a connection kept for anybody. */
   private servesAccounts = false;
   private readonly since: number;
@@ -65,8 +65,14 @@
     return equalShare(this.shared, sharers, this.isNear(member));
   }
 
-  /** Whether one connection to a member is kept while it has no work. */
+  /**
+   * Whether one connection to a member is kept while it has no work.
+   *
+   * Guard: instances that are no poolers held one each since before poolers
+   * were named. The members' connections ran out while many of them rested.
+   */
   keepsStandby(member: Member, isPrimary: boolean): boolean {
+    if (this.sharers.elsewhere && this.around.room.isShared) return false;
     return keepsStandby({
       servesAccounts: this.servesAccounts,
       equal: this.equalShareOf(member),
--- a/src/services/dispatch/test/node/granted_connections.test.ts
+++ b/src/services/dispatch/test/node/granted_connections.test.ts
@@ -58,6 +58,20 @@
   expect(group.member('a').connections).toBe(1);
 });
 
+it('are not kept by instances that are no poolers', async () => {
+  // Proxies open one to each primary before control names the poolers. 18 of
+  // 24 kept theirs for nothing; of 47 that the member takes, the poolers had
+  // 29 to serve a burst with.
+  await rest(150);
+  const pooler = {service: 'books', instance: 'p2', site: 's', address: 'p2:1'};
+  gateway.gateway.setPoolers({poolers: [pooler]});
+  await rest(1_300);
+  expect(group.member('a').connections).toBe(1);
+  room.setGrants({grants: [], number: ++number});
+  await rest(1_300);
+  expect(group.member('a').connections).toBe(0);
+});
+
 it('are told to control with what waits for one', async () => {
   grant(2);
   const callers = [...Array(5).keys()].map(() => new Caller(gateway, 'db'));
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -329,11 +329,12 @@
   private sharersOf(service: string): ConnectionSharers {
     const poolers = this.poolers.get(service);
     if (!poolers || !this.isPoolerOf(service)) {
-      return {all: this.proxies, near: 0};
+      const elsewhere = poolers !== undefined;
+      return {all: this.proxies, near: 0, elsewhere};
     }
     const {region, regionOf} = this.around;
     const near = poolers.filter(({site}) => regionOf(site) === region);
-    return {all: poolers.length, near: near.length};
+    return {all: poolers.length, near: near.length, elsewhere: false};
   }
 
   /** The region of the primary of a service; undefined where none is known. */
