--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -30,6 +30,7 @@
 import {LeadWitness, type WitnessedLead} from './lead_witness';
 import {MemberDemand} from './member_demand';
 import {MemberPool, type PooledLink} from './member_pool';
+import {viewOf} from './member_view';
 import {PrimaryProbe} from './primary_probe';
 
 const TICK_MS = 50;
@@ -224,24 +225,8 @@
     const {user} = request;
     const mayOpen = !this.awaitsOpening(request);
     return [...this.pools.values()].map(pool => {
-      const {member} = pool;
-      const hasIdle = pool.hasIdle(user);
-      return {
-        instance: member.instance,
-        isPrimary: this.isPrimary(member.instance),
-        draining: member.draining,
-        avoided: pool.isFailing && !hasIdle,
-        running: pool.running,
-        slots: member.slots,
-        latencyMs: pool.latencyMs,
-        hasRoom:
-          pool.hasWindow &&
-          (hasIdle ||
-            (mayOpen && pool.mayOpen(this.limits.limitOf(pool.member), user))),
-        needsOpening: !hasIdle && user !== SHARED_USER,
-        lagMs: pool.lagMs,
-        sameRegion: this.limits.isNear(member),
-      };
+      const isPrimary = this.isPrimary(pool.member.instance);
+      return viewOf(pool, {user, mayOpen, isPrimary}, this.limits);
     });
   }
 
