Look at a full member only once after its pause

A member that refused connections stayed due for sharing out at each report until somebody lacked some. vitest run src/services/room: green.

--- a/src/services/room/common/member_room.ts
+++ b/src/services/room/common/member_room.ts
@@ -130,6 +130,7 @@
    */
   share(next: NextList, awaited: number, now: number): GrantChange[] {
     this.isChanged = false;
+    if (now >= this.fullUntil) this.fullUntil = -Infinity;
     const changes = this.withdraw(next);
     const holders = [...this.holders.values()].filter(({pooler}) => {
       return this.poolers.has(pooler);
@@ -147,8 +148,7 @@
       if (holder.told - target <= holder.told * SLACK_PART) continue;
       changes.push(this.tell(holder, target, 'others want more', next));
     }
-    if (now < this.fullUntil) return changes;
-    this.fullUntil = -Infinity;
+    if (this.isFull) return changes;
     changes.push(...this.raise(plan, kept, next));
     return changes;
   }
