Open two connections at once where control grants them

Control now sees to it that not all instances open at once, so a second is opened where more wait than are being opened. Elsewhere it stays one.

--- a/src/services/dispatch/common/connection_policy.ts
+++ b/src/services/dispatch/common/connection_policy.ts
@@ -22,6 +22,8 @@
   /** Being opened for the user in question. */
   readonly openingForUser: number;
   readonly limit: number;
+  /** Control handed the limit out: others do not open beyond it. */
+  readonly isGranted: boolean;
 }
 
 /** Whose connection to give, whom to close for whom, and when to open. */
@@ -46,6 +48,8 @@
  * all instances kept the members busy with nothing else for most of a second.
  */
 const MOST_OPENING_FOR_USER = 1;
+/** The same where control sees to it that not all instances do so at once. */
+const MOST_GRANTED_FOR_USER = 2;
 /**
  * The same for all users together: connections of different accounts cannot
  * stand in for each other, and one after the other they would come at the rate
@@ -75,8 +79,11 @@
   }
 
   mayOpen(counts: ConnectionCounts, hasVictim: boolean): boolean {
-    const {open, opening, openingForUser, limit} = counts;
-    if (openingForUser >= MOST_OPENING_FOR_USER) return false;
+    const {open, opening, openingForUser, limit, isGranted} = counts;
+    const mostForUser = isGranted
+      ? MOST_GRANTED_FOR_USER
+      : MOST_OPENING_FOR_USER;
+    if (openingForUser >= mostForUser) return false;
     if (opening >= MOST_OPENING) return false;
     return open + opening < limit || hasVictim;
   }
--- a/src/services/dispatch/node/member_demand.ts
+++ b/src/services/dispatch/node/member_demand.ts
@@ -26,6 +26,11 @@
     this.waiting[kind]++;
   }
 
+  /** How many of them found none so far. */
+  get unplaced(): number {
+    return this.waiting.primary + this.waiting.read;
+  }
+
   /** Tells what is handed out of connections what they are wanted for. */
   tell(pools: Iterable<MemberPool>, primary: string): void {
     const {room, service} = this.around;
@@ -54,10 +59,9 @@
     log.info('Work waits for a primary.', {...fields, ...pool.state});
   }
 
-  /** Closes what is beyond the grants, as far as it rests. */
+  /** Closes what is beyond a member's grant, as far as it rests. */
   giveBack(pool: MemberPool): void {
-    const granted = this.limits.grantOf(pool.member);
-    if (granted !== undefined) pool.shrinkTo(granted);
+    pool.keepTo(this.limits.grantOf(pool.member));
   }
 
   /** A member whose slots are full serves no more by more connections. */
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -110,6 +110,7 @@
   private pauseMs = FIRST_PAUSE_MS;
   private fullPauseMs = FULL_PAUSE_MS;
   private equalShare = 0;
+  private isGranted = false;
   private latency = FIRST_LATENCY_MS;
   /** Since when nothing was answered, although something was asked. */
   private suspectedSince: number | undefined;
@@ -168,8 +169,8 @@
     return this.idle.some(pooled => pooled.user === user);
   }
 
-  isOpeningFor(user: MemberUser): boolean {
-    return this.openings.has(user);
+  openingsFor(user: MemberUser): number {
+    return this.openings.get(user) ?? 0;
   }
 
   /** Whether one more may be opened, in the place of another user's or not. */
@@ -178,8 +179,9 @@
     const counts = {
       open: this.all.size,
       opening: this.opening,
-      openingForUser: this.openings.get(user) ?? 0,
+      openingForUser: this.openingsFor(user),
       limit,
+      isGranted: this.isGranted,
     };
     const victim = this.policy.victim(this.idle, user);
     return this.policy.mayOpen(counts, victim !== undefined);
@@ -298,9 +300,13 @@
     }
   }
 
-  /** Gives back what is beyond a limit and rests; the longest rest first. */
-  shrinkTo(limit: number): void {
-    const surplus = Math.max(0, this.size - limit);
+  /**
+   * Takes what control granted, undefined where it grants nothing, and gives
+   * back what is beyond it and rests; the longest rest first.
+   */
+  keepTo(granted: number | undefined): void {
+    this.isGranted = granted !== undefined;
+    const surplus = Math.max(0, this.size - (granted ?? Infinity));
     for (const pooled of this.idle.slice(0, surplus)) this.drop(pooled);
   }
 
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -209,6 +209,8 @@
   private openFor(request: PlaceRequest<Grant>, pool: MemberPool): void {
     const {user} = request;
     const limit = this.limits.limitOf(pool.member);
+    // Those that wait before it get what is being opened.
+    if (pool.openingsFor(user) > this.demand.unplaced) return;
     if (this.awaitsOpening(request) || !pool.mayOpen(limit, user)) return;
     pool.openWithin(limit, user);
     this.openings.note(request, pool.member.instance, this.now());
@@ -218,7 +220,8 @@
     if (request.user === SHARED_USER) return false;
     const instance = this.openings.awaitedBy(request, this.now());
     if (instance === undefined) return false;
-    return this.pools.get(instance)?.isOpeningFor(request.user) ?? false;
+    const pool = this.pools.get(instance);
+    return pool !== undefined && pool.openingsFor(request.user) > 0;
   }
 
   private views(request: PlaceRequest<Grant>): MemberView[] {
