--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -79,6 +79,18 @@
   idleSince: number;
 }
 
+/** How a pool is doing. */
+export interface PoolState {
+  readonly running: number;
+  readonly idle: number;
+  readonly opening: number;
+  /** Transactions that the member takes at a time, as far as it showed. */
+  readonly window: number;
+  /** For how long none is opened. */
+  readonly pausedMs: number;
+  readonly latencyMs: number;
+}
+
 /** What a pool tells its owner. */
 export interface PoolListener {
   /** A connection became free, or an opening ended. */
@@ -98,6 +110,7 @@
   private pauseMs = FIRST_PAUSE_MS;
   private fullPauseMs = FULL_PAUSE_MS;
   private equalShare = 0;
+  private isGranted = false;
   private latency = FIRST_LATENCY_MS;
   /** Since when nothing was answered, although something was asked. */
   private suspectedSince: number | undefined;
@@ -121,6 +134,18 @@
     return this.latency;
   }
 
+  /** What keeps it from serving more at present, for the log. */
+  get state(): PoolState {
+    return {
+      running: this.running,
+      idle: this.idle.length,
+      opening: this.opening,
+      window: this.window.size,
+      pausedMs: Math.max(0, Math.round(this.pausedUntil - this.clock.now())),
+      latencyMs: Math.round(this.latency),
+    };
+  }
+
   private get opening(): number {
     return [...this.openings.values()].reduce((sum, one) => sum + one, 0);
   }
@@ -150,8 +175,8 @@
     return this.idle.some(pooled => pooled.user === user);
   }
 
-  isOpeningFor(user: MemberUser): boolean {
-    return this.openings.has(user);
+  openingsFor(user: MemberUser): number {
+    return this.openings.get(user) ?? 0;
   }
 
   /** Whether one more may be opened, in the place of another user's or not. */
@@ -160,8 +185,9 @@
     const counts = {
       open: this.all.size,
       opening: this.opening,
-      openingForUser: this.openings.get(user) ?? 0,
+      openingForUser: this.openingsFor(user),
       limit,
+      isGranted: this.isGranted,
     };
     const victim = this.policy.victim(this.idle, user);
     return this.policy.mayOpen(counts, victim !== undefined);
@@ -280,6 +306,16 @@
     }
   }
 
+  /**
+   * Takes what control granted, undefined where it grants nothing, and gives
+   * back what is beyond it and rests; the longest rest first.
+   */
+  keepTo(granted: number | undefined): void {
+    this.isGranted = granted !== undefined;
+    const surplus = Math.max(0, this.size - (granted ?? Infinity));
+    for (const pooled of this.idle.slice(0, surplus)) this.drop(pooled);
+  }
+
   private mostRest({user}: PooledLink, keepsStandby: boolean): number {
     if (this.equalShare < 1) return SCARCE_CLOSE_MS;
     const isSurplus = this.all.size > this.equalShare;
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -3,25 +3,22 @@
 import {
   ClaimedRole,
   type Member,
-  type ServiceEntry,
   type ServiceLead,
 } from '../../../schema/generated/fleet';
-import {SHARED_USER} from '../../target_link/common/target_link';
+import {
+  SHARED_USER,
+  type ConnectFailure,
+} from '../../target_link/common/target_link';
 import {PositionSamples} from '../../freshness/common/position_samples';
 import {laterPosition, type Position} from '../../position/common/position';
 import {PrimaryBelief} from '../common/primary_belief';
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
-import {
-  connectionLimit,
-  equalShare,
-  keepsStandby,
-  type ConnectionSharers,
-} from '../common/connection_share';
+import type {ConnectionSharers} from '../common/connection_share';
 import type {PlaceRequest} from '../common/place_request';
 import {RequestOpenings} from '../common/request_openings';
-import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
+import {ConnectionLimits} from './connection_limits';
 import type {
   DispatcherMessage,
   DispatcherSurroundings,
@@ -31,7 +28,9 @@
   Return,
 } from './dispatcher_messages';
 import {LeadWitness, type WitnessedLead} from './lead_witness';
+import {MemberDemand} from './member_demand';
 import {MemberPool, type PooledLink} from './member_pool';
+import {viewOf} from './member_view';
 import {PrimaryProbe} from './primary_probe';
 
 /** Requests, connections and outages are looked at this often, in ms. */
@@ -62,16 +61,12 @@
   private readonly mailbox = new Mailbox<DispatcherMessage>();
   private readonly pools = new Map<string, MemberPool>();
   private readonly samples = new PositionSamples();
-  private definition: ServiceEntry;
-  private sharers: ConnectionSharers = {all: 1, near: 0};
   private readonly belief = new PrimaryBelief();
   private readonly outage = new PrimaryOutage();
   private readonly waiting = new WaitingRequests<Grant>(this.outage);
   private readonly openings = new RequestOpenings<PlaceRequest<Grant>>();
   private lastRead = -Infinity;
   private lastRequest = -Infinity;
-  /** Work of accounts came, which cannot use a connection kept for anybody. */
-  private servesAccounts = false;
   private readonly probe: PrimaryProbe;
   private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
@@ -79,12 +74,13 @@
   private changedQueued = false;
   private signal = new AbortController().signal;
   private wakeTick = () => {};
-  private readonly since: number;
+  private readonly limits: ConnectionLimits;
+  private readonly demand: MemberDemand;
 
   constructor(private readonly around: DispatcherSurroundings) {
     const {service} = around;
-    this.since = around.clock.now();
-    this.definition = {service, connections: 8, confirmations: 0};
+    this.limits = new ConnectionLimits(around);
+    this.demand = new MemberDemand(around, this.limits);
     this.probe = new PrimaryProbe(around.clock, (observation, returned) => {
       this.mailbox.post({kind: 'observed', observation});
       this.mailbox.post({kind: 'return', returned});
@@ -142,8 +138,7 @@
       case 'members':
         return this.onMembers(message.members, message.sharers);
       case 'definition':
-        this.definition = message.definition;
-        return;
+        return this.limits.setDefinition(message.definition);
       case 'lead':
         return this.onLead(message.lead);
       case 'witness':
@@ -161,14 +156,19 @@
   private onRequest(request: PlaceRequest<Grant>): void {
     const now = this.now();
     this.lastRequest = now;
-    this.servesAccounts ||= request.user !== SHARED_USER;
+    if (request.user !== SHARED_USER) this.limits.onAccount();
     if (request.need.kind === 'read') this.lastRead = now;
     this.waiting.add(request, now);
     this.dispatch();
   }
 
   private dispatch(): void {
-    this.waiting.serve(this.now(), request => this.place(request));
+    this.demand.onServing();
+    this.waiting.serve(this.now(), request => {
+      const grant = this.place(request);
+      if (!grant) this.demand.onUnplaced(request.need);
+      return grant;
+    });
   }
 
   private place(request: PlaceRequest<Grant>): Grant | undefined {
@@ -217,7 +217,9 @@
 
   private openFor(request: PlaceRequest<Grant>, pool: MemberPool): void {
     const {user} = request;
-    const limit = this.limitOf(pool);
+    const limit = this.limits.limitOf(pool.member);
+    // Those that wait before it get what is being opened.
+    if (pool.openingsFor(user) > this.demand.unplaced) return;
     if (this.awaitsOpening(request) || !pool.mayOpen(limit, user)) return;
     pool.openWithin(limit, user);
     this.openings.note(request, pool.member.instance, this.now());
@@ -227,71 +229,29 @@
     if (request.user === SHARED_USER) return false;
     const instance = this.openings.awaitedBy(request, this.now());
     if (instance === undefined) return false;
-    return this.pools.get(instance)?.isOpeningFor(request.user) ?? false;
+    const pool = this.pools.get(instance);
+    return pool !== undefined && pool.openingsFor(request.user) > 0;
   }
 
   private views(request: PlaceRequest<Grant>): MemberView[] {
     const {user} = request;
     const mayOpen = !this.awaitsOpening(request);
     return [...this.pools.values()].map(pool => {
-      const {member} = pool;
-      const hasIdle = pool.hasIdle(user);
-      return {
-        instance: member.instance,
-        isPrimary: this.isPrimary(member.instance),
-        draining: member.draining,
-        avoided: pool.isFailing && !hasIdle,
-        running: pool.running,
-        slots: member.slots,
-        latencyMs: pool.latencyMs,
-        hasRoom:
-          pool.hasWindow &&
-          (hasIdle || (mayOpen && pool.mayOpen(this.limitOf(pool), user))),
-        needsOpening: !hasIdle && user !== SHARED_USER,
-        lagMs: pool.lagMs,
-        sameRegion: this.isNear(member),
-      };
+      const isPrimary = this.isPrimary(pool.member.instance);
+      return viewOf(pool, {user, mayOpen, isPrimary}, this.limits);
     });
   }
 
-  /** Connections to one member that all instances together may have. */
-  private get sharedConnections(): number {
-    return sharedConnections(this.definition.connections);
-  }
-
-  private shareOf({member}: MemberPool): number {
-    const {all, near} = this.sharers;
-    const sharers = {all, near: this.servesAccounts ? near : 0};
-    return equalShare(this.sharedConnections, sharers, this.isNear(member));
-  }
-
-  /** Connections that this instance may have to one member. */
-  private limitOf(pool: MemberPool): number {
-    return connectionLimit({
-      shared: this.sharedConnections,
-      equal: this.shareOf(pool),
-      ageMs: this.now() - this.since,
-    });
-  }
-
-  private keepsStandby(pool: MemberPool): boolean {
-    const {member} = pool;
-    return keepsStandby({
-      servesAccounts: this.servesAccounts,
-      equal: this.shareOf(pool),
-      isPrimary: this.isPrimary(member.instance),
-      sameRegion: this.isNear(member),
-    });
-  }
-
-  private isNear({site}: Member): boolean {
-    return this.around.regionOf(site) === this.around.region;
+  private keepsStandby({member}: MemberPool): boolean {
+    return this.limits.keepsStandby(member, this.isPrimary(member.instance));
   }
 
   private onReturn({pooled, clean}: Return): void {
     const pool = this.pools.get(pooled.instance);
-    if (pool) pool.release(pooled, clean);
-    else pooled.link.close();
+    if (pool) {
+      pool.release(pooled, clean);
+      this.demand.giveBack(pool);
+    } else pooled.link.close();
     this.dispatch();
   }
 
@@ -407,13 +367,14 @@
     members: readonly Member[],
     sharers: ConnectionSharers,
   ): void {
-    this.sharers = sharers;
+    this.limits.setSharers(sharers);
     const own = members.filter(({service}) => service === this.around.service);
     for (const member of own) this.onMember(member);
     for (const [instance, pool] of this.pools) {
       if (own.some(member => member.instance === instance)) continue;
       pool.closeAll();
       this.pools.delete(instance);
+      this.around.room.forget(this.around.service, instance);
       const {service, log} = this.around;
       log.info('Forgets a member.', {service, instance});
     }
@@ -439,7 +400,10 @@
     const listener = {
       onDidChange: () => this.noteChange(),
       onDidOpen: () => this.judgePrimary(),
-      onDidFailToOpen: () => this.judgePrimary(),
+      onDidFailToOpen: (name: string, failure: ConnectFailure) => {
+        if (failure === 'too many connections') this.onFull(name);
+        this.judgePrimary();
+      },
     };
     const pool = new MemberPool(
       member,
@@ -452,6 +416,11 @@
     if (this.keepsStandby(pool)) pool.open(SHARED_USER);
   }
 
+  private onFull(instance: string): void {
+    const open = this.pools.get(instance)?.size ?? 0;
+    this.around.room.onFull(this.around.service, instance, open);
+  }
+
   private noteChange(): void {
     if (this.changedQueued) return;
     this.changedQueued = this.post({kind: 'changed'});
@@ -487,8 +456,9 @@
   private onTick(): void {
     const now = this.now();
     for (const pool of this.pools.values()) {
+      this.demand.giveBack(pool);
       const isKept = this.keepsStandby(pool);
-      pool.maintain(this.shareOf(pool), isKept);
+      pool.maintain(this.limits.shareOf(pool.member), isKept);
       if (isKept && pool.size === 0 && pool.mayOpen(1)) pool.open(SHARED_USER);
     }
     this.judgePrimary();
@@ -499,6 +469,7 @@
     const isOld = now - this.samples.newestAt > SAMPLE_EVERY_MS;
     if (wanted && isOld) this.probePrimary();
     this.dispatch();
+    this.demand.tell(this.pools.values(), this.belief.instance);
   }
 
   /** Asks the primary for its position where no request did lately. */
@@ -525,7 +496,7 @@
     if (this.probe.isRunning(pool.member.instance)) return;
     const pooled = pool.checkoutAny();
     if (pooled) return this.probe.start(pooled, this.belief.epoch);
-    const limit = this.limitOf(pool);
+    const limit = this.limits.limitOf(pool.member);
     if (pool.size === 0 && pool.mayOpen(limit)) pool.open(SHARED_USER);
   }
 
--- a/src/services/dispatch/test/node/service_dispatcher.test.ts
+++ b/src/services/dispatch/test/node/service_dispatcher.test.ts
@@ -6,6 +6,7 @@
 import {makeLog, membersOf} from '../../../gateway/test/node/session_fixture';
 import {makeLead} from '../../../lease/test/common/lease_fixture';
 import {LeadLeases} from '../../../lease/common/lead_leases';
+import {ConnectionRoom} from '../../../room/common/connection_room';
 import {SHARED_USER} from '../../../target_link/common/target_link';
 import {MemberPool} from '../../node/member_pool';
 import {ServiceDispatcher} from '../../node/service_dispatcher';
@@ -38,13 +39,14 @@
     connector: group,
     leases: new LeadLeases(clock),
     statusReader: group,
+    room: new ConnectionRoom(clock),
     clock,
     log: makeLog().log,
     onDidJudgePrimary: () => {},
   });
   void dispatcher.start(stop.signal);
   // So many instances before 16 connections that none is kept for later.
-  const sharers = {all: 60, near: 0};
+  const sharers = {all: 60, near: 0, elsewhere: false};
   dispatcher.post({kind: 'members', members: membersOf(group), sharers});
   dispatcher.post({kind: 'lead', lead: makeLead('a', 1)});
   looks = vi.spyOn(MemberPool.prototype, 'maintain');
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -23,6 +23,8 @@
 import {OneAtATime} from '../common/one_at_a_time';
 import {UsualCount} from '../common/usual_count';
 import {AccountCounting} from './account_counting';
+import type {RoomAllocator} from '../../room/common/room_allocator';
+import {ControlRoom} from '../../room/common/control_room';
 import {ServicePromotions, type PromotionMeans} from './service_promotions';
 
 /** Why control cannot answer for certain now. */
@@ -69,10 +71,18 @@
   private leaseHolders = new LeaseHolders(Infinity);
   private counting: AccountCounting;
   private known: {version: number; catalog: Catalog} | undefined;
+  private readonly controlRoom: ControlRoom;
   leader: FleetLeader | undefined;
 
   constructor(private readonly around: FleetControlSurroundings) {
     this.counting = this.makeCounting();
+    this.controlRoom = new ControlRoom({
+      catalog: () => this.catalog(),
+      members: () => this.roster.all(),
+      membersRevision: () => this.roster.revision,
+      poolers: () => around.machine.poolers,
+      capacities: () => this.leader?.attached.map(one => one.capacity) ?? [],
+    });
   }
 
   start(signal: AbortSignal): void {
@@ -120,6 +130,11 @@
     return this.counting.shares;
   }
 
+  /** Who may open how many connections to members. */
+  get room(): RoomAllocator {
+    return this.controlRoom.current;
+  }
+
   /** Begins or ends what only a leader does. */
   onDidChangeRole(isLeader: boolean): void {
     const wasLeader = this.leadingSince !== Infinity;
@@ -133,6 +148,7 @@
     this.leadBoard = new LeadBoard();
     this.leaseHolders = new LeaseHolders(this.leadingSince);
     this.counting = this.makeCounting();
+    this.controlRoom.begin(this.around.clock.now());
     // Proxies that wait here for an election stay while this instance stands
     // for it: sent away, each of them came back 0.1 to 0.3 s after it.
     if (wasLeader && !isLeader) this.leader?.onDidLoseLead();
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -23,6 +23,11 @@
   type FleetMembers,
   type FleetPoolers,
 } from '../common/fleet_lists';
+import type {InstanceCapacity} from '../../room/common/capacity';
+import {
+  NO_REPORT,
+  type ConnectionRoom,
+} from '../../room/common/connection_room';
 import {applyListDelta} from '../common/keyed_changes';
 import {FollowerStream} from './follower_stream';
 
@@ -49,6 +54,8 @@
   readonly catalogLease: CatalogLease;
   /** Counts operations of accounts where control names this proxy for it. */
   readonly counter: PermitCounter;
+  readonly capacity: InstanceCapacity;
+  readonly room: ConnectionRoom;
 }
 
 /**
@@ -67,6 +74,8 @@
  * election two instances may each name the other.
  */
 const MOST_REDIRECTS = 2;
+/** How often something to tell control at once is looked for, in ms. */
+const LOOK_MS = 50;
 /** Control instances that are asked at once. */
 const MOST_ATTEMPTS = 3;
 
@@ -104,6 +113,10 @@
     every(this.signal, RENEW_EVERY_MS, () => {
       if (this.attached) this.renewLeases(this.attached);
     });
+    every(this.signal, LOOK_MS, () => {
+      const {room} = this.options;
+      if (this.attached && room.isUrgent) this.renewLeases(this.attached);
+    });
   }
 
   /**
@@ -143,17 +156,23 @@
   }
 
   private greet(stream: FollowerStream): void {
-    const {instance, site, address, counter} = this.options;
-    const catalogVersion = this.catalog?.version ?? 0;
-    const shares = counter.held;
-    const hello = {instance, site, catalogVersion, address, shares};
-    stream.write({$case: 'hello', value: hello});
+    const {instance, site, address, capacity, counter} = this.options;
+    const value = {
+      instance,
+      site,
+      catalogVersion: this.catalog?.version ?? 0,
+      address,
+      shares: counter.held,
+      capacityCores: capacity.cores,
+      capacityLinkMbps: capacity.linkMbps,
+    };
+    stream.write({$case: 'hello', value});
     // Asked at once: a proxy that starts serves primaries a way sooner.
     this.renewLeases(stream);
   }
 
   private renewLeases(stream: FollowerStream): void {
-    const {leases, counter} = this.options;
+    const {leases, counter, room} = this.options;
     const number = leases.ask();
     // Counts are told once, to the leader that this proxy follows.
     const isAttached = stream === this.attached;
@@ -163,8 +182,7 @@
       number,
       uses,
       sharesNumber,
-      connections: [],
-      grantsNumber: 0,
+      ...(isAttached ? room.takeReport() : NO_REPORT),
     };
     stream.write({$case: 'renew', value});
   }
@@ -202,14 +220,18 @@
       case 'counters':
         this.attach(stream);
         return this.listener.onDidReceiveCounters(body.value.counters);
+      case 'connections':
+        this.attach(stream);
+        return this.options.room.setGrants(body.value);
     }
   }
 
   private onRenewed({number, catalogVersion}: LeasesRenewed): void {
-    const {leases, catalogLease, counter} = this.options;
+    const {leases, catalogLease, counter, room} = this.options;
     const askedAt = leases.onRenewed(number);
     if (askedAt === undefined) return;
     counter.extend(askedAt);
+    room.onDidHear(askedAt);
     const holdsNewest = (this.catalog?.version ?? 0) >= catalogVersion;
     if (!holdsNewest) return;
     catalogLease.extend(askedAt);
@@ -271,6 +293,7 @@
   private attach(stream: FollowerStream): void {
     if (this.attached === stream) return;
     this.attached = stream;
+    this.options.room.onDidAttach();
     for (const other of [...this.attempts.values()]) {
       if (other !== stream) this.drop(other);
     }
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -13,6 +13,12 @@
 } from './counter_exchange';
 import {FLEET_PROTOCOL} from './fleet_protocol';
 import {MEMBERS, POOLERS} from '../common/fleet_lists';
+import {
+  capacityOf,
+  UNKNOWN_CAPACITY,
+  type InstanceCapacity,
+} from '../../room/common/capacity';
+import type {RoomAllocator} from '../../room/common/room_allocator';
 import {ListFrames} from './list_frames';
 import type {
   Catalog,
@@ -30,6 +36,7 @@
   instance: string;
   site: string;
   address: string;
+  capacity: InstanceCapacity;
   poolersRevision: number;
   /** The number of proxies that it was told; undefined before. */
   toldProxies: number | undefined;
@@ -56,6 +63,8 @@
   usualProxies(): number;
   leads(): LeadBoard;
   holders(): LeaseHolders;
+  /** Who may open how many connections, in this leadership. */
+  room(): RoomAllocator;
   /** Proves by a majority that this instance led after the call. */
   confirm(): Promise<boolean>;
 }
@@ -115,6 +124,7 @@
       this.countProxies();
       logJudgements(this.source.shares(), this.clock, this.log);
       for (const follower of this.followers) this.pushTo(follower);
+      this.pushRoom();
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
     }
@@ -194,6 +204,7 @@
       instance: '',
       site: '',
       address: '',
+      capacity: UNKNOWN_CAPACITY,
       poolersRevision: 0,
       leadsRevision: 0,
       renewal: 0,
@@ -222,6 +233,7 @@
       follower.instance = instance;
       follower.site = site;
       follower.address = address;
+      follower.capacity = capacityOf(body.value);
       follower.catalogVersion = catalogVersion;
       follower.counting.onHello(body.value);
       this.log.info('A proxy is attached.', {instance, catalogVersion});
@@ -237,6 +249,10 @@
       follower.renewal = body.value.number;
       // One that waits here for an election has counted nothing.
       if (this.source.isLeading()) follower.counting.onReport(body.value);
+      this.source
+        .room()
+        .report(follower.instance, body.value, this.clock.now());
+      this.pushRoom();
       this.renew();
     } else if (body?.$case === 'returned') {
       const {service, epoch} = body.value;
@@ -332,6 +348,23 @@
     follower.link.write({body: {$case: 'count', value: {proxies}}});
   }
 
+  /** Who may open how many connections, to whom that changed for. */
+  private pushRoom(): void {
+    if (!this.source.isLeading()) return;
+    const followers = new Map(this.attached.map(one => [one.instance, one]));
+    const room = this.source.room();
+    for (const {pooler, value} of room.take(
+      followers.keys(),
+      this.clock.now(),
+    )) {
+      const link = followers.get(pooler)?.link;
+      link?.write({body: {$case: 'connections', value}});
+    }
+    for (const change of room.takeChanges()) {
+      this.log.info('Shares connections anew.', {...change});
+    }
+  }
+
   private pushLeads(follower: Follower): void {
     const board = this.source.leads();
     const leads = board.since(follower.leadsRevision);
@@ -345,6 +378,9 @@
     follower.link.finish();
     const {instance} = follower;
     this.log.info('A proxy is detached.', {instance});
+    if (instance === '') return;
+    this.source.room().detach(instance);
+    this.pushRoom();
   }
 
   private endAll(): void {
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -24,6 +24,9 @@
 import {LeadLeases} from '../../../lease/common/lead_leases';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
 import {makeLead} from '../../../lease/test/common/lease_fixture';
+import {ConnectionRoom} from '../../../room/common/connection_room';
+import {UNKNOWN_CAPACITY} from '../../../room/common/capacity';
+import {RoomAllocator} from '../../../room/common/room_allocator';
 import {FleetFollower} from '../../node/fleet_follower';
 import {FleetLeader} from '../../node/fleet_leader';
 
@@ -41,6 +44,7 @@
   readonly board = new LeadBoard();
   allocator = new FakeAllocator();
   counters: readonly CounterEntry[] = [];
+  room = new RoomAllocator(-Infinity);
   readonly holders = new LeaseHolders(-Infinity);
   readonly clock = new ManualClock();
   readonly logged = makeLog();
@@ -61,6 +65,7 @@
         holders: () => this.holders,
         counters: () => this.counters,
         shares: () => this.allocator,
+        room: () => this.room,
         confirm: () => Promise.resolve(this.isConfirmed),
       },
       this.clock,
@@ -89,6 +94,7 @@
 let counterLists: string[];
 let leases: LeadLeases;
 let catalogLease: CatalogLease;
+let room: ConnectionRoom;
 
 beforeEach(async () => {
   stop = new AbortController();
@@ -99,6 +105,7 @@
   counter = new FakeCounter();
   counterLists = [];
   leases = new LeadLeases(new MonotonicClock());
+  room = new ConnectionRoom(new MonotonicClock());
   catalogLease = new CatalogLease(5_000, new MonotonicClock());
   first = new Instance();
   second = new Instance();
@@ -118,6 +125,8 @@
       leases,
       catalogLease,
       counter,
+      room,
+      capacity: UNKNOWN_CAPACITY,
     },
     {
       onDidReceiveCatalog: catalog => catalogs.push(catalog),
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -17,6 +17,7 @@
 import {FakeAllocator} from '../../../account/test/common/counting_fakes';
 import {LeadBoard} from '../../../lease/common/lead_board';
 import {LeaseHolders} from '../../../lease/common/lease_holders';
+import {RoomAllocator} from '../../../room/common/room_allocator';
 import {FleetLeader} from '../../node/fleet_leader';
 
 /** One proxy's link to the leader, which counts what it is sent. */
@@ -38,6 +39,8 @@
       catalogVersion: 1,
       address: instance,
       shares: [],
+      capacityCores: 0,
+      capacityLinkMbps: 0,
     };
     this.listener?.onDidReceive({body: {$case: 'hello', value}});
   }
@@ -69,6 +72,7 @@
     const board = new LeadBoard();
     const holders = new LeaseHolders(-Infinity);
     const allocator = new FakeAllocator();
+    const room = new RoomAllocator(0);
     const catalog = makeCatalog([makeRoute()]);
     this.leader = new FleetLeader(
       {
@@ -84,6 +88,7 @@
         holders: () => holders,
         counters: () => NO_COUNTERS,
         shares: () => allocator,
+        room: () => room,
         confirm: () => Promise.resolve(true),
       },
       this.clock,
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -21,6 +21,7 @@
   FleetPoolers,
 } from '../../fleet_link/common/fleet_lists';
 import type {LeadProofs} from '../../lease/common/lead_leases';
+import type {ConnectionRoom} from '../../room/common/connection_room';
 import type {StatusReader} from '../../target_link/common/member_status';
 import {
   SHARED_USER,
@@ -49,6 +50,8 @@
   readonly catalogLease: CatalogLease;
   /** How much accounts may ask of all instances together. */
   readonly limits: OperationLimits;
+  /** What control hands out of the members' connections. */
+  readonly room: ConnectionRoom;
   readonly statusReader: StatusReader;
   readonly clock: Clock;
   readonly log: Log;
@@ -327,11 +330,12 @@
   private sharersOf(service: string): ConnectionSharers {
     const poolers = this.poolers.get(service);
     if (!poolers || !this.isPoolerOf(service)) {
-      return {all: this.proxies, near: 0};
+      const elsewhere = poolers !== undefined;
+      return {all: this.proxies, near: 0, elsewhere};
     }
     const {region, regionOf} = this.around;
     const near = poolers.filter(({site}) => regionOf(site) === region);
-    return {all: poolers.length, near: near.length};
+    return {all: poolers.length, near: near.length, elsewhere: false};
   }
 
   /** The region of the primary of a service; undefined where none is known. */
--- a/src/services/gateway/test/node/session_fixture.ts
+++ b/src/services/gateway/test/node/session_fixture.ts
@@ -16,6 +16,7 @@
 import {CatalogLease} from '../../../account/common/catalog_lease';
 import {NO_LIMITS} from './fake_limits';
 import {Gateway, type GatewaySurroundings} from '../../node/gateway';
+import {ConnectionRoom} from '../../../room/common/connection_room';
 import {GatewayMeter} from '../../node/gateway_meter';
 import {LOCAL_RUNNER} from '../../node/work_runner';
 import type {FakeGroup} from './fake_group';
@@ -137,6 +138,7 @@
   readonly reports: string[] = [];
   /** Needed where the catalog has accounts only; their tests bring their own. */
   readonly catalogLease = new CatalogLease(REVOCATION_MS, this.clock);
+  readonly room = new ConnectionRoom(this.clock);
   readonly leases = makeRenewedLeases(this.clock, this.stop.signal);
   private epoch = 0;
 
@@ -154,6 +156,7 @@
         leases: this.leases,
         catalogLease: this.catalogLease,
         limits: NO_LIMITS,
+        room: this.room,
         clock: this.clock,
         log: this.logged.log,
         meter: new GatewayMeter(),
