Admit requests by class: order, patience, full queues, withdrawal

Cause: one queue for a service served strictly by priority, let each request wait for a quarter of its objective however patient its caller is, refused the urgent where it was full of the patient, and kept what nobody waited for any more.

Change, where the routes of a service have three priorities or more, or priority 0 beside another (servicesByClass; routes that name no priority have none and stay as they were): - each priority that waits gets one of ten places, else strict order - a request waits for what its objective leaves after the work, as measured by service, priority and scope, and the way - a full queue refuses the last of the least urgent for the more urgent - what the more urgent have pushed beyond its time is refused early - the refused get different times to come back - repeats are a tenth of the requests of 4 s, and ten more Always: a request whose caller left leaves the queue at once, a place given meanwhile goes back, and a transaction that was given up while it began runs nothing. It ran and held its connection before.

Metrics by service and priority: waiting, served, refused. The detail of a refusal names place, expected wait, room and whose word it is.

--- a/src/services/admission/common/fair_queue.ts
+++ b/src/services/admission/common/fair_queue.ts
@@ -1,4 +1,5 @@
 import type {CallerName} from '../../../base/common/ids';
+import {LeastParts} from './least_parts';
 
 /** A request that waits for its turn. */
 export interface Waiting {
@@ -11,6 +12,8 @@
   readonly dueAt: number;
 }
 
+type Verdict = 'taken' | 'later' | 'stop';
+
 /**
  * Requests of one service in a fair order: first those that can still be
  * answered when their callers expect it, then by priority, then each caller in
@@ -20,12 +23,23 @@
  * What is overdue goes last: after an outage everybody who waited stands here,
  * and served in the order of arrival each of them is late, and so is each one
  * that comes while they are served.
+ *
+ * By class, each priority that waits gets a least part of the places.
  */
 export class FairQueue<T extends Waiting> {
   /** By priority; inside, callers in the order in which their turn comes. */
   private readonly levels = new Map<number, Map<CallerName, T[]>>();
+  private readonly parts = new LeastParts();
+  private isByClass = false;
   private count = 0;
 
+  /** Whether each priority gets a least part; else the order is strict. */
+  setByClass(isByClass: boolean): void {
+    if (isByClass === this.isByClass) return;
+    this.isByClass = isByClass;
+    this.parts.clear();
+  }
+
   get size(): number {
     return this.count;
   }
@@ -53,7 +67,7 @@
 
   /** How many requests that count would be served before one. */
   aheadOf(
-    {caller, priority}: Waiting,
+    {caller, priority}: Pick<Waiting, 'caller' | 'priority'>,
     counts: (other: T) => boolean = () => true,
   ): number {
     if (this.count === 0) return 0;
@@ -70,20 +84,36 @@
     return ahead;
   }
 
+  /** The priorities that wait, the most urgent first. */
+  get priorities(): number[] {
+    const waiting = [...this.levels].filter(([, callers]) => callers.size > 0);
+    return waiting.map(([priority]) => priority).sort((a, b) => a - b);
+  }
+
+  /** All that waits, by priority, and inside by turns of the callers. */
+  *inOrder(): Iterable<T> {
+    for (const priority of this.priorities) {
+      const callers = [...this.levels.get(priority)!.values()];
+      const longest = Math.max(...callers.map(({length}) => length));
+      for (let turn = 0; turn < longest; turn++) {
+        for (const items of callers) {
+          if (turn < items.length) yield items[turn]!;
+        }
+      }
+    }
+  }
+
   /**
    * Offers requests in fair order until `take` says to stop. A request that is
-   * taken leaves the queue, and its caller goes to the end of the turn.
+   * taken leaves the queue, and its caller goes to the end of the turn. What
+   * was left for later is not offered again.
    */
-  serve(now: number, take: (item: T) => 'taken' | 'later' | 'stop'): void {
-    const priorities = [...this.levels.keys()].sort((a, b) => a - b);
+  serve(now: number, take: (item: T) => Verdict): void {
     for (const isOverdue of [false, true]) {
       const takeDue = (item: T) => {
         return item.dueAt <= now === isOverdue ? take(item) : 'later';
       };
-      for (const priority of priorities) {
-        const level = this.levels.get(priority);
-        if (level && !this.serveLevel(level, takeDue)) return;
-      }
+      if (!this.serveLevels(takeDue)) return;
     }
   }
 
@@ -99,26 +129,49 @@
     return expired;
   }
 
-  private serveLevel(
-    level: Map<CallerName, T[]>,
-    take: (item: T) => 'taken' | 'later' | 'stop',
-  ): boolean {
-    const passed = new Map<CallerName, number>();
+  private serveLevels(take: (item: T) => Verdict): boolean {
+    const passed = new Map(
+      this.priorities.map(priority => [priority, new Map()]),
+    );
+    while (passed.size > 0) {
+      const waiting = [...passed.keys()];
+      const [priority] = this.isByClass ? this.parts.order(waiting) : waiting;
+      const verdict = this.offerOne(priority!, passed.get(priority!)!, take);
+      if (verdict === 'stop') return false;
+      if (verdict === undefined) passed.delete(priority!);
+      if (verdict === 'taken') this.notePlaced(priority!);
+    }
+    return true;
+  }
+
+  private notePlaced(priority: number): void {
+    if (this.isByClass) this.parts.onPlaced(priority, this.priorities);
+  }
+
+  /** Offers requests of one priority until one is taken; undefined if none. */
+  private offerOne(
+    priority: number,
+    passed: Map<CallerName, number>,
+    take: (item: T) => Verdict,
+  ): 'taken' | 'stop' | undefined {
+    const level = this.levels.get(priority)!;
     for (;;) {
       const next = this.nextOf(level, passed);
-      if (!next) return true;
+      if (!next) return undefined;
       const [caller, item] = next;
       const verdict = take(item);
-      if (verdict === 'stop') return false;
+      if (verdict === 'stop') return 'stop';
       if (verdict === 'later') {
         passed.set(caller, (passed.get(caller) ?? 0) + 1);
         continue;
       }
       this.remove(item);
       const rest = level.get(caller);
-      if (!rest) continue;
-      level.delete(caller);
-      level.set(caller, rest);
+      if (rest) {
+        level.delete(caller);
+        level.set(caller, rest);
+      }
+      return 'taken';
     }
   }
 
--- /dev/null
+++ b/src/services/admission/common/patience.ts
@@ -0,0 +1,51 @@
+/** How long a request may wait for a place, as a part of its time. */
+const WAIT_PART = 0.5;
+/** The same, as a part of what its caller expects of a whole operation. */
+const PATIENCE_PART = 0.25;
+/** A way between regions and back, in milliseconds. */
+const WAY_MS = 40;
+
+/** What decides how long a request may wait for a place. */
+export interface PatienceTerms {
+  /** What its caller expects of a whole operation; 0: nothing. */
+  readonly objectiveMs: number;
+  /** What is left of its statement's time, in milliseconds. */
+  readonly timeMs: number;
+  /** What is left until its caller expects the answer, in milliseconds. */
+  readonly dueInMs: number;
+  /** How long it waited for places before, in milliseconds. */
+  readonly waitedMs: number;
+}
+
+/**
+ * How long a request may wait for a place, in milliseconds. After a quarter of
+ * what its caller expects of it, three quarters are left for another instance
+ * and for the work; a request that waited longer mostly came too late. One
+ * that is late already gains nothing by asking elsewhere, and would use up its
+ * caller's tries: it waits for longer.
+ */
+export function plainPatience(terms: PatienceTerms): number {
+  const {objectiveMs, timeMs, dueInMs, waitedMs} = terms;
+  const most = timeMs * WAIT_PART;
+  const isPlain = objectiveMs === 0 || dueInMs <= 0;
+  const inAll = isPlain ? most : Math.min(most, objectiveMs * PATIENCE_PART);
+  return inAll - waitedMs;
+}
+
+/**
+ * The same by class: what is left of the objective after the work and the way,
+ * and never less than without classes.
+ *
+ * @param workMs What most work of this kind stays within; undefined: unknown.
+ */
+export function patienceByClass(
+  terms: PatienceTerms,
+  workMs: number | undefined,
+): number {
+  const {timeMs, dueInMs, objectiveMs, waitedMs} = terms;
+  const plain = plainPatience(terms);
+  if (workMs === undefined || objectiveMs === 0 || dueInMs <= 0) return plain;
+  const most = timeMs * WAIT_PART - waitedMs;
+  const left = dueInMs - workMs - WAY_MS;
+  return Math.max(plain, Math.min(most, left));
+}
--- a/src/services/admission/test/common/fair_queue.test.ts
+++ b/src/services/admission/test/common/fair_queue.test.ts
@@ -90,3 +90,54 @@
     expect(queue.aheadOf(item('more', 'a'))).toBe(11);
   });
 });
+
+describe('a queue by class', () => {
+  /** More waits than is ever served. */
+  function makeCrowd(): FairQueue<Item> {
+    const queue = new FairQueue<Item>();
+    for (let at = 0; at < 100; at++) {
+      queue.add(item(`urgent${at}`, `u${at}`, 0));
+      queue.add(item(`middle${at}`, `m${at}`, 1));
+      queue.add(item(`patient${at}`, `p${at}`, 2));
+    }
+    return queue;
+  }
+
+  it('gives each priority that waits a tenth of the places', () => {
+    // Urgent work alone would fill the members. The patient kind goes on at
+    // one place of ten, which is enough for some of it to be in time.
+    const queue = makeCrowd();
+    queue.setByClass(true);
+    const served = drain(queue, 101);
+    const countOf = (name: string) => {
+      return served.filter(other => other.startsWith(name)).length;
+    };
+    expect(countOf('patient')).toBe(10);
+    expect(countOf('middle')).toBe(10);
+    expect(countOf('urgent')).toBe(81);
+  });
+
+  it('gives nothing of that away while urgent work takes all in its turn', () => {
+    const queue = makeCrowd();
+    queue.setByClass(true);
+    expect(drain(queue, 9).every(name => name.startsWith('urgent'))).toBe(true);
+  });
+
+  it('is in strict order with the switch off', () => {
+    const served = drain(makeCrowd(), 100);
+    expect(served.every(name => name.startsWith('urgent'))).toBe(true);
+  });
+
+  it('passes a least part on where its priority cannot use the place', () => {
+    const queue = makeCrowd();
+    queue.setByClass(true);
+    const served: string[] = [];
+    queue.serve(NOW, ({name, priority}) => {
+      if (served.length >= 30) return 'stop';
+      if (priority === 2) return 'later';
+      served.push(name);
+      return 'taken';
+    });
+    expect(served).toHaveLength(30);
+  });
+});
--- a/src/services/dispatch/common/drain_rate.ts
+++ b/src/services/dispatch/common/drain_rate.ts
@@ -50,6 +50,11 @@
   expectedWait(ahead: number, now: number): number {
     if (ahead === 0 || this.intervals < LEAST_INTERVALS) return 0;
     const stalledMs = now - (this.lastAt ?? now);
-    return Math.max(ahead * this.intervalMs, stalledMs);
+    return Math.max(this.drainMs(ahead), stalledMs);
+  }
+
+  /** How long so many take to be placed, without a stall, in milliseconds. */
+  drainMs(count: number): number {
+    return this.intervals < LEAST_INTERVALS ? 0 : count * this.intervalMs;
   }
 }
--- a/src/services/dispatch/common/place_request.ts
+++ b/src/services/dispatch/common/place_request.ts
@@ -46,6 +46,8 @@
     | 'no primary'
     | 'no member'
     | 'stopping'
+    /** Its caller is gone, or gave it up. */
+    | 'abandoned'
     /** The account asks for more than it may. */
     | 'over its limit';
   /** When to come back, in milliseconds. */
@@ -53,3 +55,11 @@
   /** The inputs that decided, for the log. */
   readonly detail: string;
 }
+
+/** How long new work of a kind would wait for a place, as far as is known. */
+export interface PlaceWait {
+  readonly needsPrimary: boolean;
+  readonly priority: number;
+  /** In milliseconds. */
+  readonly waitMs: number;
+}
--- a/src/services/dispatch/common/waiting_requests.ts
+++ b/src/services/dispatch/common/waiting_requests.ts
@@ -1,12 +1,24 @@
+import {callerName} from '../../../base/common/ids';
 import {err, ok} from '../../../base/common/outcome';
 import {FairQueue} from '../../admission/common/fair_queue';
+import {ReturnTimes} from '../../admission/common/return_times';
 import {DrainRate} from './drain_rate';
-import type {PlaceNeed, PlaceRefusal, PlaceRequest} from './place_request';
+import type {
+  PlaceNeed,
+  PlaceRefusal,
+  PlaceRequest,
+  PlaceWait,
+} from './place_request';
 import type {PrimaryOutage} from './primary_outage';
 
 /** The most requests that wait here; what is more has no chance. */
 const QUEUE_LIMIT = 256;
 const LEAST_RETRY_MS = 40;
+/**
+ * What waits already is refused early where it would wait this much longer
+ * than it may; less is within the error of the measured rate.
+ */
+const HOPELESS_FACTOR = 1.5;
 
 type Kind = PlaceNeed['kind'];
 
@@ -14,6 +26,10 @@
  * Requests of one service that wait for a connection, and the decision who may
  * wait at all: what cannot be met in time is refused at once, with the time to
  * come back.
+ *
+ * By class, a full queue makes room for the more urgent, what the more urgent
+ * have pushed beyond its time is refused early, and those who are refused come
+ * back at different times.
  */
 export class WaitingRequests<G> {
   private readonly queue = new FairQueue<PlaceRequest<G>>();
@@ -22,12 +38,22 @@
     read: new DrainRate(),
   };
   private readonly counts: Record<Kind, number> = {primary: 0, read: 0};
+  private readonly returns = new ReturnTimes();
+  private isByClass = false;
 
   constructor(private readonly outage: PrimaryOutage) {}
 
+  setByClass(isByClass: boolean): void {
+    this.isByClass = isByClass;
+    this.queue.setByClass(isByClass);
+  }
+
   /** Lets a request wait, or refuses it. */
   add(request: PlaceRequest<G>, now: number): void {
-    const refusal = this.outageRefusal(request, now) ?? this.busy(request, now);
+    const refusal =
+      this.outageRefusal(request, now) ??
+      this.hopeless(request, now) ??
+      this.full(request, now);
     if (refusal) return request.settle(err(refusal));
     const {kind} = request.need;
     this.queue.add(request);
@@ -49,40 +75,135 @@
     });
   }
 
+  /** Takes out a request that nobody waits for any more. */
+  withdraw(request: PlaceRequest<G>): void {
+    if (!this.remove(request)) return;
+    const detail = 'left the queue';
+    request.settle(err({reason: 'abandoned', retryAfterMs: 0, detail}));
+  }
+
   /** Gives up what waited as long as makes sense for its caller. */
   giveUp(now: number): void {
     const late: [PlaceRequest<G>, PlaceRefusal][] = [];
-    this.queue.serve(now, request => {
+    const before: Record<Kind, number> = {primary: 0, read: 0};
+    for (const request of this.queue.inOrder()) {
       const refusal =
-        this.outageRefusal(request, now) ?? this.lateRefusal(request, now);
+        this.outageRefusal(request, now) ??
+        this.lateRefusal(request, now) ??
+        this.pushedOut(request, before, now);
       if (refusal) late.push([request, refusal]);
-      return 'later';
-    });
+      else if (request.dueAt > now) before[request.need.kind]++;
+    }
     for (const [request, refusal] of late) {
-      this.queue.remove(request);
-      const {kind} = request.need;
-      if (--this.counts[kind] === 0) this.rates[kind].onEmpty();
+      this.remove(request);
       request.settle(err(refusal));
     }
   }
 
-  private busy(
-    request: PlaceRequest<G>,
+  /**
+   * How long new work would wait, by need and by each priority that waits;
+   * what is less urgent waits at least as long.
+   */
+  waits(now: number): PlaceWait[] {
+    const waits: PlaceWait[] = [];
+    for (const kind of KINDS) {
+      if (this.counts[kind] === 0) continue;
+      for (const priority of this.queue.priorities) {
+        const ahead = this.aheadOf({caller: NEW_CALLER, priority}, kind, now);
+        const waitMs = this.rates[kind].expectedWait(ahead, now);
+        waits.push({needsPrimary: kind === 'primary', priority, waitMs});
+      }
+    }
+    return waits;
+  }
+
+  private remove(request: PlaceRequest<G>): boolean {
+    if (!this.queue.remove(request)) return false;
+    const {kind} = request.need;
+    if (--this.counts[kind] === 0) this.rates[kind].onEmpty();
+    return true;
+  }
+
+  /** How many of a kind go before one that is in time. */
+  private aheadOf(
+    one: Pick<PlaceRequest<G>, 'caller' | 'priority'>,
+    kind: Kind,
     now: number,
-  ): PlaceRefusal | undefined {
-    const {need, since, patienceMs} = request;
-    const isOutage = this.isOutageFor(need, now);
-    const isOverdue = request.dueAt <= now;
-    const ahead = this.queue.aheadOf(request, other => {
+    isOverdue = false,
+  ): number {
+    return this.queue.aheadOf(one, other => {
       const goesFirst = isOverdue || other.dueAt > now;
-      return other.need.kind === need.kind && goesFirst;
+      return other.need.kind === kind && goesFirst;
     });
+  }
+
+  private hopeless(
+    request: PlaceRequest<G>,
+    now: number,
+  ): PlaceRefusal | undefined {
+    const {need, since, patienceMs, dueAt} = request;
+    const ahead = this.aheadOf(request, need.kind, now, dueAt <= now);
+    const expectedMs = this.rates[need.kind].expectedWait(ahead, now);
+    const room = since + patienceMs - now;
+    if (this.isOutageFor(need, now) || expectedMs <= room) return undefined;
+    return this.overloaded({kind: need.kind, ahead, expectedMs, room}, now);
+  }
+
+  /** Refuses where the queue is full, of what is as urgent by class. */
+  private full(
+    request: PlaceRequest<G>,
+    now: number,
+  ): PlaceRefusal | undefined {
+    if (this.queue.size < QUEUE_LIMIT) return undefined;
+    if (this.isByClass && this.makeRoom(request, now)) return undefined;
+    const {need, since, patienceMs, dueAt} = request;
+    const ahead = this.aheadOf(request, need.kind, now, dueAt <= now);
     const expectedMs = this.rates[need.kind].expectedWait(ahead, now);
     const room = since + patienceMs - now;
-    const isHopeless = !isOutage && expectedMs > room;
-    if (!isHopeless && this.queue.size < QUEUE_LIMIT) return undefined;
-    const detail = `ahead=${ahead} room=${Math.round(room)}`;
-    return refuse('overloaded', expectedMs, detail);
+    return this.overloaded({kind: need.kind, ahead, expectedMs, room}, now);
+  }
+
+  /** Refuses the last of the least urgent for a more urgent request. */
+  private makeRoom({priority}: PlaceRequest<G>, now: number): boolean {
+    let last: PlaceRequest<G> | undefined;
+    for (const other of this.queue.inOrder()) last = other;
+    if (!last || last.priority <= priority) return false;
+    this.remove(last);
+    const {kind} = last.need;
+    const ahead = this.counts[kind];
+    const expectedMs = this.rates[kind].expectedWait(ahead, now);
+    const room = last.since + last.patienceMs - now;
+    last.settle(err(this.overloaded({kind, ahead, expectedMs, room}, now)));
+    return true;
+  }
+
+  /** Refuses what more urgent requests have pushed beyond its time. */
+  private pushedOut(
+    request: PlaceRequest<G>,
+    before: Readonly<Record<Kind, number>>,
+    now: number,
+  ): PlaceRefusal | undefined {
+    const {need, dueAt} = request;
+    const {kind} = need;
+    if (!this.isByClass || this.isOutageFor(need, now) || dueAt <= now) {
+      return undefined;
+    }
+    const ahead = before[kind];
+    const expectedMs = this.rates[kind].drainMs(ahead);
+    const room = this.untilOf(request, now) - now;
+    if (expectedMs <= room * HOPELESS_FACTOR) return undefined;
+    return this.overloaded({kind, ahead, expectedMs, room}, now);
+  }
+
+  private overloaded(
+    {kind, ahead, expectedMs, room}: WaitEstimate,
+    now: number,
+  ): PlaceRefusal {
+    const expected = this.isByClass
+      ? ` expected=${Math.round(expectedMs)}`
+      : '';
+    const detail = `ahead=${ahead}${expected} room=${Math.round(room)}`;
+    return this.refuse('overloaded', {kind, afterMs: expectedMs, detail}, now);
   }
 
   private outageRefusal(
@@ -93,35 +214,67 @@
     const end = this.outage.expectedEnd(now);
     if (end === undefined || end <= deadline) return undefined;
     const detail = `waited=${Math.round(now - since)}`;
-    return refuse('no primary', end - now, detail);
+    const afterMs = end - now;
+    return this.refuse('no primary', {kind: 'primary', afterMs, detail}, now);
   }
 
   private lateRefusal(
-    {since, deadline, patienceMs, need}: PlaceRequest<G>,
+    request: PlaceRequest<G>,
     now: number,
   ): PlaceRefusal | undefined {
-    const isOutage = this.isOutageFor(need, now);
-    // Who waited for a primary waits for its turn from when there was one.
-    const isPrimary = need.kind === 'primary';
-    const from = isPrimary ? Math.max(since, this.outage.endedAt) : since;
-    const until = isOutage ? deadline : from + patienceMs;
-    if (now < until) return undefined;
+    const {since, need} = request;
+    if (now < this.untilOf(request, now)) return undefined;
     const rate = this.rates[need.kind];
     const detail = `waited=${Math.round(now - since)} need=${need.kind}`;
     const afterMs = rate.expectedWait(this.counts[need.kind], now);
-    return refuse('no member', afterMs, detail);
+    return this.refuse('no member', {kind: need.kind, afterMs, detail}, now);
+  }
+
+  /** Until when a request may wait. */
+  private untilOf(
+    {since, deadline, patienceMs, need}: PlaceRequest<G>,
+    now: number,
+  ): number {
+    if (this.isOutageFor(need, now)) return deadline;
+    // Who waited for a primary waits for its turn from when there was one.
+    const isPrimary = need.kind === 'primary';
+    const from = isPrimary ? Math.max(since, this.outage.endedAt) : since;
+    return from + patienceMs;
   }
 
   private isOutageFor({kind}: PlaceNeed, now: number): boolean {
     return kind === 'primary' && this.outage.expectedEnd(now) !== undefined;
   }
+
+  private refuse(
+    reason: PlaceRefusal['reason'],
+    {kind, afterMs, detail}: RefusalGround,
+    now: number,
+  ): PlaceRefusal {
+    const least = Math.max(LEAST_RETRY_MS, afterMs);
+    const intervalMs = this.rates[kind].drainMs(1);
+    const spread = this.isByClass
+      ? this.returns.next(now, least, intervalMs)
+      : least;
+    return {reason, retryAfterMs: Math.ceil(spread), detail};
+  }
+}
+
+const KINDS: readonly Kind[] = ['primary', 'read'];
+/** One that nobody waits for yet. */
+const NEW_CALLER = callerName('');
+
+interface WaitEstimate {
+  readonly kind: Kind;
+  readonly ahead: number;
+  readonly expectedMs: number;
+  /** How long it may wait still, in milliseconds. */
+  readonly room: number;
 }
 
-function refuse(
-  reason: PlaceRefusal['reason'],
-  afterMs: number,
-  detail: string,
-): PlaceRefusal {
-  const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(afterMs));
-  return {reason, retryAfterMs, detail};
+interface RefusalGround {
+  readonly kind: Kind;
+  readonly afterMs: number;
+  /** The inputs that decided, for the log. */
+  readonly detail: string;
 }
--- a/src/services/dispatch/node/dispatcher_messages.ts
+++ b/src/services/dispatch/node/dispatcher_messages.ts
@@ -60,6 +60,8 @@
 /** What the dispatcher is told. */
 export type DispatcherMessage =
   | {readonly kind: 'request'; readonly request: PlaceRequest<Grant>}
+  /** Nobody waits for it any more. */
+  | {readonly kind: 'withdraw'; readonly request: PlaceRequest<Grant>}
   | {readonly kind: 'return'; readonly returned: Return}
   | {readonly kind: 'observed'; readonly observation: Observation}
   | {
@@ -67,7 +69,12 @@
       readonly members: readonly Member[];
       readonly sharers: ConnectionSharers;
     }
-  | {readonly kind: 'definition'; readonly definition: ServiceEntry}
+  | {
+      readonly kind: 'definition';
+      readonly definition: ServiceEntry;
+      /** Whether its requests are admitted by class. */
+      readonly isByClass: boolean;
+    }
   | {readonly kind: 'lead'; readonly lead: ServiceLead}
   | {readonly kind: 'witness'; readonly wish: ProofWish}
   | {readonly kind: 'changed'}
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -18,7 +18,7 @@
   keepsStandby,
   type ConnectionSharers,
 } from '../common/connection_share';
-import type {PlaceRequest} from '../common/place_request';
+import type {PlaceRequest, PlaceWait} from '../common/place_request';
 import {RequestOpenings} from '../common/request_openings';
 import {sharedConnections} from '../common/shared_connections';
 import {WaitingRequests} from '../common/waiting_requests';
@@ -108,6 +108,11 @@
     return startTask(`dispatcher ${this.around.service}`, () => this.run());
   }
 
+  /** How long new work would wait at present; nothing where none waits. */
+  get waits(): PlaceWait[] {
+    return this.waiting.waits(this.now());
+  }
+
   /** False where the mailbox is full. */
   post(message: DispatcherMessage): boolean {
     return this.mailbox.post(message);
@@ -126,6 +131,8 @@
     switch (message.kind) {
       case 'request':
         return this.onRequest(message.request);
+      case 'withdraw':
+        return this.waiting.withdraw(message.request);
       case 'return':
         return this.onReturn(message.returned);
       case 'observed':
@@ -134,6 +141,7 @@
         return this.onMembers(message.members, message.sharers);
       case 'definition':
         this.definition = message.definition;
+        this.waiting.setByClass(message.isByClass);
         return;
       case 'lead':
         return this.onLead(message.lead);
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -11,10 +11,13 @@
   ServiceEntry,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import {ClassAdmission} from '../../admission/common/class_admission';
 import type {AccountThrottle} from '../../account/common/account_throttle';
 import type {CatalogLease} from '../../account/common/catalog_lease';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import type {ConnectionSharers} from '../../dispatch/common/connection_share';
+import type {PlaceWait} from '../../dispatch/common/place_request';
+import type {DispatcherMessage} from '../../dispatch/node/dispatcher_messages';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {
   FleetMembers,
@@ -76,6 +79,7 @@
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
+  private readonly classes: ClassAdmission;
   private readonly proofs: LeadProofs;
   private readonly access: CatalogAccess;
   private waitingToKnow: (() => void)[] = [];
@@ -88,6 +92,7 @@
     private readonly signal: AbortSignal,
   ) {
     this.journal = new RequestJournal(around.log, around.meter);
+    this.classes = new ClassAdmission(around.clock);
     this.access = new CatalogAccess(() => this.index, around.catalogLease);
     this.proofs = new WitnessedLeads(around.leases, service => {
       return this.dispatcherOf(service);
@@ -129,6 +134,7 @@
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
     this.around.throttle.setAccounts(catalog.accounts);
+    this.classes.setRoutes(catalog.routes);
     this.greetWaiting();
     const {routes, services, accounts} = catalog;
     this.around.log.info('A catalog is in force.', {
@@ -144,7 +150,7 @@
       const dispatcher = isServed
         ? this.dispatcherOf(service)
         : this.dispatchers.get(service);
-      dispatcher?.post({kind: 'definition', definition});
+      dispatcher?.post(this.definitionOf(definition));
     }
   }
 
@@ -198,6 +204,12 @@
     return this.around.clock.now();
   }
 
+  /** How long new work of a service would wait here, where it is by class. */
+  waitsOf(service: string): PlaceWait[] {
+    if (!this.classes.isOn(service)) return [];
+    return this.dispatchers.get(service)?.waits ?? [];
+  }
+
   /** What the work of one session needs, for work of other proxies too. */
   makeContext(
     {caller, user}: SessionIdentity,
@@ -205,6 +217,7 @@
     route: () => DatabaseRoute | undefined,
     signal: AbortSignal,
     greetingMs = () => 0,
+    gone = signal,
   ): SessionContext {
     return {
       greetingMs,
@@ -215,7 +228,9 @@
       leases: this.proofs,
       limits: this.around.throttle,
       journal: this.journal,
+      classes: this.classes,
       signal,
+      gone,
       route,
       dispatcherOf: service => this.dispatcherOf(service),
       runnerOf: service => this.runnerOf(service, user),
@@ -297,7 +312,7 @@
     void dispatcher.start(this.signal);
     this.dispatchers.set(service, dispatcher);
     const definition = this.definitions.get(service);
-    if (definition) dispatcher.post({kind: 'definition', definition});
+    if (definition) dispatcher.post(this.definitionOf(definition));
     const sharers = this.sharersOf(service);
     dispatcher.post({kind: 'members', members, sharers});
     const lead = this.leads.get(service);
@@ -305,6 +320,11 @@
     return dispatcher;
   }
 
+  private definitionOf(definition: ServiceEntry): DispatcherMessage {
+    const isByClass = this.classes.isOn(definition.service);
+    return {kind: 'definition', definition, isByClass};
+  }
+
   /** Work of an account may be another pooler's, even where this is one. */
   private runnerOf(service: string, user: MemberUser): WorkRunner {
     const isPooled = this.poolers.has(service);
--- a/src/services/gateway/node/gateway_meter.ts
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -13,6 +13,9 @@
 /** The same for accounts, which have counters only. */
 const MOST_ACCOUNTS = 256;
 const OTHER_ACCOUNTS = 'other';
+/** The same for services with their priorities. */
+const MOST_CLASSES = 256;
+const OTHER_CLASSES = 'service="other",priority=""';
 const MOST_MICROSECONDS = 60_000_000;
 const QUANTILES = [0.5, 0.9, 0.99];
 
@@ -24,6 +27,9 @@
   private readonly accounts = new Set<string>();
   private readonly answers = new Map<string, number>();
   private readonly refusals = new Map<string, number>();
+  private readonly classes = new Set<string>();
+  private readonly waiting = new Map<string, number>();
+  private readonly places = new Map<string, number>();
 
   /** Notes the time that a part of a request took, in milliseconds. */
   record(route: string, phase: GatewayPhase, milliseconds: number): void {
@@ -48,12 +54,29 @@
     increase(this.refusals, `account="${name}",reason="${reason}"`);
   }
 
+  /** Counts requests of a class in and out that wait for places. */
+  addWaiting(service: string, priority: number, change: number): void {
+    increase(this.waiting, this.classOf(service, priority), change);
+  }
+
+  /** Counts what became of requests of a class that asked for a place. */
+  countPlace(
+    service: string,
+    priority: number,
+    outcome: 'served' | 'refused',
+  ): void {
+    const labels = this.classOf(service, priority);
+    increase(this.places, `${labels},outcome="${outcome}"`);
+  }
+
   /** The series as text, in the usual format. */
   render(): string {
     const lines = [
       ...renderCounter('bulrushstage_requests_total', this.counts),
       ...renderCounter('bulrushstage_account_answers_total', this.answers),
       ...renderCounter('bulrushstage_account_refusals_total', this.refusals),
+      ...renderCounter('bulrushstage_places_total', this.places),
+      ...renderGauge('bulrushstage_places_waiting', this.waiting),
     ];
     lines.push('# TYPE bulrushstage_request_seconds summary');
     for (const route of this.routes) {
@@ -81,6 +104,14 @@
     return account;
   }
 
+  private classOf(service: string, priority: number): string {
+    const labels = `service="${service}",priority="${priority}"`;
+    if (this.classes.has(labels)) return labels;
+    if (this.classes.size >= MOST_CLASSES) return OTHER_CLASSES;
+    this.classes.add(labels);
+    return labels;
+  }
+
   private seriesOf(route: string): string {
     if (this.routes.has(route)) return route;
     const name = this.routes.size >= MOST_SERIES ? OTHER_ROUTES : route;
@@ -104,16 +135,31 @@
   }
 }
 
-function increase(counts: Map<string, number>, labels: string): void {
-  counts.set(labels, (counts.get(labels) ?? 0) + 1);
+function increase(
+  counts: Map<string, number>,
+  labels: string,
+  change = 1,
+): void {
+  counts.set(labels, (counts.get(labels) ?? 0) + change);
 }
 
 function renderCounter(
   name: string,
   counts: ReadonlyMap<string, number>,
 ): string[] {
-  const lines = [...counts].map(([labels, value]) => {
-    return `${name}{${labels}} ${value}`;
-  });
-  return [`# TYPE ${name} counter`, ...lines];
+  return [`# TYPE ${name} counter`, ...renderValues(name, counts)];
+}
+
+function renderGauge(
+  name: string,
+  values: ReadonlyMap<string, number>,
+): string[] {
+  return [`# TYPE ${name} gauge`, ...renderValues(name, values)];
+}
+
+function renderValues(
+  name: string,
+  values: ReadonlyMap<string, number>,
+): string[] {
+  return [...values].map(([labels, value]) => `${name}{${labels}} ${value}`);
 }
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -26,11 +26,14 @@
   readonly service: string;
   /** How long the request waited for it, in milliseconds. */
   readonly waitedMs: number;
+  /** Work is done, and what it took at the member, in milliseconds. */
+  onDidWork(workMs: number): void;
 }
 
 /** A session's hold on a connection, from its grant to its return. */
 export class MemberTurn {
   private returned = false;
+  private workMs = 0;
 
   constructor(
     private readonly place: TurnPlace,
@@ -57,7 +60,8 @@
    */
   *ask(calls: readonly TargetCall[], timeMs: number): Task<TurnReply[]> {
     const {link} = this.grant.pooled;
-    const {signal} = this.around;
+    const {signal, clock} = this.around;
+    const askedAt = clock.now();
     const cancel = after(signal, Math.max(1, timeMs), () => link.close());
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
@@ -70,6 +74,7 @@
       );
     }
     cancel();
+    this.workMs += clock.now() - askedAt;
     return replies;
   }
 
@@ -124,6 +129,8 @@
   end(clean: boolean): void {
     if (this.returned) return;
     this.returned = true;
+    // What did not end cleanly says nothing of how long such work takes.
+    if (clean && this.workMs > 0) this.place.onDidWork(this.workMs);
     const {pooled} = this.grant;
     this.dispatcher.post({kind: 'return', returned: {pooled, clean}});
   }
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -116,8 +116,10 @@
     const {context, route, needsPrimary, since} = this;
     const overLimit = admitOperation(context, requestId, route);
     if (overLimit) return overLimit;
+    context.classes.onRequest(route.service);
     const passed = new Set<string>();
-    const wish = {requestId, route, needsPrimary, since, deadline, passed};
+    const terms = {route, needsPrimary, isTransaction: true, since, deadline};
+    const wish = {...terms, requestId, passed};
     let waitedMs = 0;
     for (let tries = 1; ; tries++) {
       const taken = yield* takeTurn(context, {...wish, waitedMs});
@@ -128,6 +130,11 @@
       const turn = taken.value;
       waitedMs += turn.waitedMs;
       const trouble = yield* this.beginOn(turn, deadline);
+      // Guard: given up while it began, it would hold its connection for good.
+      if (this.failed) {
+        turn.end(false);
+        return GIVEN_UP;
+      }
       if (!trouble) {
         this.turn = turn;
         return undefined;
@@ -136,7 +143,8 @@
       const now = context.clock.now();
       const attempt = {instance: turn.instance, tookMs: 0, detail: trouble};
       context.journal.onRepeated(requestId, route.service, attempt);
-      if (tries >= MOST_TRIES || now >= deadline) {
+      const isLast = tries >= MOST_TRIES || now >= deadline;
+      if (isLast || !context.classes.mayRepeat(route.service)) {
         return failure('busy', `${trouble}, retry after 100 ms`);
       }
       yield* pause(BUSY_PAUSE_MS);
@@ -293,8 +301,10 @@
 const ROLLBACK: TargetStatement = {kind: 'rollback'};
 const COMMIT: TargetStatement = {kind: 'commit'};
 
+const GIVEN_UP = failure('aborted', 'the transaction was given up');
+
 const FAILED_STEP: TransactionStep = {
-  result: failure('aborted', 'the transaction was given up'),
+  result: GIVEN_UP,
   state: 'failed',
 };
 
--- a/src/services/gateway/node/request_journal.ts
+++ b/src/services/gateway/node/request_journal.ts
@@ -28,8 +28,17 @@
     private readonly meter: GatewayMeter,
   ) {}
 
-  onPlaced(route: DatabaseRoute, waitedMs: number): void {
-    this.meter.record(route.name, 'queue', waitedMs);
+  /** A request begins to wait for a place. */
+  onWaiting({service, priority}: DatabaseRoute): void {
+    this.meter.addWaiting(service, priority, 1);
+  }
+
+  /** A request waits no more; whether it has a place. */
+  onPlaced(route: DatabaseRoute, waitedMs: number, isServed: boolean): void {
+    const {name, service, priority} = route;
+    this.meter.record(name, 'queue', waitedMs);
+    this.meter.addWaiting(service, priority, -1);
+    if (isServed) this.meter.countPlace(service, priority, 'served');
   }
 
   onAnswered(
@@ -69,6 +78,7 @@
     const {service, name} = route;
     const fields = {request, caller, service, route: name, reason, detail};
     this.meter.countRefusal(caller, reason);
+    this.meter.countPlace(service, route.priority, 'refused');
     this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
   }
 
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -1,11 +1,13 @@
 import type {Clock} from '../../../base/common/clock';
 import type {CallerName, MemberUser} from '../../../base/common/ids';
-import type {Result} from '../../../base/common/outcome';
+import {err, type Result} from '../../../base/common/outcome';
 import {Reply, type Task} from '../../../base/node/task';
 import {Consistency, type DatabaseRoute} from '../../../schema/generated/fleet';
+import type {ClassAdmission} from '../../admission/common/class_admission';
 import type {
   PlaceNeed,
   PlaceRefusal,
+  PlaceRequest,
 } from '../../dispatch/common/place_request';
 import type {Grant} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -17,11 +19,6 @@
 import type {RequestJournal} from './request_journal';
 import type {WorkRunner} from './work_runner';
 
-/** How long a request may wait for a place, as a part of its time. */
-const WAIT_PART = 0.5;
-/** The same, as a part of what its caller expects of a whole operation. */
-const PATIENCE_PART = 0.25;
-
 /** What the parts of one session share. */
 export interface SessionContext {
   readonly caller: CallerName;
@@ -33,7 +30,10 @@
   /** How much accounts may ask. */
   readonly limits: OperationLimits;
   readonly journal: RequestJournal;
+  readonly classes: ClassAdmission;
   readonly signal: AbortSignal;
+  /** Aborted once nobody waits for what the session asked. */
+  readonly gone: AbortSignal;
   /** How long its caller waited to be greeted; 0 after its first answer. */
   greetingMs(): number;
   /** The route in force for the next transaction; undefined once dropped. */
@@ -48,6 +48,7 @@
   readonly requestId: string;
   readonly route: DatabaseRoute;
   readonly needsPrimary: boolean;
+  readonly isTransaction: boolean;
   /** When its first byte was here, or that of its transaction. */
   readonly since: number;
   readonly deadline: number;
@@ -61,58 +62,83 @@
   context: SessionContext,
   wish: PlaceWish,
 ): Task<Result<MemberTurn, PlaceRefusal>> {
-  const {caller, user, memory, clock} = context;
-  const {route, deadline, passed, requestId} = wish;
-  const dispatcher = context.dispatcherOf(route.service);
-  const reply = new Reply<Result<Grant, PlaceRefusal>>();
+  const {caller, clock, journal, classes} = context;
+  const {route, requestId} = wish;
+  const {service, priority} = route;
+  const kind = {service, priority, isTransaction: wish.isTransaction};
+  const dispatcher = context.dispatcherOf(service);
   const asked = clock.now();
-  const due = dueAt(context, wish);
-  const isOverdue = due <= asked;
-  const patienceMs = patienceOf(route, deadline - asked, isOverdue);
-  dispatcher.post({
-    kind: 'request',
-    request: {
-      caller,
-      user,
-      priority: route.priority,
-      deadline,
-      dueAt: due,
-      since: asked,
-      patienceMs: patienceMs - wish.waitedMs,
-      need: needOf(context, wish),
-      values: memory.values,
-      passed,
-      settle: reply.give,
-    },
-  });
-  const outcome = yield* reply.wait();
+  journal.onWaiting(route);
+  const outcome = yield* waitForPlace(context, wish, dispatcher);
   const waitedMs = clock.now() - asked;
-  context.journal.onPlaced(route, waitedMs);
+  journal.onPlaced(route, waitedMs, outcome.isOk);
   if (outcome.isErr) {
-    const name = {request: requestId, caller};
-    context.journal.onRefused(name, route, outcome.error, waitedMs);
+    journal.onRefused(
+      {request: requestId, caller},
+      route,
+      outcome.error,
+      waitedMs,
+    );
   }
   return outcome.map(grant => {
-    const {service} = route;
-    return new MemberTurn({grant, waitedMs, service}, dispatcher, context);
+    const onDidWork = (workMs: number) => classes.onWorked(kind, workMs);
+    const place = {grant, waitedMs, service, onDidWork};
+    return new MemberTurn(place, dispatcher, context);
   });
 }
 
 /**
- * How long a request may wait for a place, in milliseconds. After a quarter of
- * what its caller expects of it, three quarters are left for another instance
- * and for the work; a request that waited longer mostly came too late. One
- * that is late already gains nothing by asking elsewhere, and would use up its
- * caller's tries: it waits for longer.
+ * Guard: a request whose caller left would keep its place in the queue, get a
+ * connection and run for nobody, while others wait. It leaves the queue at
+ * once, and a place that was given meanwhile goes back unused.
  */
-function patienceOf(
-  {objectiveMs}: DatabaseRoute,
-  timeMs: number,
-  isOverdue: boolean,
-): number {
-  const most = timeMs * WAIT_PART;
-  if (objectiveMs === 0 || isOverdue) return most;
-  return Math.min(most, objectiveMs * PATIENCE_PART);
+function* waitForPlace(
+  context: SessionContext,
+  wish: PlaceWish,
+  dispatcher: ServiceDispatcher,
+): Task<Result<Grant, PlaceRefusal>> {
+  const {gone} = context;
+  const reply = new Reply<Result<Grant, PlaceRefusal>>();
+  const request = requestFor(context, wish, reply.give);
+  dispatcher.post({kind: 'request', request});
+  const withdraw = () => dispatcher.post({kind: 'withdraw', request});
+  if (gone.aborted) withdraw();
+  else gone.addEventListener('abort', withdraw, {once: true});
+  const outcome = yield* reply.wait();
+  gone.removeEventListener('abort', withdraw);
+  if (outcome.isErr || !gone.aborted) return outcome;
+  const {pooled} = outcome.value;
+  dispatcher.post({kind: 'return', returned: {pooled, clean: true}});
+  const detail = 'given back its place';
+  return err({reason: 'abandoned', retryAfterMs: 0, detail});
+}
+
+function requestFor(
+  context: SessionContext,
+  wish: PlaceWish,
+  settle: PlaceRequest<Grant>['settle'],
+): PlaceRequest<Grant> {
+  const {caller, user, memory, clock} = context;
+  const {route, deadline, passed, waitedMs, isTransaction} = wish;
+  const now = clock.now();
+  const due = dueAt(context, wish);
+  const {service, priority, objectiveMs} = route;
+  const kind = {service, priority, isTransaction};
+  const terms = {objectiveMs, timeMs: deadline - now, dueInMs: due - now};
+  const patienceMs = context.classes.patienceOf(kind, {...terms, waitedMs});
+  return {
+    caller,
+    user,
+    priority,
+    deadline,
+    dueAt: due,
+    since: now,
+    patienceMs,
+    need: needOf(context, wish),
+    values: memory.values,
+    passed,
+    settle,
+  };
 }
 
 /**
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -58,6 +58,7 @@
   const {route, since, requestId} = request;
   const overLimit = admitOperation(context, requestId, route);
   if (overLimit) return overLimit;
+  context.classes.onRequest(route.service);
   const deadline = since + route.statementMs;
   const passed = new Set<string>();
   let mayHaveRun = false;
@@ -67,6 +68,7 @@
       requestId,
       route,
       needsPrimary: needsPrimary(request),
+      isTransaction: false,
       since,
       deadline,
       waitedMs,
@@ -88,7 +90,8 @@
     mayHaveRun ||= outcome.mayHaveRun;
     const attempt = {instance: turn.instance, tookMs: now - startedAt, detail};
     context.journal.onRepeated(requestId, route.service, attempt);
-    if (tries >= MOST_TRIES || now >= deadline) {
+    const isLast = tries >= MOST_TRIES || now >= deadline;
+    if (isLast || !context.classes.mayRepeat(route.service)) {
       if (mayHaveRun) return failure('timeout', detail);
       return failure('busy', `${detail}, retry after ${BUSY_PAUSE_MS * 4} ms`);
     }
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -39,6 +39,8 @@
   isDown = false;
   /** Takes statements and never answers. */
   isSilent = false;
+  /** Its answers take so long, in milliseconds. */
+  answersAfterMs = 0;
   /** Loses the answers of so many statements that it runs. */
   losesAnswers = 0;
   /** Answers so many statements that it has no room. */
@@ -161,7 +163,11 @@
     }
     const {state} = this;
     const {position} = member;
-    return Promise.resolve({kind: 'answer', result, state, position});
+    const reply = {kind: 'answer', result, state, position} as const;
+    if (member.answersAfterMs === 0) return Promise.resolve(reply);
+    return new Promise(resolve => {
+      setTimeout(() => resolve(reply), member.answersAfterMs);
+    });
   }
 
   private never(): Promise<TargetReply> {
