Take back work that waits at a pooler when its caller leaves

Cause: a proxy whose caller left waited for the pooler's answer; and what a proxy did abandon was only marked there. The request kept its place in the queue, got a connection and ran for nobody.

Change: a caller that leaves abandons a single statement, or the first one of a transaction, at its pooler; giving up takes what still waits out of the queue. Later steps run at their member and are not broken off.

Three tests were red on the code before (workCount 1, no refusal), and the one of a transaction given up while it begins.

--- a/src/services/pooler/node/pooled_work.ts
+++ b/src/services/pooler/node/pooled_work.ts
@@ -1,5 +1,6 @@
 import {callerName, memberUser} from '../../../base/common/ids';
 import {startTask, type Task} from '../../../base/node/task';
+import {ownController} from '../../../base/node/timers';
 import type {DatabaseRoute} from '../../../schema/generated/fleet';
 import {WorkScope, type WorkRequest} from '../../../schema/generated/pooler';
 import {SessionMemory} from '../../gateway/common/session_memory';
@@ -27,11 +28,11 @@
 /** One statement or one transaction that another proxy sent. */
 export class PooledWork {
   private readonly memory = new SessionMemory();
+  private readonly gone = ownController();
   private context: SessionContext | undefined;
   private route: DatabaseRoute | undefined;
   private transaction: WorkTransaction | undefined;
   private over = false;
-  private gaveUp = false;
 
   constructor(
     private readonly gateway: Gateway,
@@ -43,13 +44,19 @@
     return this.over;
   }
 
+  /** Whose members it needs; undefined before its first step. */
+  get service(): string | undefined {
+    return this.route?.service;
+  }
+
   /** Runs one step and hands out its outcome; a proxy sends one at a time. */
   run(request: WorkRequest, answer: (reply: CallerReply) => void): void {
     void startTask('pooled work', () => this.runStep(request, answer));
   }
 
+  /** What waits for a place leaves the queue. */
   giveUp(reason: string): void {
-    this.gaveUp = true;
+    this.gone.abort();
     this.transaction?.giveUp(reason);
   }
 
@@ -86,6 +93,8 @@
       this.memory,
       () => this.route,
       this.signal,
+      undefined,
+      this.gone.signal,
     );
     if (scope === WorkScope.WORK_SCOPE_SINGLE) {
       return yield* this.runSingle(request, decoded, this.context, since);
@@ -98,7 +107,8 @@
         readOnly,
         since,
       );
-      if (this.gaveUp) this.transaction.giveUp('given up before it began');
+      const wasGivenUp = this.gone.signal.aborted;
+      if (wasGivenUp) this.transaction.giveUp('given up before it began');
     }
     return yield* this.runInTransaction(request.requestId, decoded);
   }
--- a/src/services/pooler/node/pooler_call.ts
+++ b/src/services/pooler/node/pooler_call.ts
@@ -1,6 +1,6 @@
 import {pause, settled, type Task} from '../../../base/node/task';
 import {after} from '../../../base/node/timers';
-import type {WorkRequest} from '../../../schema/generated/pooler';
+import {WorkScope, type WorkRequest} from '../../../schema/generated/pooler';
 import type {SessionContext} from '../../gateway/node/session_context';
 import type {CallerReply} from '../../statement/common/statement';
 import {decodeReply} from '../common/pooler_messages';
@@ -47,17 +47,24 @@
 }
 
 /**
- * Sends a statement and waits for its outcome, to a little past its deadline;
- * undefined where none came. A position that comes back is the session's newest
+ * Sends a statement and waits for its outcome, to a little past its deadline,
+ * or until its caller leaves; undefined where none came. A position that comes back is the session's newest
  * commit.
  */
 export function* callPooler(
-  {clock, signal, memory}: SessionContext,
+  {clock, signal, memory, gone}: SessionContext,
   {link, request, deadline, repeatable}: PoolerCall,
 ): Task<CallerReply | undefined> {
   const timeMs = Math.max(0, deadline - clock.now()) + ANSWER_WAY_MS;
-  const cancel = after(signal, timeMs, () => link.abandon(request.work));
-  const done = yield* settled(link.send(request, {repeatable}));
+  const abandon = () => link.abandon(request.work);
+  const cancel = after(signal, timeMs, abandon);
+  const answer = link.send(request, {repeatable});
+  // A later step runs at its member: breaking it off would waste that.
+  const mayWait = request.scope !== WorkScope.WORK_SCOPE_CONTINUE;
+  if (mayWait && gone.aborted) abandon();
+  else if (mayWait) gone.addEventListener('abort', abandon, {once: true});
+  const done = yield* settled(answer);
+  gone.removeEventListener('abort', abandon);
   cancel();
   const reply = 'value' in done ? done.value : undefined;
   if (!reply) return undefined;
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -136,6 +136,14 @@
   edge.stop.abort();
 });
 
+/** Why work was refused at a pooler. */
+function refusalsAt({gateway}: TestPooler): unknown[] {
+  const refused = gateway.logged.lines.filter(line => {
+    return line.startsWith('Refused, not run.');
+  });
+  return refused.map(line => JSON.parse(line.slice(18)).reason as unknown);
+}
+
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 describe('a session at a proxy without connections', () => {
@@ -204,6 +212,72 @@
   });
 });
 
+describe('work that waits at a pooler', () => {
+  it('leaves the queue with its caller', async () => {
+    // There is no primary for a moment, so a write waits at the pooler. Its
+    // caller leaves. Once there is a primary again, the write would get one of
+    // the few connections and run for nobody, while others wait.
+    near.gateway.name('');
+    const caller = new Caller(edge, 'db');
+    void caller.ask(WRITE);
+    await pause(50);
+    expect(near.server.workCount).toBe(1);
+    caller.leave();
+    await pause(50);
+    expect(near.server.workCount).toBe(0);
+    expect(refusalsAt(near)).toEqual(['abandoned']);
+    near.gateway.name('a');
+    await pause(50);
+    expect(group.callerRuns).toEqual([]);
+  });
+
+  it('leaves the queue with the proxy that sent it', async () => {
+    near.gateway.name('');
+    void new Caller(edge, 'db').ask(WRITE);
+    await pause(50);
+    stop.abort();
+    await pause(50);
+    expect(refusalsAt(near)).toEqual(['abandoned']);
+    near.gateway.name('a');
+    await pause(50);
+    expect(group.callerRuns).toEqual([]);
+  });
+
+  it('holds no connection once its transaction was given up', async () => {
+    // The same with the first statement of a transaction. It would begin when
+    // there is a primary again, and nobody would ever end it.
+    near.gateway.name('');
+    const caller = new Caller(edge, 'db');
+    await caller.ask(BEGIN);
+    void caller.ask(WRITE);
+    await pause(50);
+    caller.leave();
+    await pause(50);
+    near.gateway.name('a');
+    await pause(50);
+    expect(near.server.workCount).toBe(0);
+    expect(refusalsAt(near)).toEqual(['abandoned']);
+    expect(group.callerRuns).toEqual([]);
+  });
+});
+
+describe('a transaction that is given up while it begins', () => {
+  it('runs nothing', async () => {
+    // The begin takes a moment, and the caller leaves meanwhile. The pooler
+    // forgot the transaction by the time at which it has begun: its statement
+    // ran all the same, and its connection was held until the member's limit.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(WRITE);
+    group.member('a').answersAfterMs = 60;
+    await caller.ask(BEGIN);
+    void caller.ask(WRITE);
+    await pause(30);
+    caller.leave();
+    await pause(150);
+    expect(group.callerRuns).toHaveLength(1);
+  });
+});
+
 describe('a proxy that is lost', () => {
   it('leaves no transaction open at its pooler', async () => {
     // A proxy dies, or is cut off, with a transaction under way. Nobody can
