Tell proxies how long work waits at poolers, and decide there

Cause: the proxy that took a request does not know how long it would wait; it is refused after a message, a wait and a way.

Change, by class only: replies carry the waits of their service from 30 ms on, and once that they are over. A proxy keeps them for 300 ms, less the time that went by. Work that would wait for longer than its objective leaves goes to a pooler with 100 ms less, if it is in time there; else it is refused before any message. Work is moved for nothing less: connections belong to accounts. Repeats at other poolers count on the budget of the proxy.

--- a/src/services/pooler/common/pooler_messages.ts
+++ b/src/services/pooler/common/pooler_messages.ts
@@ -7,6 +7,7 @@
   type WorkReply,
   type WorkStep,
   type WorkTerms,
+  type WorkWait,
 } from '../../../schema/generated/pooler';
 import type {
   PreparedStatement,
@@ -197,6 +198,7 @@
 export function encodeReply(
   work: number,
   {result, state, position}: CallerReply,
+  waits: WorkWait[] = [],
 ): WorkReply {
   const isDone = result.kind === 'done';
   return {
@@ -209,7 +211,7 @@
     rows: isDone ? [...result.rows] : [],
     signature: isDone ? result.signature : '',
     committed: position,
-    waits: [],
+    waits,
   };
 }
 
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -1,6 +1,9 @@
 import type {Task} from '../../../base/node/task';
 import {WorkScope} from '../../../schema/generated/pooler';
-import type {SessionContext} from '../../gateway/node/session_context';
+import {
+  refusalResult,
+  type SessionContext,
+} from '../../gateway/node/session_context';
 import {
   needsPrimary,
   type SingleRequest,
@@ -16,7 +19,8 @@
 import {PooledTransaction} from './pooled_transaction';
 import {callPooler, takeLink} from './pooler_call';
 import type {PoolerDirectory} from './pooler_directory';
-import type {PoolerLink} from './pooler_link';
+import {PoolerLink} from './pooler_link';
+import {WaitDecision} from './wait_decision';
 
 /**
  * Poolers that a read is sent to at most. One that answers nothing may be busy
@@ -26,7 +30,11 @@
 
 /** Runs sessions' work at the poolers of their services. */
 export class PooledRunner implements WorkRunner {
-  constructor(private readonly directory: PoolerDirectory) {}
+  private readonly waits: WaitDecision;
+
+  constructor(private readonly directory: PoolerDirectory) {
+    this.waits = new WaitDecision(directory);
+  }
 
   *runSingle(
     context: SessionContext,
@@ -44,8 +52,14 @@
       needsPrimary: needsPrimary(request),
     };
     for (;;) {
-      const link = yield* takeLink(directory, context, wish, passed);
-      if (!link) return yield* LOCAL_RUNNER.runSingle(context, request);
+      const found = yield* takeLink(directory, context, wish, passed);
+      if (!found) return yield* LOCAL_RUNNER.runSingle(context, request);
+      // What was sent before may have run, and is not refused as not run.
+      const isFirst = passed.size === 0;
+      const work = {route, wish, since, deadline, requestId};
+      const link = isFirst ? this.waits.decide(context, found, work) : found;
+      if (!(link instanceof PoolerLink)) return refusalResult(link);
+      if (isFirst) context.classes.onRequest(route.service);
       const now = context.clock.now();
       const outcome = yield* callPooler(context, {
         link,
@@ -62,6 +76,7 @@
         },
       });
       if (outcome) return outcome.result;
+      if (context.gone.aborted) return failure('timeout', 'the caller left');
       const tookMs = context.clock.now() - now;
       const attempt = {instance: link.address, tookMs, detail: 'no answer'};
       if (isWrite) {
@@ -72,7 +87,8 @@
       context.journal.onRepeated(requestId, route.service, attempt);
       passed.add(link);
       const isLate = context.clock.now() >= deadline;
-      if (isLate || passed.size >= MOST_POOLERS) {
+      const isLast = isLate || passed.size >= MOST_POOLERS;
+      if (isLast || !context.classes.mayRepeat(route.service)) {
         return failure('timeout', 'no answer from the pooler');
       }
     }
@@ -83,6 +99,7 @@
   ): PooledTransaction {
     return new PooledTransaction(
       this.directory,
+      this.waits,
       context,
       route,
       readOnly,
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -7,7 +7,10 @@
   type WorkStep,
 } from '../../../schema/generated/pooler';
 import type {TransactionStep} from '../../gateway/node/open_transaction';
-import type {SessionContext} from '../../gateway/node/session_context';
+import {
+  refusalResult,
+  type SessionContext,
+} from '../../gateway/node/session_context';
 import type {WorkStatement} from '../../gateway/node/statement_on_link';
 import {
   LOCAL_RUNNER,
@@ -25,9 +28,11 @@
   encodeTerms,
   wholeAge,
 } from '../common/pooler_messages';
+import type {PoolerWish} from '../common/choose_pooler';
 import {callPooler, takeLink} from './pooler_call';
 import type {PoolerDirectory} from './pooler_directory';
-import type {PoolerLink} from './pooler_link';
+import {PoolerLink} from './pooler_link';
+import type {WaitDecision} from './wait_decision';
 
 /** Where a transaction is: at a pooler, under a name on its link. */
 interface Place {
@@ -49,6 +54,7 @@
 
   constructor(
     private readonly directory: PoolerDirectory,
+    private readonly waits: WaitDecision,
     private readonly context: SessionContext,
     private readonly route: DatabaseRoute,
     private readonly readOnly: boolean,
@@ -85,7 +91,11 @@
     isWrite: boolean,
   ): Task<TransactionStep> {
     if (this.failed) return {result: GIVEN_UP, state: 'failed'};
-    yield* this.find();
+    const refused = yield* this.find(requestId);
+    if (refused) {
+      this.fail();
+      return {result: refused, state: 'failed'};
+    }
     if (this.local) return yield* this.local.run(requestId, statement, isWrite);
     const step = encodeStep(statement, this.context.memory);
     if (!step) {
@@ -101,7 +111,8 @@
 
   *commit(requestId: string): Task<TransactionStep> {
     if (this.failed) return {result: GIVEN_UP, state: 'idle'};
-    yield* this.find();
+    const refused = yield* this.find(requestId);
+    if (refused) return {result: refused, state: 'idle'};
     if (this.local) return yield* this.local.commit(requestId);
     const step = encodeStep({kind: 'commit'}, this.context.memory)!;
     const outcome = yield* this.send(requestId, step);
@@ -109,13 +120,26 @@
     return {result: outcome?.result ?? this.unknown(requestId), state: 'idle'};
   }
 
-  /** Finds a pooler for the first statement, or begins here without one. */
-  private *find(): Task<void> {
-    if (this.place || this.local) return;
+  /**
+   * Finds a pooler for the first statement, or begins here without one; the
+   * refusal where it would wait too long at each.
+   */
+  private *find(requestId: string): Task<StatementResult | undefined> {
+    if (this.place || this.local) return undefined;
     const {context, route, readOnly, since} = this;
-    const link = yield* this.takeLink(NO_LINKS);
-    if (link) this.place = {link, work: link.nextWork()};
-    else this.local = LOCAL_RUNNER.begin(context, route, readOnly, since);
+    const found = yield* this.takeLink(NO_LINKS);
+    if (!found) {
+      this.local = LOCAL_RUNNER.begin(context, route, readOnly, since);
+      return undefined;
+    }
+    const {wish} = this;
+    const deadline = context.clock.now() + route.statementMs;
+    const work = {route, wish, since, deadline, requestId};
+    const link = this.waits.decide(context, found, work);
+    if (!(link instanceof PoolerLink)) return refusalResult(link);
+    this.place = {link, work: link.nextWork()};
+    context.classes.onRequest(route.service);
+    return undefined;
   }
 
   /**
@@ -143,11 +167,13 @@
         repeatable,
       });
       const isLate = context.clock.now() >= deadline;
-      if (outcome || !repeatable || isLate) return outcome;
+      const isOver = isLate || context.gone.aborted;
+      if (outcome || !repeatable || isOver) return outcome;
       link.abandon(work);
       passed.add(link);
       const attempt = {instance: link.address, tookMs: 0, detail: 'no answer'};
       context.journal.onRepeated(requestId, route.service, attempt);
+      if (!context.classes.mayRepeat(route.service)) return undefined;
       const next = yield* this.takeLink(passed);
       this.place = next && {link: next, work: next.nextWork()};
     }
@@ -157,14 +183,17 @@
   private takeLink(
     passed: ReadonlySet<PoolerLink>,
   ): Task<PoolerLink | undefined> {
-    const {directory, context, route, readOnly} = this;
+    return takeLink(this.directory, this.context, this.wish, passed);
+  }
+
+  private get wish(): PoolerWish {
+    const {context, route, readOnly} = this;
     const isStrict = route.consistency === Consistency.CONSISTENCY_PRIMARY;
-    const wish = {
+    return {
       service: route.service,
       user: context.user,
       needsPrimary: !readOnly || isStrict,
     };
-    return takeLink(directory, context, wish, passed);
   }
 
   private requestFor(
--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -115,6 +115,12 @@
     return second;
   }
 
+  /** Links that work may go to, in the order of preference. */
+  readyLinks(wish: PoolerWish): PoolerLink[] {
+    const links = this.rank(wish).map(({address}) => this.links.get(address));
+    return links.filter(link => link?.state === 'ready') as PoolerLink[];
+  }
+
   /** Whether a link is being opened that could serve soon. */
   isConnecting(wish: PoolerWish): boolean {
     return this.rank(wish).some(({address}) => {
--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -8,6 +8,7 @@
   WorkReply,
   WorkRequest,
 } from '../../../schema/generated/pooler';
+import {PoolerWaits} from '../common/pooler_waits';
 import {POOLER_PROTOCOL} from './pooler_protocol';
 
 /** What is known of a pooler through its link. */
@@ -55,6 +56,8 @@
 /** This proxy's stream to one pooler. */
 export class PoolerLink {
   private readonly link: MessageLink<PoolerRequest, PoolerResponse>;
+  /** How long work waits at this pooler. */
+  readonly waits = new PoolerWaits();
   private readonly waiting = new Map<number, Waiting>();
   private readonly ended;
   private heardAt: number;
@@ -159,6 +162,7 @@
     this.noteHeard();
     switch (body?.$case) {
       case 'reply':
+        this.waits.note(body.value.waits, this.heardAt);
         this.settle(body.value.work, body.value);
         break;
       case 'leaving':
--- a/src/services/pooler/node/pooler_server.ts
+++ b/src/services/pooler/node/pooler_server.ts
@@ -6,9 +6,11 @@
   PoolerRequest,
   PoolerResponse,
   WorkRequest,
+  WorkWait,
 } from '../../../schema/generated/pooler';
 import type {Gateway} from '../../gateway/node/gateway';
 import {encodeReply} from '../common/pooler_messages';
+import {WaitReport} from '../common/wait_report';
 import {PooledWork} from './pooled_work';
 import {POOLER_PROTOCOL} from './pooler_protocol';
 
@@ -69,6 +71,7 @@
 /** One proxy's link and the work that came on it. */
 class Peer {
   private readonly works = new Map<number, PooledWork>();
+  private readonly report = new WaitReport();
   private readonly ended;
 
   constructor(
@@ -123,10 +126,16 @@
     this.works.set(id, work);
     work.run(request, reply => {
       if (work.isOver && this.works.get(id) === work) this.works.delete(id);
-      this.write({$case: 'reply', value: encodeReply(id, reply)});
+      const waits = this.waitsFor(work);
+      this.write({$case: 'reply', value: encodeReply(id, reply, waits)});
     });
   }
 
+  private waitsFor({service}: PooledWork): WorkWait[] {
+    if (service === undefined) return [];
+    return this.report.next(service, this.gateway.waitsOf(service));
+  }
+
   private write(body: PoolerResponse['body']): void {
     if (!this.ended.signal.aborted) this.link.write({body});
   }
