Keep the limit of a statement's time when its caller leaves

Cause: the timer that closes a connection without an answer ended with the session. A member that hung kept the connection, one of a few that all instances share, until it broke it.

Change: the timer belongs to the turn. The test was red before: no connection was closed.

--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -1,4 +1,3 @@
-import {after} from '../../../base/node/timers';
 import {settled, type Task} from '../../../base/node/task';
 import type {Grant, Observation} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -17,7 +16,6 @@
 export interface TurnSurroundings {
   readonly clock: Clock;
   readonly leases: LeadProofs;
-  readonly signal: AbortSignal;
 }
 
 /** The place that a session was given. */
@@ -57,12 +55,15 @@
    * Sends calls in one go and waits for all answers, for a time at most. A
    * connection whose answer did not come in time is closed: the answer could
    * come later and be taken for the next one's.
+   *
+   * Guard: the limit holds for a caller that left too. A member that hangs
+   * would else keep the connection, one of a few, for nobody.
    */
   *ask(calls: readonly TargetCall[], timeMs: number): Task<TurnReply[]> {
     const {link} = this.grant.pooled;
-    const {signal, clock} = this.around;
+    const {clock} = this.around;
     const askedAt = clock.now();
-    const cancel = after(signal, Math.max(1, timeMs), () => link.close());
+    const timer = setTimeout(() => link.close(), Math.max(1, timeMs));
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
     for (const promise of promises) {
@@ -73,7 +74,7 @@
           : {kind: 'lost', reason: done.error.message},
       );
     }
-    cancel();
+    clearTimeout(timer);
     this.workMs += clock.now() - askedAt;
     return replies;
   }
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -46,6 +46,8 @@
   /** Answers so many statements that it has no room. */
   busyFor = 0;
   connections = 0;
+  /** Connections that were closed so far. */
+  closes = 0;
 
   constructor(readonly instance: string) {}
 }
@@ -145,6 +147,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.member.connections--;
+    this.member.closes++;
     for (const settle of this.waiting) settle({kind: 'lost', reason: 'closed'});
     for (const listener of this.listeners) listener();
   }
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -178,6 +178,22 @@
   });
 });
 
+describe('a read whose caller left', () => {
+  it('holds no connection to a member that is silent', async () => {
+    // The member hangs, and the caller gives up and leaves. The limit of the
+    // read's time ended with the session: the connection, one of a few that
+    // all instances share, was held until the member broke it.
+    const {group, caller} = setUp(makeRoute({...PRIMARY, statementMs: 100}));
+    await caller.ask(READ);
+    group.member('a').isSilent = true;
+    void caller.ask(READ);
+    await pause(20);
+    caller.leave();
+    await pause(150);
+    expect(group.member('a').closes).toBeGreaterThan(0);
+  });
+});
+
 describe('a write', () => {
   it('is not repeated when its answer is lost', async () => {
     // The member commits and its answer is lost. Whether the write took effect
