--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -17,6 +17,7 @@
 import {makeReady, type WorkStatement} from './statement_on_link';
 import {
   admitOperation,
+  mayRepeat,
   refusalResult,
   takeTurn,
   type SessionContext,
@@ -144,7 +145,7 @@
       const attempt = {instance: turn.instance, tookMs: 0, detail: trouble};
       context.journal.onRepeated(requestId, route.service, attempt);
       const isLast = tries >= MOST_TRIES || now >= deadline;
-      if (isLast || !context.classes.mayRepeat(route.service)) {
+      if (isLast || !mayRepeat(context, requestId, route.service, trouble)) {
         return failure('busy', `${trouble}, retry after 100 ms`);
       }
       yield* pause(BUSY_PAUSE_MS);
--- a/src/services/gateway/node/request_journal.ts
+++ b/src/services/gateway/node/request_journal.ts
@@ -75,10 +75,11 @@
   ): void {
     const {reason, retryAfterMs, detail} = refusal;
     const waited = Math.round(waitedMs);
-    const {service, name} = route;
-    const fields = {request, caller, service, route: name, reason, detail};
+    const {service, priority, name} = route;
+    const place = {service, priority, route: name};
+    const fields = {request, caller, ...place, reason, detail};
     this.meter.countRefusal(caller, reason);
-    this.meter.countPlace(service, route.priority, 'refused');
+    this.meter.countPlace(service, priority, 'refused');
     this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
   }
 
@@ -86,6 +87,11 @@
     this.log.info('Tries again.', {request, service, ...rounded(attempt)});
   }
 
+  /** A request could be repeated, but too many others were. */
+  onNotRepeated(request: string, service: string, detail: string): void {
+    this.log.info('Repeats no more.', {request, service, detail});
+  }
+
   onFailed(request: string, service: string, attempt: Attempt): void {
     this.log.info('Failed.', {request, service, ...rounded(attempt)});
   }
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -181,6 +181,21 @@
   return refusalResult(refusal);
 }
 
+/**
+ * Whether a request may be tried once more; a failed try that may not is logged
+ * with its cause.
+ */
+export function mayRepeat(
+  {classes, journal}: Pick<SessionContext, 'classes' | 'journal'>,
+  requestId: string,
+  service: string,
+  detail: string,
+): boolean {
+  if (classes.mayRepeat(service)) return true;
+  journal.onNotRepeated(requestId, service, detail);
+  return false;
+}
+
 /** What a caller is told where no place was to be had; nothing ran. */
 export function refusalResult(refusal: PlaceRefusal): StatementResult {
   const {reason, retryAfterMs} = refusal;
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -11,6 +11,7 @@
 import {makeReady, type WorkStatement} from './statement_on_link';
 import {
   admitOperation,
+  mayRepeat,
   refusalResult,
   takeTurn,
   type SessionContext,
@@ -91,7 +92,7 @@
     const attempt = {instance: turn.instance, tookMs: now - startedAt, detail};
     context.journal.onRepeated(requestId, route.service, attempt);
     const isLast = tries >= MOST_TRIES || now >= deadline;
-    if (isLast || !context.classes.mayRepeat(route.service)) {
+    if (isLast || !mayRepeat(context, requestId, route.service, detail)) {
       if (mayHaveRun) return failure('timeout', detail);
       return failure('busy', `${detail}, retry after ${BUSY_PAUSE_MS * 4} ms`);
     }
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -1,6 +1,7 @@
 import type {Task} from '../../../base/node/task';
 import {WorkScope} from '../../../schema/generated/pooler';
 import {
+  mayRepeat,
   refusalResult,
   type SessionContext,
 } from '../../gateway/node/session_context';
@@ -88,7 +89,10 @@
       passed.add(link);
       const isLate = context.clock.now() >= deadline;
       const isLast = isLate || passed.size >= MOST_POOLERS;
-      if (isLast || !context.classes.mayRepeat(route.service)) {
+      if (
+        isLast ||
+        !mayRepeat(context, requestId, route.service, attempt.detail)
+      ) {
         return failure('timeout', 'no answer from the pooler');
       }
     }
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -8,6 +8,7 @@
 } from '../../../schema/generated/pooler';
 import type {TransactionStep} from '../../gateway/node/open_transaction';
 import {
+  mayRepeat,
   refusalResult,
   type SessionContext,
 } from '../../gateway/node/session_context';
@@ -173,7 +174,9 @@
       passed.add(link);
       const attempt = {instance: link.address, tookMs: 0, detail: 'no answer'};
       context.journal.onRepeated(requestId, route.service, attempt);
-      if (!context.classes.mayRepeat(route.service)) return undefined;
+      const {detail} = attempt;
+      const isRepeated = mayRepeat(context, requestId, route.service, detail);
+      if (!isRepeated) return undefined;
       const next = yield* this.takeLink(passed);
       this.place = next && {link: next, work: next.nextWork()};
     }
