--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -15,7 +15,7 @@
 import {PrimaryOutage} from '../common/primary_outage';
 import {chooseForRead, type MemberView} from '../common/choose_member';
 import type {ConnectionSharers} from '../common/connection_share';
-import type {PlaceRequest} from '../common/place_request';
+import type {PlaceRequest, PlaceWait} from '../common/place_request';
 import {RequestOpenings} from '../common/request_openings';
 import {WaitingRequests} from '../common/waiting_requests';
 import {ConnectionLimits} from './connection_limits';
@@ -112,6 +112,11 @@
     return startTask(`dispatcher ${this.around.service}`, () => this.run());
   }
 
+  /** How long new work would wait at present; nothing where none waits. */
+  get waits(): PlaceWait[] {
+    return this.waiting.waits(this.now());
+  }
+
   /** False where the mailbox is full. */
   post(message: DispatcherMessage): boolean {
     this.wakeTick();
@@ -131,6 +136,8 @@
     switch (message.kind) {
       case 'request':
         return this.onRequest(message.request);
+      case 'withdraw':
+        return this.waiting.withdraw(message.request);
       case 'return':
         return this.onReturn(message.returned);
       case 'observed':
@@ -138,7 +145,9 @@
       case 'members':
         return this.onMembers(message.members, message.sharers);
       case 'definition':
-        return this.limits.setDefinition(message.definition);
+        this.limits.setDefinition(message.definition);
+        this.waiting.setByClass(message.isByClass);
+        return;
       case 'lead':
         return this.onLead(message.lead);
       case 'witness':
--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -11,10 +11,13 @@
   ServiceEntry,
   ServiceLead,
 } from '../../../schema/generated/fleet';
+import {ClassAdmission} from '../../admission/common/class_admission';
 import type {CatalogLease} from '../../account/common/catalog_lease';
 import type {OperationLimits} from '../../account/node/operation_limits';
 import {CatalogIndex} from '../../catalog/common/catalog';
 import type {ConnectionSharers} from '../../dispatch/common/connection_share';
+import type {PlaceWait} from '../../dispatch/common/place_request';
+import type {DispatcherMessage} from '../../dispatch/node/dispatcher_messages';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {
   FleetMembers,
@@ -81,6 +84,7 @@
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
   private readonly sessions = new Set<GatewaySession>();
   private readonly journal: RequestJournal;
+  private readonly classes: ClassAdmission;
   private readonly proofs: LeadProofs;
   private readonly access: CatalogAccess;
   private waitingToKnow: (() => void)[] = [];
@@ -93,6 +97,7 @@
     private readonly signal: AbortSignal,
   ) {
     this.journal = new RequestJournal(around.log, around.meter);
+    this.classes = new ClassAdmission(around.clock);
     this.access = new CatalogAccess(() => this.index, around.catalogLease);
     this.proofs = new WitnessedLeads(around.leases, service => {
       return this.dispatcherOf(service);
@@ -133,6 +138,7 @@
     const {version} = catalog;
     if (version <= this.catalogVersion) return;
     this.index = new CatalogIndex(catalog);
+    this.classes.setRoutes(catalog.routes);
     this.greetWaiting();
     const {routes, services, accounts} = catalog;
     this.around.log.info('A catalog is in force.', {
@@ -148,7 +154,7 @@
       const dispatcher = isServed
         ? this.dispatcherOf(service)
         : this.dispatchers.get(service);
-      dispatcher?.post({kind: 'definition', definition});
+      dispatcher?.post(this.definitionOf(definition));
     }
   }
 
@@ -202,6 +208,12 @@
     return this.around.clock.now();
   }
 
+  /** How long new work of a service would wait here, where it is by class. */
+  waitsOf(service: string): PlaceWait[] {
+    if (!this.classes.isOn(service)) return [];
+    return this.dispatchers.get(service)?.waits ?? [];
+  }
+
   /** What the work of one session needs, for work of other proxies too. */
   makeContext(
     {caller, user}: SessionIdentity,
@@ -209,6 +221,7 @@
     route: () => DatabaseRoute | undefined,
     signal: AbortSignal,
     greetingMs = () => 0,
+    gone = signal,
   ): SessionContext {
     return {
       greetingMs,
@@ -219,7 +232,9 @@
       leases: this.proofs,
       limits: this.around.limits,
       journal: this.journal,
+      classes: this.classes,
       signal,
+      gone,
       route,
       dispatcherOf: service => this.dispatcherOf(service),
       runnerOf: service => new CountedRunner(this.runnerOf(service, user)),
@@ -301,7 +316,7 @@
     void dispatcher.start(this.signal);
     this.dispatchers.set(service, dispatcher);
     const definition = this.definitions.get(service);
-    if (definition) dispatcher.post({kind: 'definition', definition});
+    if (definition) dispatcher.post(this.definitionOf(definition));
     const sharers = this.sharersOf(service);
     dispatcher.post({kind: 'members', members, sharers});
     const lead = this.leads.get(service);
@@ -309,6 +324,11 @@
     return dispatcher;
   }
 
+  private definitionOf(definition: ServiceEntry): DispatcherMessage {
+    const isByClass = this.classes.isOn(definition.service);
+    return {kind: 'definition', definition, isByClass};
+  }
+
   /** Work of an account may be another pooler's, even where this is one. */
   private runnerOf(service: string, user: MemberUser): WorkRunner {
     const isPooled = this.poolers.has(service);
--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -1,4 +1,3 @@
-import {after} from '../../../base/node/timers';
 import {settled, type Task} from '../../../base/node/task';
 import type {Grant, Observation} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -17,7 +16,6 @@
 export interface TurnSurroundings {
   readonly clock: Clock;
   readonly leases: LeadProofs;
-  readonly signal: AbortSignal;
 }
 
 /** The place that a session was given. */
@@ -26,11 +24,14 @@
   readonly service: string;
   /** How long the request waited for it, in milliseconds. */
   readonly waitedMs: number;
+  /** Work is done, and what it took at the member, in milliseconds. */
+  onDidWork(workMs: number): void;
 }
 
 /** A session's hold on a connection, from its grant to its return. */
 export class MemberTurn {
   private returned = false;
+  private workMs = 0;
 
   constructor(
     private readonly place: TurnPlace,
@@ -54,11 +55,15 @@
    * Sends calls in one go and waits for all answers, for a time at most. A
    * connection whose answer did not come in time is closed: the answer could
    * come later and be taken for the next one's.
+   *
+   * Guard: the limit holds for a caller that left too. A member that hangs
+   * would else keep the connection, one of a few, for nobody.
    */
   *ask(calls: readonly TargetCall[], timeMs: number): Task<TurnReply[]> {
     const {link} = this.grant.pooled;
-    const {signal} = this.around;
-    const cancel = after(signal, Math.max(1, timeMs), () => link.close());
+    const {clock} = this.around;
+    const askedAt = clock.now();
+    const timer = setTimeout(() => link.close(), Math.max(1, timeMs));
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
     for (const promise of promises) {
@@ -69,7 +74,8 @@
           : {kind: 'lost', reason: done.error.message},
       );
     }
-    cancel();
+    clearTimeout(timer);
+    this.workMs += clock.now() - askedAt;
     return replies;
   }
 
@@ -124,6 +130,8 @@
   end(clean: boolean): void {
     if (this.returned) return;
     this.returned = true;
+    // What did not end cleanly says nothing of how long such work takes.
+    if (clean && this.workMs > 0) this.place.onDidWork(this.workMs);
     const {pooled} = this.grant;
     this.dispatcher.post({kind: 'return', returned: {pooled, clean}});
   }
--- a/src/services/gateway/node/open_transaction.ts
+++ b/src/services/gateway/node/open_transaction.ts
@@ -15,7 +15,12 @@
   type TurnReply,
 } from './member_turn';
 import {makeReady, type WorkStatement} from './statement_on_link';
-import {refusalResult, takeTurn, type SessionContext} from './session_context';
+import {
+  mayRepeat,
+  refusalResult,
+  takeTurn,
+  type SessionContext,
+} from './session_context';
 
 /** How a statement of a transaction ended, and the state after it. */
 export interface TransactionStep {
@@ -109,8 +114,10 @@
   ): Task<StatementResult | undefined> {
     if (this.turn) return undefined;
     const {context, route, needsPrimary, since} = this;
+    context.classes.onRequest(route.service);
     const passed = new Set<string>();
-    const wish = {requestId, route, needsPrimary, since, deadline, passed};
+    const terms = {route, needsPrimary, isTransaction: true, since, deadline};
+    const wish = {...terms, requestId, passed};
     let waitedMs = 0;
     for (let tries = 1; ; tries++) {
       const taken = yield* takeTurn(context, {...wish, waitedMs});
@@ -118,6 +125,11 @@
       const turn = taken.value;
       waitedMs += turn.waitedMs;
       const trouble = yield* this.beginOn(turn, deadline);
+      // Guard: given up while it began, it would hold its connection for good.
+      if (this.failed) {
+        turn.end(false);
+        return GIVEN_UP;
+      }
       if (!trouble) {
         this.turn = turn;
         return undefined;
@@ -126,7 +138,8 @@
       const now = context.clock.now();
       const attempt = {instance: turn.instance, tookMs: 0, detail: trouble};
       context.journal.onRepeated(requestId, route.service, attempt);
-      if (tries >= MOST_TRIES || now >= deadline) {
+      const isLast = tries >= MOST_TRIES || now >= deadline;
+      if (isLast || !mayRepeat(context, requestId, route.service, trouble)) {
         return failure('busy', `${trouble}, retry after 100 ms`);
       }
       yield* pause(BUSY_PAUSE_MS);
@@ -283,9 +296,11 @@
 const ROLLBACK: TargetStatement = {kind: 'rollback'};
 const COMMIT: TargetStatement = {kind: 'commit'};
 
+const GIVEN_UP = failure('aborted', 'the transaction was given up');
+
 /** The answer to what follows once a transaction was given up. */
 export const FAILED_STEP: TransactionStep = {
-  result: failure('aborted', 'the transaction was given up'),
+  result: GIVEN_UP,
   state: 'failed',
 };
 
--- a/src/services/gateway/node/request_journal.ts
+++ b/src/services/gateway/node/request_journal.ts
@@ -28,8 +28,17 @@
     private readonly meter: GatewayMeter,
   ) {}
 
-  onPlaced(route: DatabaseRoute, waitedMs: number): void {
-    this.meter.record(route.name, 'queue', waitedMs);
+  /** A request begins to wait for a place. */
+  onWaiting({service, priority}: DatabaseRoute): void {
+    this.meter.addWaiting(service, priority, 1);
+  }
+
+  /** A request waits no more; whether it has a place. */
+  onPlaced(route: DatabaseRoute, waitedMs: number, isServed: boolean): void {
+    const {name, service, priority} = route;
+    this.meter.record(name, 'queue', waitedMs);
+    this.meter.addWaiting(service, priority, -1);
+    if (isServed) this.meter.countPlace(service, priority, 'served');
   }
 
   onAnswered(
@@ -66,9 +75,11 @@
   ): void {
     const {reason, retryAfterMs, detail} = refusal;
     const waited = Math.round(waitedMs);
-    const {service, name} = route;
-    const fields = {request, caller, service, route: name, reason, detail};
+    const {service, priority, name} = route;
+    const place = {service, priority, route: name};
+    const fields = {request, caller, ...place, reason, detail};
     this.meter.countRefusal(caller, reason);
+    this.meter.countPlace(service, priority, 'refused');
     this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
   }
 
@@ -76,6 +87,11 @@
     this.log.info('Tries again.', {request, service, ...rounded(attempt)});
   }
 
+  /** A request could be repeated, but too many others were. */
+  onNotRepeated(request: string, service: string, detail: string): void {
+    this.log.info('Repeats no more.', {request, service, detail});
+  }
+
   onFailed(request: string, service: string, attempt: Attempt): void {
     this.log.info('Failed.', {request, service, ...rounded(attempt)});
   }
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -9,7 +9,12 @@
 } from '../../statement/common/statement';
 import {isDone, isOutside, type MemberTurn} from './member_turn';
 import {makeReady, type WorkStatement} from './statement_on_link';
-import {refusalResult, takeTurn, type SessionContext} from './session_context';
+import {
+  mayRepeat,
+  refusalResult,
+  takeTurn,
+  type SessionContext,
+} from './session_context';
 
 /** A statement outside a transaction. */
 export interface SingleRequest {
@@ -51,6 +56,7 @@
   request: SingleRequest,
 ): Task<StatementResult> {
   const {route, since, requestId} = request;
+  context.classes.onRequest(route.service);
   const deadline = since + route.statementMs;
   const passed = new Set<string>();
   let mayHaveRun = false;
@@ -60,6 +66,7 @@
       requestId,
       route,
       needsPrimary: needsPrimary(request),
+      isTransaction: false,
       since,
       deadline,
       waitedMs,
@@ -80,7 +87,8 @@
     mayHaveRun ||= outcome.mayHaveRun;
     const attempt = {instance: turn.instance, tookMs: now - startedAt, detail};
     context.journal.onRepeated(requestId, route.service, attempt);
-    if (tries >= MOST_TRIES || now >= deadline) {
+    const isLast = tries >= MOST_TRIES || now >= deadline;
+    if (isLast || !mayRepeat(context, requestId, route.service, detail)) {
       if (mayHaveRun) return failure('timeout', detail);
       return failure('busy', `${detail}, retry after ${BUSY_PAUSE_MS * 4} ms`);
     }
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -39,11 +39,15 @@
   isDown = false;
   /** Takes statements and never answers. */
   isSilent = false;
+  /** Its answers take so long, in milliseconds. */
+  answersAfterMs = 0;
   /** Loses the answers of so many statements that it runs. */
   losesAnswers = 0;
   /** Answers so many statements that it has no room. */
   busyFor = 0;
   connections = 0;
+  /** Connections that were closed so far. */
+  closes = 0;
 
   constructor(readonly instance: string) {}
 }
@@ -143,6 +147,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.member.connections--;
+    this.member.closes++;
     for (const settle of this.waiting) settle({kind: 'lost', reason: 'closed'});
     for (const listener of this.listeners) listener();
   }
@@ -161,7 +166,11 @@
     }
     const {state} = this;
     const {position} = member;
-    return Promise.resolve({kind: 'answer', result, state, position});
+    const reply = {kind: 'answer', result, state, position} as const;
+    if (member.answersAfterMs === 0) return Promise.resolve(reply);
+    return new Promise(resolve => {
+      setTimeout(() => resolve(reply), member.answersAfterMs);
+    });
   }
 
   private never(): Promise<TargetReply> {
