--- a/src/services/account/node/account_limits.ts
+++ b/src/services/account/node/account_limits.ts
@@ -103,14 +103,14 @@
     if (decision.kind === 'refused') {
       return this.refuse(account, decision.retryAfterMs);
     }
-    const {waitMs} = decision;
+    const {waitMs, validMs} = decision;
     if (waitMs <= 0) return ok(undefined);
-    if (now + waitMs > deadline) {
-      this.refund(account);
-      return this.refuse(account, waitMs);
-    }
-    yield* pause(waitMs);
-    return ok(undefined);
+    const isInTime = now + waitMs <= deadline;
+    if (isInTime) yield* pause(waitMs);
+    const isValid = this.clock.now() <= askedAt + validMs + waitMs;
+    if (isInTime && isValid) return ok(undefined);
+    this.refund(account);
+    return this.refuse(account, waitMs);
   }
 
   /** Asks one counter after the other; undefined where none decides in time. */
@@ -145,19 +145,30 @@
     return refusal && {decision: refusal, askedAt: now};
   }
 
+  /**
+   * Guard: a proxy that was frozen reads answers of seconds ago. Run then, its
+   * operations would come on top of what the counter granted since, and an
+   * account would run beyond its limit.
+   */
   private *askOne(
     counter: CounterEntry,
     account: string,
     wanted: number,
   ): Task<PermitDecision | undefined> {
     const {instance} = counter;
+    const askedAt = this.clock.now();
     const asked = this.counters.ask(counter, account, wanted);
     const done = yield* settled(asked);
     const decision = 'value' in done ? done.value : undefined;
     const answer = describe(decision);
     const at = this.clock.now();
     this.words.set(account, {counter: instance, answer, at});
-    if (decision?.kind === 'granted') this.granters.set(account, instance);
+    if (decision?.kind !== 'granted') return decision;
+    if (at > askedAt + decision.validMs) {
+      this.counters.giveBack(instance, account, decision.count);
+      return undefined;
+    }
+    this.granters.set(account, instance);
     return decision;
   }
 
--- a/src/services/account/test/node/counter_links.test.ts
+++ b/src/services/account/test/node/counter_links.test.ts
@@ -237,6 +237,21 @@
   });
 });
 
+it('uses no permit whose time was over when it came', async () => {
+  // A proxy freezes with a question under way and wakes seconds later, with
+  // the answer waiting: the counter has granted others the same since.
+  const [first, second] = await firstAndSecond();
+  first.counter.decision = {kind: 'granted', count: 3, validMs: 10, waitMs: 0};
+  first.server.isHanging = true;
+  const admitted = admit();
+  await pause(30);
+  first.server.wake();
+  expect((await admitted).refusal).toBeUndefined();
+  await pause(30);
+  expect(first.counter.takenBack).toEqual(['fern 3']);
+  expect(second.counter.asked).toHaveLength(1);
+});
+
 describe('an operation that no counter decides on', () => {
   it('is refused by its deadline, with a short time to come back', async () => {
     // Control is lost for longer than shares are kept to: no counter grants
