Count the connections of accounts that worked just now as wanted

A connection serves one account only. Counted by what runs at a time, a pooler that serves twelve accounts in turn was granted two, and each request would wait for an opening.

--- a/src/services/dispatch/node/member_demand.ts
+++ b/src/services/dispatch/node/member_demand.ts
@@ -40,7 +40,7 @@
     const readers = this.readersOf(all).length;
     for (const pool of all) {
       const {instance} = pool.member;
-      const wanted = pool.running + this.waitingFor(pool, primary, readers);
+      const wanted = pool.used + this.waitingFor(pool, primary, readers);
       room.note(service, instance, {open: pool.size, wanted});
     }
   }
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -40,6 +40,11 @@
 const ACCOUNT_CLOSE_MS = 30_000;
 /** The same for what is beyond the equal share of this instance. */
 const ACCOUNT_SURPLUS_CLOSE_MS = 1_000;
+/**
+ * One that belongs to an account counts as used so long after its work, in ms:
+ * the account's next request would else need an opening.
+ */
+const ACCOUNT_USED_MS = 1_000;
 /**
  * After a member said that it is full, none is opened for so long, in ms. The
  * pause doubles up to the most for connections beyond the equal share: many
@@ -130,6 +135,15 @@
     return this.all.size - this.idle.length;
   }
 
+  /** Connections that work keeps, or an account that worked just now. */
+  get used(): number {
+    const since = this.clock.now() - ACCOUNT_USED_MS;
+    const resting = this.idle.filter(({user, idleSince}) => {
+      return user !== SHARED_USER && idleSince >= since;
+    });
+    return this.running + resting.length;
+  }
+
   get latencyMs(): number {
     return this.latency;
   }
--- a/src/services/dispatch/test/node/granted_connections.test.ts
+++ b/src/services/dispatch/test/node/granted_connections.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
+import {digestOfKey} from '../../../account/node/key_digest';
 import {FakeGroup} from '../../../gateway/test/node/fake_group';
 import {
   BEGIN,
@@ -72,6 +73,26 @@
   expect(group.member('a').connections).toBe(0);
 });
 
+it('are wanted for each account that worked just now', async () => {
+  // Twelve accounts take turns, and each connection serves one of them only.
+  // Counted by what runs at a time, the instance was granted two, and each
+  // request waited for an opening.
+  const names = [...Array(12).keys()].map(at => `account-${at}`);
+  const accounts = names.map(account => {
+    return {account, keyDigests: [digestOfKey(account)], limit: undefined};
+  });
+  const routes = [makeRoute({name: 'r2', database: 'keyed', keyed: true})];
+  gateway.gateway.setCatalog(makeCatalog(routes, {version: 2, accounts}));
+  gateway.catalogLease.extend(gateway.clock.now());
+  grant(14);
+  for (const name of names) {
+    await new Caller(gateway, 'keyed', name).ask(WRITE);
+  }
+  await rest(100);
+  const use = room.views.find(({instance}) => instance === 'a');
+  expect(use!.wanted).toBeGreaterThanOrEqual(12);
+});
+
 it('are told to control with what waits for one', async () => {
   grant(2);
   const callers = [...Array(5).keys()].map(() => new Caller(gateway, 'db'));
