Tell services of lists only where their own entries changed

Cause: each change of the list of poolers made a proxy rank all poolers for all services anew and tell all services all members; each change of a member told all services all members; an answer to its count of proxies too.

Change: lists are kept by service; what a new list changes is told to the dispatchers of these services, with their own members. Orders of poolers are made when they are needed and stay where their service's poolers do.

--- a/src/services/gateway/node/gateway.ts
+++ b/src/services/gateway/node/gateway.ts
@@ -5,8 +5,6 @@
 import type {
   Catalog,
   DatabaseRoute,
-  Member,
-  PoolerEntry,
   PrimaryReport,
   ServiceEntry,
   ServiceLead,
@@ -16,9 +14,12 @@
 import {CatalogIndex} from '../../catalog/common/catalog';
 import type {ConnectionSharers} from '../../dispatch/common/connection_share';
 import {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
-import type {
-  FleetMembers,
-  FleetPoolers,
+import {EntriesByService} from '../../fleet_link/common/entries_by_service';
+import {
+  MEMBERS,
+  POOLERS,
+  type FleetMembers,
+  type FleetPoolers,
 } from '../../fleet_link/common/fleet_lists';
 import type {LeadProofs} from '../../lease/common/lead_leases';
 import type {StatusReader} from '../../target_link/common/member_status';
@@ -67,10 +68,10 @@
 /** The part of a proxy that serves callers by the catalog in force. */
 export class Gateway {
   private index: CatalogIndex | undefined;
-  private members: readonly Member[] = [];
+  private readonly members = new EntriesByService(MEMBERS);
   private siteOf: ReadonlyMap<string, string> = new Map();
   private proxies = 1;
-  private poolers = new Map<string, readonly PoolerEntry[]>();
+  private readonly poolers = new EntriesByService(POOLERS);
   private readonly leads = new Map<string, ServiceLead>();
   private definitions = new Map<string, ServiceEntry>();
   private readonly dispatchers = new Map<string, ServiceDispatcher>();
@@ -100,7 +101,7 @@
 
   /** Whether it knows what to serve, and with whom. */
   get isReady(): boolean {
-    return !this.stopping && this.isInformed && this.members.length > 0;
+    return !this.stopping && this.isInformed && this.siteOf.size > 0;
   }
 
   /** Whether it can tell callers what they may do. */
@@ -165,10 +166,14 @@
   }
 
   setMembers({members, proxies}: FleetMembers): void {
-    this.members = members;
+    const changed = this.members.take(members);
     this.siteOf = new Map(members.map(({instance, site}) => [instance, site]));
-    if (proxies > 0) this.proxies = proxies;
-    this.tellMembers();
+    const isCounted = proxies > 0 && proxies !== this.proxies;
+    if (isCounted) this.proxies = proxies;
+    // The number of proxies matters where no poolers keep the connections.
+    this.tellMembers(service => {
+      return changed.has(service) || (isCounted && !this.isPooled(service));
+    });
   }
 
   /** Takes changes of who leads which service. */
@@ -181,16 +186,11 @@
 
   /** Takes the list of proxies that keep connections for others. */
   setPoolers({poolers}: FleetPoolers): void {
-    const services = new Set(poolers.map(({service}) => service));
-    this.poolers = new Map(
-      [...services].map(service => {
-        return [service, poolers.filter(other => other.service === service)];
-      }),
-    );
-    for (const service of services) {
+    const changed = this.poolers.take(poolers);
+    for (const service of changed) {
       if (this.isPoolerOf(service)) this.dispatcherOf(service);
     }
-    this.tellMembers();
+    this.tellMembers(service => changed.has(service));
   }
 
   /** Time on the clock that ages of requests are counted by, in ms. */
@@ -286,7 +286,7 @@
   private dispatcherOf(service: string): ServiceDispatcher {
     const known = this.dispatchers.get(service);
     if (known) return known;
-    const {around, members} = this;
+    const {around} = this;
     const dispatcher = new ServiceDispatcher({
       ...around,
       service,
@@ -298,8 +298,7 @@
     this.dispatchers.set(service, dispatcher);
     const definition = this.definitions.get(service);
     if (definition) dispatcher.post({kind: 'definition', definition});
-    const sharers = this.sharersOf(service);
-    dispatcher.post({kind: 'members', members, sharers});
+    this.tellMembersTo(dispatcher, service);
     const lead = this.leads.get(service);
     if (lead) dispatcher.post({kind: 'lead', lead});
     return dispatcher;
@@ -307,25 +306,29 @@
 
   /** Work of an account may be another pooler's, even where this is one. */
   private runnerOf(service: string, user: MemberUser): WorkRunner {
-    const isPooled = this.poolers.has(service);
-    if (!isPooled) return LOCAL_RUNNER;
+    if (!this.isPooled(service)) return LOCAL_RUNNER;
     const isOwn = user === SHARED_USER && this.isPoolerOf(service);
     return isOwn ? LOCAL_RUNNER : this.around.pooledRunner;
   }
 
+  /** Whether some proxies keep the connections of a service for all. */
+  private isPooled(service: string): boolean {
+    return this.poolers.of(service).length > 0;
+  }
+
   private isPoolerOf(service: string): boolean {
-    const poolers = this.poolers.get(service) ?? [];
+    const poolers = this.poolers.of(service);
     return poolers.some(({instance}) => instance === this.around.instance);
   }
 
   private servesItself(service: string): boolean {
-    return !this.poolers.has(service) || this.isPoolerOf(service);
+    return !this.isPooled(service) || this.isPoolerOf(service);
   }
 
   /** Instances that share the connections of a service with this one. */
   private sharersOf(service: string): ConnectionSharers {
-    const poolers = this.poolers.get(service);
-    if (!poolers || !this.isPoolerOf(service)) {
+    const poolers = this.poolers.of(service);
+    if (!this.isPoolerOf(service)) {
       return {all: this.proxies, near: 0};
     }
     const {region, regionOf} = this.around;
@@ -340,11 +343,15 @@
     return site === undefined ? undefined : this.around.regionOf(site);
   }
 
-  private tellMembers(): void {
-    const {members} = this;
+  private tellMembers(isNews: (service: string) => boolean): void {
     for (const [service, dispatcher] of this.dispatchers) {
-      const sharers = this.sharersOf(service);
-      dispatcher.post({kind: 'members', members, sharers});
+      if (isNews(service)) this.tellMembersTo(dispatcher, service);
     }
   }
+
+  private tellMembersTo(dispatcher: ServiceDispatcher, service: string): void {
+    const members = this.members.of(service);
+    const sharers = this.sharersOf(service);
+    dispatcher.post({kind: 'members', members, sharers});
+  }
 }
--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../../../base/common/clock';
-import type {FleetPoolers} from '../../fleet_link/common/fleet_lists';
+import {EntriesByService} from '../../fleet_link/common/entries_by_service';
+import {POOLERS, type FleetPoolers} from '../../fleet_link/common/fleet_lists';
 import type {Log} from '../../../base/node/log';
 import {after, every} from '../../../base/node/timers';
 import type {PoolerEntry} from '../../../schema/generated/fleet';
@@ -24,7 +25,7 @@
 
 /** A pooler that was lost is not waited for again for so long, in ms. */
 const LOST_MS = 5_000;
-/** Orders that are kept; some thousand accounts and services. */
+/** Orders of one service that are kept; some thousand accounts. */
 const MOST_RANKS = 4_096;
 
 const USELESS: ReadonlySet<LinkState> = new Set([
@@ -35,12 +36,13 @@
 
 /** The poolers that this proxy sends work to, and its links to them. */
 export class PoolerDirectory {
-  private poolers: readonly PoolerEntry[] = [];
-  private ranked = new Map<string, readonly PoolerEntry[]>();
+  private readonly poolers = new EntriesByService(POOLERS);
+  /** Orders by service, then by user and the region of the primary. */
+  private readonly ranked = new Map<string, Map<string, PoolerEntry[]>>();
+  private addresses: ReadonlySet<string> = new Set();
+  private readonly own = new Set<string>();
   private readonly nearest: NearestFirst;
   private readonly byAccount: OneForAccount;
-  /** Orders for accounts, by service, account and need. */
-  private readonly rankedForAccounts = new Map<string, PoolerEntry[]>();
   /** When poolers were last lost, by their addresses. */
   private readonly lostAt = new Map<string, number>();
   private readonly links = new Map<string, PoolerLink>();
@@ -57,18 +59,22 @@
     every(signal, TEND_MS, () => this.tend());
   }
 
+  /**
+   * Takes the list. Orders are made when they are needed, and stay where the
+   * poolers of their service do: each change of one service else costs each
+   * proxy all services times all poolers.
+   */
   setPoolers({poolers}: FleetPoolers): void {
-    this.poolers = poolers;
-    this.rankedForAccounts.clear();
-    const services = new Set(poolers.map(({service}) => service));
-    this.ranked = new Map(
-      [...services].map(service => [
-        service,
-        this.nearest.rank(poolers, sharedWish(service)),
-      ]),
-    );
+    for (const service of this.poolers.take(poolers)) {
+      this.ranked.delete(service);
+    }
+    this.addresses = new Set(poolers.map(({address}) => address));
+    this.own.clear();
+    for (const {service, instance} of poolers) {
+      if (instance === this.here.instance) this.own.add(service);
+    }
     this.log.info('Learns of the poolers.', {
-      services: services.size,
+      services: this.poolers.services.length,
       poolers: poolers.length,
     });
     this.tend();
@@ -82,10 +88,7 @@
 
   /** Services that this proxy keeps connections for. */
   get pooledHere(): string[] {
-    const own = this.poolers.filter(other => {
-      return other.instance === this.here.instance;
-    });
-    return own.map(({service}) => service);
+    return [...this.own];
   }
 
   /**
@@ -124,16 +127,17 @@
 
   private rank(wish: PoolerWish): readonly PoolerEntry[] {
     const {service, user, needsPrimary} = wish;
-    if (user === SHARED_USER) return this.ranked.get(service) ?? [];
-    const region = needsPrimary ? this.here.primaryRegionOf(service) : '';
-    const key = `${service} ${user} ${region}`;
-    const known = this.rankedForAccounts.get(key);
+    const isShared = user === SHARED_USER;
+    const isPrimary = needsPrimary && !isShared;
+    const region = isPrimary ? this.here.primaryRegionOf(service) : '';
+    const key = `${user} ${region}`;
+    const orders = this.ranked.get(service) ?? new Map<string, PoolerEntry[]>();
+    const known = orders.get(key);
     if (known) return known;
-    const ranked = this.byAccount.rank(this.poolers, wish);
-    if (this.rankedForAccounts.size >= MOST_RANKS) {
-      this.rankedForAccounts.clear();
-    }
-    this.rankedForAccounts.set(key, ranked);
+    const choice = isShared ? this.nearest : this.byAccount;
+    const ranked = choice.rank(this.poolers.of(service), wish);
+    if (orders.size >= MOST_RANKS) orders.clear();
+    this.ranked.set(service, orders.set(key, ranked));
     return ranked;
   }
 
@@ -147,15 +151,15 @@
   private tend(): void {
     if (this.signal.aborted) return;
     const wanted = new Set<string>();
-    const {pooledHere} = this;
-    for (const [service, ranked] of this.ranked) {
-      if (pooledHere.includes(service)) continue;
+    for (const service of this.poolers.services) {
+      if (this.own.has(service)) continue;
+      const ranked = this.rank(sharedWish(service));
       for (const address of this.wantedOf(ranked)) wanted.add(address);
     }
     for (const address of wanted) this.open(address);
     for (const [address, link] of this.links) {
       const isNeeded = wanted.has(address) || link.underWay > 0;
-      if (!isNeeded && !this.isListed(address)) link.close();
+      if (!isNeeded && !this.addresses.has(address)) link.close();
     }
   }
 
@@ -173,10 +177,6 @@
     return wanted;
   }
 
-  private isListed(address: string): boolean {
-    return this.poolers.some(other => other.address === address);
-  }
-
   private open(address: string): void {
     if (this.links.has(address) || this.paused.has(address)) return;
     const onDidClose = () => {
