Link to poolers of a service for its first caller

Cause: with each plan a proxy opened links to two poolers of each service, whether its callers used it or not. While a fleet starts, each change of the plan moves some of them. Where callers have accounts, their work opens the links it needs by itself, and those two mostly served nobody.

Change: links to the poolers of a service are opened when the first caller uses it, two of them as before, and kept from then on. A first caller waits for the link, as it did for one that was just being opened.

--- a/src/services/pooler/node/pooler_directory.ts
+++ b/src/services/pooler/node/pooler_directory.ts
@@ -14,8 +14,8 @@
 import {PoolerLink, type LinkState} from './pooler_link';
 
 /**
- * Links that are kept to poolers of each service: the one in use, and one that
- * takes over without the time that a new link takes.
+ * Links that are kept to poolers of a service that callers here use: the one in
+ * use, and one that takes over without the time that a new link takes.
  */
 const KEPT_LINKS = 2;
 /** A pooler that could not be reached is tried again after this, in ms. */
@@ -41,6 +41,8 @@
   private readonly ranked = new Map<string, Map<string, PoolerEntry[]>>();
   private addresses: ReadonlySet<string> = new Set();
   private readonly own = new Set<string>();
+  /** Services that callers here use, by connections that are for anybody. */
+  private readonly used = new Set<string>();
   private readonly nearest: NearestFirst;
   private readonly byAccount: OneForAccount;
   /** When poolers were last lost, by their addresses. */
@@ -103,6 +105,7 @@
     mayWait: boolean,
   ): PoolerLink | 'here' | undefined {
     const isShared = wish.user === SHARED_USER;
+    if (isShared) this.use(wish.service);
     let second: PoolerLink | undefined;
     for (const {address, instance} of this.rank(wish)) {
       if (instance === this.here.instance) return second ?? 'here';
@@ -125,6 +128,13 @@
     });
   }
 
+  /** Links are opened for the first caller of a service, and kept from then. */
+  private use(service: string): void {
+    if (this.used.has(service)) return;
+    this.used.add(service);
+    this.tend();
+  }
+
   private rank(wish: PoolerWish): readonly PoolerEntry[] {
     const {service, user, needsPrimary} = wish;
     const isShared = user === SHARED_USER;
@@ -151,7 +161,7 @@
   private tend(): void {
     if (this.signal.aborted) return;
     const wanted = new Set<string>();
-    for (const service of this.poolers.services) {
+    for (const service of this.used) {
       if (this.own.has(service)) continue;
       const ranked = this.rank(sharedWish(service));
       for (const address of this.wantedOf(ranked)) wanted.add(address);
--- a/src/services/pooler/test/node/pooler_directory.test.ts
+++ b/src/services/pooler/test/node/pooler_directory.test.ts
@@ -17,6 +17,7 @@
 const NOT_PASSED: ReadonlySet<PoolerLink> = new Set();
 
 let server: Server;
+let connections = 0;
 let directory: PoolerDirectory;
 let stop: AbortController;
 let poolers: PoolerEntry[];
@@ -33,7 +34,9 @@
 }
 
 beforeEach(async () => {
+  connections = 0;
   server = createServer(socket => {
+    connections++;
     socket.on('error', () => {});
   }).listen(0, '0.0.0.0');
   await once(server, 'listening');
@@ -67,9 +70,27 @@
   directory.choose(wish, NOT_PASSED, true);
 }
 
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
 describe('a proxy before 340 services', () => {
+  it('links to poolers of services that its callers use only', async () => {
+    // Hundreds of proxies start together. Each opens links to two poolers of
+    // each service, used or not: control and the poolers take connections at
+    // such a rate that the fleet is not up before its callers come.
+    directory.setPoolers({poolers});
+    await pause(100);
+    expect(connections).toBe(0);
+    ask('s7');
+    await pause(100);
+    expect(connections).toBe(2);
+    ask('s7');
+    await pause(300);
+    expect(connections).toBe(2);
+  });
+
   it('ranks one service anew where one pooler changed', () => {
     directory.setPoolers({poolers});
+    expect(rankCount()).toBe(0);
     for (const service of ['s1', 's2', 's3']) ask(service);
     ask('s1', memberUser('account'));
     const before = rankCount();
