Build the programs of process tests once, before all of them

Cause: limits.test.ts failed once in a whole run (PUT /config: no answer, in its start of a fleet). Four files of tests each bundled target/ anew, up to three at a time; a program started meanwhile loads half a file.

Change: bundled once for all, as the other programs are. No test asks for less.

Conclusion: traced, mended.

--- a/test/build_programs.ts
+++ b/test/build_programs.ts
@@ -1,6 +1,15 @@
 import {execFileSync} from 'node:child_process';
 
-/** Bundles the programs once, so that process tests run what users run. */
+const BUILDS = ['scripts/build.mjs', 'scripts/build_platform.mjs'];
+
+/**
+ * Bundles the programs once, so that process tests run what users run.
+ *
+ * Guard: while one file's tests bundled them again, a program that another
+ * file's tests started loaded half a file and ended without a word.
+ */
 export function setup(): void {
-  execFileSync(process.execPath, ['scripts/build.mjs'], {stdio: 'inherit'});
+  for (const script of BUILDS) {
+    execFileSync(process.execPath, [script], {stdio: 'inherit'});
+  }
 }
