--- a/src/services/account/common/enforcement.ts
+++ b/src/services/account/common/enforcement.ts
@@ -21,29 +21,6 @@
   slack: 0,
 };
 
-/**
- * How much of what may run beyond a limit is for bursts; the rest is for what
- * instances run before they hear that an account is over its limit.
- */
-const BURST_PART = 0.5;
-
-/**
- * The token bucket that lets an account run all that a limit allows in each
- * span. An account with a rate of 9 and a burst of 9 may run 54 in any 5 s: as
- * a bucket of 9 a second it got 45 of them in the long run, and the rest was
- * refused.
- */
-export function enforcedTerms(
-  {perSecond, burst}: AccountLimit,
-  {windowMs, excess, slack}: LimitPrecision,
-): BucketTerms {
-  if (windowMs === 0) return {perSecond, depth: burst};
-  const seconds = windowMs / 1_000;
-  const inWindow = perSecond * seconds + burst;
-  const depth = (inWindow * excess + slack) * BURST_PART;
-  return {perSecond: inWindow / seconds, depth: Math.max(1, depth)};
-}
-
 /**
  * How much later than it was granted an operation may run, in milliseconds: a
  * way, and its turn at a pooler.
