--- a/src/services/account/node/counter_link.ts
+++ b/src/services/account/node/counter_link.ts
@@ -117,8 +117,8 @@
 
   private end(reason: string): void {
     if (this.ended.signal.aborted) return;
-    const {address} = this;
-    this.log.info('Lost a counter.', {address, reason});
+    const {address, link} = this;
+    if (link.hasOpened) this.log.info('Lost a counter.', {address, reason});
     this.ended.abort();
     this.onDidClose();
   }
