--- a/src/services/account/common/decayed_rate.ts
+++ b/src/services/account/common/decayed_rate.ts
@@ -1,11 +1,14 @@
-/** Events are forgotten with this time constant, in milliseconds. */
+/** Usually events are forgotten with this time constant, in milliseconds. */
 const MEMORY_MS = 2_000;
 
 /** A rate of events, smoothed over the last seconds. */
 export class DecayedRate {
   private weight = 0;
 
-  constructor(private at: number) {}
+  constructor(
+    private at: number,
+    private readonly memoryMs = MEMORY_MS,
+  ) {}
 
   add(count: number, now: number): void {
     this.decay(now);
@@ -15,12 +18,12 @@
   /** Events a second. */
   perSecond(now: number): number {
     this.decay(now);
-    return (this.weight / MEMORY_MS) * 1_000;
+    return (this.weight / this.memoryMs) * 1_000;
   }
 
   private decay(now: number): void {
     const passed = Math.max(0, now - this.at);
-    this.weight *= Math.exp(-passed / MEMORY_MS);
+    this.weight *= Math.exp(-passed / this.memoryMs);
     this.at = now;
   }
 }
--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -7,9 +7,9 @@
  */
 const LEFT_OVER_PART = 0.15;
 /** The part of it that all counters get alike, asked or not. */
-const EQUAL_PART = 0.25;
+const EQUAL_PART = 0.5;
 /** All counters alike get at least this part of the limit. */
-const FLOOR_PART = 0.04;
+const FLOOR_PART = 0.1;
 /** A counter among those that get shares of an account. */
 export interface Claim {
   /** Operations a second that it is asked for. */
@@ -48,9 +48,9 @@
 
 function divideRate(all: number, demands: readonly number[]): number[] {
   const total = sumOf(demands);
-  const spare = Math.max(all * FLOOR_PART, all - total);
+  const spare = Math.max(0, all - total);
   const leftOver = Math.max(0, all - total) * LEFT_OVER_PART;
-  const alike = spare * EQUAL_PART;
+  const alike = Math.max(all * FLOOR_PART, spare * EQUAL_PART);
   const byDemand = all - leftOver - alike;
   return demands.map(demand => {
     const part = total > 0 ? demand / total : 1 / demands.length;
--- a/src/services/account/common/share_holder.ts
+++ b/src/services/account/common/share_holder.ts
@@ -24,7 +24,11 @@
 const RETIRE_MS = 2_000;
 /** The part of its share that a counter is taken to use until it reports. */
 const USED_PART = 0.6;
-const DEMAND_MEMORY_MS = 2_000;
+/**
+ * What counters are asked for is forgotten with this time constant, in ms: by
+ * what came in less, shares of small accounts move about by chance.
+ */
+const DEMAND_MEMORY_MS = 4_000;
 
 /** When what was granted at a time has ended for sure. */
 export function leaseEnd(grantedAt: number): number {
@@ -184,7 +188,7 @@
 
   private demandOf(account: string, now: number): DecayedRate {
     const known = this.demands.get(account);
-    const demand = known ?? new DecayedRate(now);
+    const demand = known ?? new DecayedRate(now, DEMAND_MEMORY_MS);
     this.demands.set(account, demand);
     return demand;
   }
