Look for questions for leases when there is one

Cause: each control instance, leader or not, looked 40 times a second whether a proxy's question for leases waited for its turn.

Change: a question that comes too soon after a confirmation sets one timer for its turn; the end of a confirmation and each push look as well.

--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -2,7 +2,7 @@
 import type {Log} from '../../../base/node/log';
 import type {MessageLink} from '../../../base/node/message_link';
 import type {MessageServer} from '../../../base/node/message_server';
-import {every} from '../../../base/node/timers';
+import {after, every} from '../../../base/node/timers';
 import type {AccountLedger} from '../../account/common/account_ledger';
 import type {LeadBoard} from '../../lease/common/lead_board';
 import type {LeaseHolders} from '../../lease/common/lease_holders';
@@ -80,7 +80,10 @@
   private proxies = 0;
   /** Undefined before this leadership's first look. */
   private countedAt: number | undefined;
+  private signal = new AbortController().signal;
   private confirming = false;
+  /** Questions for leases that came too early are looked at again then. */
+  private isRenewalDue = false;
   private confirmedAt = -Infinity;
   /** Since when at least half of the proxies complain, by member. */
   private readonly complainedSince = new Map<string, number>();
@@ -97,8 +100,8 @@
   }
 
   start(signal: AbortSignal): void {
+    this.signal = signal;
     every(signal, PUSH_MS, () => this.push());
-    every(signal, CONFIRM_EVERY_MS / 4, () => this.renew());
     signal.addEventListener('abort', () => this.endAll(), {once: true});
   }
 
@@ -112,6 +115,8 @@
       this.countProxies();
       this.judgeAccounts();
       for (const follower of this.followers) this.pushTo(follower);
+      // Some asked before this instance led.
+      this.renew();
     } else if (this.source.leaderAddress() !== '') {
       for (const follower of [...this.followers]) this.sendOn(follower);
     }
@@ -244,10 +249,11 @@
   /** Answers the questions for leases that wait, with one confirmation. */
   private renew(): void {
     const now = this.clock.now();
-    if (this.confirming || now - this.confirmedAt < CONFIRM_EVERY_MS) return;
-    if (!this.source.isLeading()) return;
+    if (this.confirming || !this.source.isLeading()) return;
     const asking = this.attached.filter(({renewal}) => renewal !== 0);
     if (asking.length === 0) return;
+    const waitMs = this.confirmedAt + CONFIRM_EVERY_MS - now;
+    if (waitMs > 0) return this.renewIn(waitMs);
     const holders = this.source.holders();
     const questions = asking.map(follower => {
       return {follower, number: follower.renewal};
@@ -257,6 +263,7 @@
     this.confirmedAt = now;
     void this.source.confirm().then(isConfirmed => {
       this.confirming = false;
+      this.renew();
       // What another leadership confirmed is for its own holders to count.
       if (!isConfirmed || holders !== this.source.holders()) return;
       for (const {follower, number} of questions) {
@@ -272,6 +279,15 @@
     });
   }
 
+  private renewIn(milliseconds: number): void {
+    if (this.isRenewalDue) return;
+    this.isRenewalDue = true;
+    after(this.signal, milliseconds, () => {
+      this.isRenewalDue = false;
+      this.renew();
+    });
+  }
+
   private sendOn(follower: Follower): void {
     const value = {leaderAddress: this.source.leaderAddress()};
     follower.link.write({body: {$case: 'notLeading', value}});
