Bound answers of members and poolers in time without a listener

Cause: each statement registered a timer together with a listener on its session's end, at the proxy and at the pooler, and took both back.

Change: a plain timer. It also bounds what runs after the caller has left: before, a statement whose caller left had no bound in time at all, and held its connection for as long as the member was silent.

--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -1,4 +1,3 @@
-import {after} from '../../../base/node/timers';
 import {settled, type Task} from '../../../base/node/task';
 import type {Grant, Observation} from '../../dispatch/node/dispatcher_messages';
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
@@ -17,7 +16,6 @@
 export interface TurnSurroundings {
   readonly clock: Clock;
   readonly leases: LeadProofs;
-  readonly signal: AbortSignal;
 }
 
 /** The place that a session was given. */
@@ -57,8 +55,8 @@
    */
   *ask(calls: readonly TargetCall[], timeMs: number): Task<TurnReply[]> {
     const {link} = this.grant.pooled;
-    const {signal} = this.around;
-    const cancel = after(signal, Math.max(1, timeMs), () => link.close());
+    // Also where the caller has left: the connection may never be free again.
+    const timer = setTimeout(() => link.close(), Math.max(1, timeMs));
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
     for (const promise of promises) {
@@ -69,7 +67,7 @@
           : {kind: 'lost', reason: done.error.message},
       );
     }
-    cancel();
+    clearTimeout(timer);
     return replies;
   }
 
--- a/src/services/pooler/node/pooler_call.ts
+++ b/src/services/pooler/node/pooler_call.ts
@@ -1,5 +1,4 @@
 import {pause, settled, type Task} from '../../../base/node/task';
-import {after} from '../../../base/node/timers';
 import type {WorkRequest} from '../../../schema/generated/pooler';
 import type {SessionContext} from '../../gateway/node/session_context';
 import type {CallerReply} from '../../statement/common/statement';
@@ -52,13 +51,14 @@
  * commit.
  */
 export function* callPooler(
-  {clock, signal, memory}: SessionContext,
+  {clock, memory}: SessionContext,
   {link, request, deadline, repeatable}: PoolerCall,
 ): Task<CallerReply | undefined> {
   const timeMs = Math.max(0, deadline - clock.now()) + ANSWER_WAY_MS;
-  const cancel = after(signal, timeMs, () => link.abandon(request.work));
+  // Also where the caller has left: a pooler may never answer.
+  const timer = setTimeout(() => link.abandon(request.work), timeMs);
   const done = yield* settled(link.send(request, {repeatable}));
-  cancel();
+  clearTimeout(timer);
   const reply = 'value' in done ? done.value : undefined;
   if (!reply) return undefined;
   const outcome = decodeReply(reply);
