--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -1,4 +1,4 @@
-import {expect, it} from 'vitest';
+import {afterEach, expect, it, vi} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
 import {frameOf} from '../../../../base/node/message_frames';
 import type {LinkListener} from '../../../../base/node/message_link';
@@ -21,6 +21,8 @@
 /** One proxy's link to the leader, which counts what it is sent. */
 class CountingLink {
   bytes = 0;
+  /** Questions for leases that were answered. */
+  renewals = 0;
   private listener: LinkListener<FollowerMessage> | undefined;
 
   constructor(private readonly instance: string) {}
@@ -41,11 +43,23 @@
     this.listener?.onDidReceive({body: {$case: 'hello', value}});
   }
 
+  askForLeases(number: number): void {
+    const value = {
+      number,
+      uses: [],
+      sharesNumber: 0,
+      connections: [],
+      grantsNumber: 0,
+    };
+    this.listener?.onDidReceive({body: {$case: 'renew', value}});
+  }
+
   lose(): void {
     this.listener?.onDidEnd('restarted');
   }
 
   write(message: LeaderMessage): void {
+    if (message.body?.$case === 'renewed') this.renewals++;
     this.writeFrame(frameOf(LeaderMessage.encode(message).finish()));
   }
 
@@ -59,6 +73,7 @@
 /** A leader of control with many members and no network. */
 class Fleet {
   readonly clock = new ManualClock();
+  confirmations = 0;
   private accept: (link: CountingLink) => void = () => {};
   private readonly leader: FleetLeader;
 
@@ -80,7 +95,10 @@
         leads: () => board,
         holders: () => holders,
         accounts: () => ledger,
-        confirm: () => Promise.resolve(true),
+        confirm: () => {
+          this.confirmations++;
+          return Promise.resolve(true);
+        },
       },
       this.clock,
       makeLog().log,
@@ -141,3 +159,26 @@
   const perSecond = (watched!.bytes - before) / 20;
   expect(perSecond).toBeLessThan(200);
 });
+
+afterEach(() => vi.useRealTimers());
+
+it('answers the questions of 300 proxies with ten confirmations a second', async () => {
+  // Each of 300 proxies asks for leases each 400 ms, at a moment of its own. A
+  // confirmation is a round of messages among the control instances; a leader
+  // that looks for questions at its own pace wakes up for nothing, one that
+  // forgets those in between lets leases run out.
+  vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
+  const fleet = new Fleet([]);
+  const links = Array.from({length: 300}, (...[, at]) => fleet.join(`p${at}`));
+  const asked = 10;
+  for (let now = 0; now < asked * 400; now++) {
+    const asking = links.filter((...[, at]) => now % 400 === at);
+    for (const link of asking) link.askForLeases(Math.floor(now / 400) + 1);
+    fleet.clock.advance(1);
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  await vi.advanceTimersByTimeAsync(100);
+  expect(fleet.confirmations).toBeLessThanOrEqual(41);
+  expect(links.every(({renewals}) => renewals === asked)).toBe(true);
+  expect(vi.getTimerCount()).toBe(0);
+});
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -44,6 +44,8 @@
   /** Answers so many statements that it has no room. */
   busyFor = 0;
   connections = 0;
+  /** Connections that its callers closed. */
+  closings = 0;
 
   constructor(readonly instance: string) {}
 }
@@ -143,6 +145,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.member.connections--;
+    this.member.closings++;
     for (const settle of this.waiting) settle({kind: 'lost', reason: 'closed'});
     for (const listener of this.listeners) listener();
   }
--- a/src/services/gateway/test/node/gateway_session.test.ts
+++ b/src/services/gateway/test/node/gateway_session.test.ts
@@ -189,6 +189,19 @@
     expect(group.callerRuns).toEqual(['a write a']);
   });
 
+  it('gives its connection up in time where its caller has left', async () => {
+    // A caller leaves while its write waits for a member that never answers.
+    // Without a bound the connection, one of a few, is held for good.
+    const {group, caller} = setUp(makeRoute({statementMs: 100}));
+    await caller.ask(WRITE);
+    group.member('a').losesAnswers = 1;
+    void caller.ask(WRITE);
+    await pause(20);
+    caller.leave();
+    await pause(150);
+    expect(group.member('a').closings).toBe(1);
+  });
+
   it('is repeated when the member says that it did not run', async () => {
     const {group, caller} = setUp();
     group.member('a').busyFor = 2;
