--- a/src/services/gateway/node/member_turn.ts
+++ b/src/services/gateway/node/member_turn.ts
@@ -63,6 +63,7 @@
     const {link} = this.grant.pooled;
     const {clock} = this.around;
     const askedAt = clock.now();
+    // Also where the caller has left: the connection may never be free again.
     const timer = setTimeout(() => link.close(), Math.max(1, timeMs));
     const promises = link.send(calls);
     const replies: TurnReply[] = [];
--- a/src/services/pooler/node/pooler_call.ts
+++ b/src/services/pooler/node/pooler_call.ts
@@ -1,5 +1,4 @@
 import {pause, settled, type Task} from '../../../base/node/task';
-import {after} from '../../../base/node/timers';
 import {WorkScope, type WorkRequest} from '../../../schema/generated/pooler';
 import type {SessionContext} from '../../gateway/node/session_context';
 import type {CallerReply} from '../../statement/common/statement';
@@ -52,12 +51,13 @@
  * commit.
  */
 export function* callPooler(
-  {clock, signal, memory, gone}: SessionContext,
+  {clock, memory, gone}: SessionContext,
   {link, request, deadline, repeatable}: PoolerCall,
 ): Task<CallerReply | undefined> {
   const timeMs = Math.max(0, deadline - clock.now()) + ANSWER_WAY_MS;
   const abandon = () => link.abandon(request.work);
-  const cancel = after(signal, timeMs, abandon);
+  // Also where the caller has left: a pooler may never answer.
+  const timer = setTimeout(abandon, timeMs);
   const answer = link.send(request, {repeatable});
   // A later step runs at its member: breaking it off would waste that.
   const mayWait = request.scope !== WorkScope.WORK_SCOPE_CONTINUE;
@@ -65,7 +65,7 @@
   else if (mayWait) gone.addEventListener('abort', abandon, {once: true});
   const done = yield* settled(answer);
   gone.removeEventListener('abort', abandon);
-  cancel();
+  clearTimeout(timer);
   const reply = 'value' in done ? done.value : undefined;
   if (!reply) return undefined;
   const outcome = decodeReply(reply);
