--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -276,6 +276,7 @@
     this.promotions?.tendRecovering();
     this.tendPoolers();
     this.tendCount();
+    this.controlRoom.tend();
     this.drive();
   }
 
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -363,9 +363,9 @@
 
   /** Who may open how many connections, to whom that changed for. */
   private pushRoom(): void {
-    if (!this.source.isLeading()) return;
-    const followers = new Map(this.attached.map(one => [one.instance, one]));
     const room = this.source.room();
+    if (!room.isInUse || !this.source.isLeading()) return;
+    const followers = new Map(this.attached.map(one => [one.instance, one]));
     for (const {pooler, value} of room.take(
       followers.keys(),
       this.clock.now(),
--- a/src/services/room/common/control_room.ts
+++ b/src/services/room/common/control_room.ts
@@ -33,12 +33,17 @@
     this.uneven = false;
   }
 
+  /** Looks whether instances differ in size. */
+  tend(): void {
+    if (this.uneven || this.source.poolers().length === 0) return;
+    this.uneven = areUneven(this.source.capacities());
+  }
+
   /** Who may open how many connections, by what is known now. */
   get current(): RoomAllocator {
     const {source} = this;
     const catalog = source.catalog();
     const poolers = source.poolers();
-    if (poolers.length > 0) this.uneven ||= areUneven(source.capacities());
     const revision = source.membersRevision();
     const known = [catalog, poolers, revision, this.uneven];
     if (known.some((value, at) => value !== this.known[at])) {
--- a/src/services/room/common/room_allocator.ts
+++ b/src/services/room/common/room_allocator.ts
@@ -67,6 +67,11 @@
   /** @param since When this leadership began. */
   constructor(private readonly since: number) {}
 
+  /** Whether connections of any service are handed out. */
+  get isInUse(): boolean {
+    return this.services.size > 0;
+  }
+
   /** Takes the services whose connections are handed out, as they are now. */
   setServices(services: ReadonlyMap<string, RoomService>): void {
     for (const [name, known] of this.services) {
--- a/src/services/room/test/node/room_exchange.test.ts
+++ b/src/services/room/test/node/room_exchange.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {MonotonicClock} from '../../../../base/node/monotonic_clock';
 import {MessageServer} from '../../../../base/node/message_server';
+import {every} from '../../../../base/node/timers';
 import type {Member} from '../../../../schema/generated/fleet';
 import {AccountLedger} from '../../../account/common/account_ledger';
 import {AccountThrottle} from '../../../account/common/account_throttle';
@@ -66,6 +67,7 @@
     logged.log,
   );
   control.begin(clock.now());
+  every(stop.signal, 50, () => control.tend());
   const server = new MessageServer(makeLog().log);
   leader.serve(server);
   const port = await server.listen('127.0.0.1:0', stop.signal);
