--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -273,6 +273,7 @@
     this.tendPoolers();
     this.tendCount();
     this.counting.tend(this.leader?.attached ?? []);
+    this.controlRoom.tend();
     this.drive();
   }
 
