Let a connection opened for an account serve before it is closed

A connection that was opened for an account was closed unused for the next one in the queue that had none, and the queue did not end.

Change, by class only: a request whose own connection has opened is placed before new ones are opened.

The test was red before: three openings where two serve.

--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -69,6 +69,7 @@
   private lastRequest = -Infinity;
   /** Work of accounts came, which cannot use a connection kept for anybody. */
   private servesAccounts = false;
+  private isByClass = false;
   private readonly probe: PrimaryProbe;
   private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
@@ -141,6 +142,7 @@
         return this.onMembers(message.members, message.sharers);
       case 'definition':
         this.definition = message.definition;
+        this.isByClass = message.isByClass;
         this.waiting.setByClass(message.isByClass);
         return;
       case 'lead':
@@ -167,7 +169,22 @@
   }
 
   private dispatch(): void {
-    this.waiting.serve(this.now(), request => this.place(request));
+    const now = this.now();
+    if (this.isByClass && this.servesAccounts) {
+      this.waiting.serve(now, request => this.placeOnOpened(request));
+    }
+    this.waiting.serve(now, request => this.place(request));
+  }
+
+  /**
+   * Guard: a connection that was opened for an account would be closed unused
+   * for the next one in the queue, and each opening for another one again. It
+   * serves the request that it was opened for first.
+   */
+  private placeOnOpened(request: PlaceRequest<Grant>): Grant | undefined {
+    const instance = this.openings.awaitedBy(request, this.now());
+    const pool = this.pools.get(instance ?? '');
+    return pool?.hasIdle(request.user) ? this.place(request) : undefined;
   }
 
   private place(request: PlaceRequest<Grant>): Grant | undefined {
--- a/src/services/gateway/test/node/accounts.test.ts
+++ b/src/services/gateway/test/node/accounts.test.ts
@@ -15,6 +15,8 @@
   WRITE,
 } from './session_fixture';
 
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
 /** Short, for the tests in which the lease on the catalog runs out. */
 const BOUND_MS = 400;
 /** Longer than any test takes. */
@@ -111,6 +113,41 @@
   });
 });
 
+describe('connections of accounts, by class', () => {
+  it('serve what they were opened for before they are closed', async () => {
+    // One connection to the primary, and two accounts that want it. While one
+    // is opened for a patient write, an urgent one comes. The new connection
+    // was closed unused for it, and opened once more afterwards: with many
+    // accounts in the queue the member did little but open connections.
+    const routes = [
+      makeRoute({keyed: true, priority: 2}),
+      makeRoute({keyed: true, name: 'r2', database: 'urgent', priority: 0}),
+    ];
+    const services = [{service: 'books', connections: 1, confirmations: 1}];
+    const accounts = [makeAccount('fern'), makeAccount('oak')];
+    group = new FakeGroup(['a', 'b', 'c']);
+    lease = new CatalogLease(LONG_BOUND_MS, clock);
+    gateway = new TestGateway(
+      group,
+      makeCatalog(routes, {version: 1, accounts, services}),
+      {catalogLease: lease},
+    );
+    confirm();
+    await pause(20);
+    const member = group.member('a');
+    const before = member.opens;
+    member.opensAfterMs = 40;
+    const patient = new Caller(gateway, 'db', 'fern-key-0');
+    const urgent = new Caller(gateway, 'urgent', 'oak-key-0');
+    const first = patient.ask(WRITE);
+    await pause(10);
+    const second = urgent.ask(WRITE);
+    expect((await first).result.kind).toBe('done');
+    expect((await second).result.kind).toBe('done');
+    expect(member.opens - before).toBe(2);
+  });
+});
+
 describe('a withdrawn key', () => {
   it('ends the transaction that is under way with it', async () => {
     // A caller has written inside a transaction when the operator withdraws
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -41,11 +41,15 @@
   isSilent = false;
   /** Its answers take so long, in milliseconds. */
   answersAfterMs = 0;
+  /** Opening a connection takes so long, in milliseconds. */
+  opensAfterMs = 0;
   /** Loses the answers of so many statements that it runs. */
   losesAnswers = 0;
   /** Answers so many statements that it has no room. */
   busyFor = 0;
   connections = 0;
+  /** Connections that were opened so far. */
+  opens = 0;
   /** Connections that were closed so far. */
   closes = 0;
 
@@ -108,9 +112,11 @@
     if (member.connections >= this.mostConnections) {
       return Promise.resolve(err('too many connections'));
     }
-    return Promise.resolve(
-      ok(new FakeLink(this, member, ++this.links, target.user)),
-    );
+    const link = new FakeLink(this, member, ++this.links, target.user);
+    if (member.opensAfterMs === 0) return Promise.resolve(ok(link));
+    return new Promise(resolve => {
+      setTimeout(() => resolve(ok(link)), member.opensAfterMs);
+    });
   }
 }
 
@@ -133,6 +139,7 @@
   ) {
     this.openedAt = member.position;
     member.connections++;
+    member.opens++;
   }
 
   send(calls: readonly TargetCall[]): readonly Promise<TargetReply>[] {
