--- a/src/services/admission/common/patience.ts
+++ b/src/services/admission/common/patience.ts
@@ -1,7 +1,17 @@
 /** How long a request may wait for a place, as a part of its time. */
 const WAIT_PART = 0.5;
+/**
+ * The same by class, where requests wait for longer: below a half, so that a
+ * refused caller still has the time for another try.
+ */
+const WAIT_PART_BY_CLASS = 0.4;
 /** The same, as a part of what its caller expects of a whole operation. */
 const PATIENCE_PART = 0.25;
+/**
+ * What work is taken to take while nothing is known of it, as a part of the
+ * objective: after a start everybody asks at once, and connections open.
+ */
+const UNKNOWN_WORK_PART = 0.5;
 /** A way between regions and back, in milliseconds. */
 const WAY_MS = 40;
 
@@ -44,8 +54,9 @@
 ): number {
   const {timeMs, dueInMs, objectiveMs, waitedMs} = terms;
   const plain = plainPatience(terms);
-  if (workMs === undefined || objectiveMs === 0 || dueInMs <= 0) return plain;
-  const most = timeMs * WAIT_PART - waitedMs;
-  const left = dueInMs - workMs - WAY_MS;
+  if (objectiveMs === 0 || dueInMs <= 0) return plain;
+  const most = timeMs * WAIT_PART_BY_CLASS - waitedMs;
+  const takes = workMs ?? objectiveMs * UNKNOWN_WORK_PART;
+  const left = dueInMs - takes - WAY_MS;
   return Math.max(plain, Math.min(most, left));
 }
