Repeat freely what a member sends on, beside the budget

Change: repeats after "lagging" and "not primary" take none of the budget, which is there for load: busy members and answers that are lost.

--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -13,7 +13,11 @@
 import type {ServiceDispatcher} from '../../dispatch/node/service_dispatcher';
 import type {OperationLimits} from '../../account/common/account_throttle';
 import type {LeadProofs} from '../../lease/common/lead_leases';
-import {failure, type StatementResult} from '../../statement/common/statement';
+import {
+  failure,
+  type Failure,
+  type StatementResult,
+} from '../../statement/common/statement';
 import type {SessionMemory} from '../common/session_memory';
 import {MemberTurn} from './member_turn';
 import type {RequestJournal} from './request_journal';
@@ -182,17 +186,26 @@
 }
 
 /**
- * Whether a request may be tried once more; a failed try that may not is logged
- * with its cause.
+ * A member that says so sends a statement on: it ran nothing, and is passed over
+ * for a while. Such repeats end by themselves and need no budget.
+ */
+const REDIRECTIONS: ReadonlySet<string> = new Set<Failure>([
+  'lagging',
+  'not primary',
+]);
+
+/**
+ * Whether a request may be tried once more after a cause; where others have
+ * used the budget of repeats up, that is logged.
  */
 export function mayRepeat(
   {classes, journal}: Pick<SessionContext, 'classes' | 'journal'>,
   requestId: string,
   service: string,
-  detail: string,
+  cause: string,
 ): boolean {
-  if (classes.mayRepeat(service)) return true;
-  journal.onNotRepeated(requestId, service, detail);
+  if (REDIRECTIONS.has(cause) || classes.mayRepeat(service)) return true;
+  journal.onNotRepeated(requestId, service, cause);
   return false;
 }
 
