--- a/src/services/dispatch/node/connection_limits.ts
+++ b/src/services/dispatch/node/connection_limits.ts
@@ -13,7 +13,7 @@
   private definition: ServiceEntry;
   private sharers: ConnectionSharers = {all: 1, near: 0, elsewhere: false};
   /** Work of accounts came, which cannot use a connection kept for anybody. */
-  private servesAccounts = false;
+  private hasAccounts = false;
   private readonly since: number;
 
   constructor(private readonly around: DispatcherSurroundings) {
@@ -32,7 +32,11 @@
 
   /** Takes note that work of an account came. */
   onAccount(): void {
-    this.servesAccounts = true;
+    this.hasAccounts = true;
+  }
+
+  get servesAccounts(): boolean {
+    return this.hasAccounts;
   }
 
   /** Connections that this instance may have to one member. */
@@ -61,7 +65,7 @@
   /** Its equal share of a member; may be below 1. */
   private equalShareOf(member: Member): number {
     const {all, near} = this.sharers;
-    const sharers = {all, near: this.servesAccounts ? near : 0};
+    const sharers = {all, near: this.hasAccounts ? near : 0};
     return equalShare(this.shared, sharers, this.isNear(member));
   }
 
@@ -74,7 +78,7 @@
   keepsStandby(member: Member, isPrimary: boolean): boolean {
     if (this.sharers.elsewhere && this.around.room.isShared) return false;
     return keepsStandby({
-      servesAccounts: this.servesAccounts,
+      servesAccounts: this.hasAccounts,
       equal: this.equalShareOf(member),
       isPrimary,
       sameRegion: this.isNear(member),
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -67,6 +67,7 @@
   private readonly openings = new RequestOpenings<PlaceRequest<Grant>>();
   private lastRead = -Infinity;
   private lastRequest = -Infinity;
+  private isByClass = false;
   private readonly probe: PrimaryProbe;
   private readonly witness: LeadWitness;
   private searchedAt = -Infinity;
@@ -146,6 +147,7 @@
         return this.onMembers(message.members, message.sharers);
       case 'definition':
         this.limits.setDefinition(message.definition);
+        this.isByClass = message.isByClass;
         this.waiting.setByClass(message.isByClass);
         return;
       case 'lead':
@@ -172,14 +174,29 @@
   }
 
   private dispatch(): void {
+    const now = this.now();
+    if (this.isByClass && this.limits.servesAccounts) {
+      this.waiting.serve(now, request => this.placeOnOpened(request));
+    }
     this.demand.onServing();
-    this.waiting.serve(this.now(), request => {
+    this.waiting.serve(now, request => {
       const grant = this.place(request);
       if (!grant) this.demand.onUnplaced(request.need);
       return grant;
     });
   }
 
+  /**
+   * Guard: a connection that was opened for an account would be closed unused
+   * for the next one in the queue, and each opening for another one again. It
+   * serves the request that it was opened for first.
+   */
+  private placeOnOpened(request: PlaceRequest<Grant>): Grant | undefined {
+    const instance = this.openings.awaitedBy(request, this.now());
+    const pool = this.pools.get(instance ?? '');
+    return pool?.hasIdle(request.user) ? this.place(request) : undefined;
+  }
+
   private place(request: PlaceRequest<Grant>): Grant | undefined {
     const {need} = request;
     if (need.kind === 'primary') return this.placeOnPrimary(request);
