Let shares of limits hold for less where withdrawn keys are bounded

A split of 7 s from 4.3 s on; the counters behind it kept half of each limit for 7 s (a lease of 6 and a margin), while proxies there served no keyed work after 4 s of it. And one counter ended at 8.7 s: it was to tell a caller a time below 0, which no message can carry.

Ruled out: demand beyond the limits alone (the same callers had room before).

Change: shares hold for 0.65 of the bound for withdrawn keys where there is one, else 6 s as before; a list without a lease is dropped within two thirds of that. Times are told from now on at the earliest.

--- a/src/services/account/common/account_counter.ts
+++ b/src/services/account/common/account_counter.ts
@@ -17,8 +17,11 @@
  * than the margin after which control gives them to others.
  */
 const DROP_AFTER_MS = 500;
-/** A list that came without a lease waits so long for one, in milliseconds. */
-const AWAIT_LEASE_MS = 4_000;
+/**
+ * A list that came without a lease waits for one for this part of a lease's
+ * time: control counts it as in use for longer.
+ */
+const AWAIT_LEASE_PART = 2 / 3;
 /** A retry is not asked for later than this, in milliseconds. */
 const MOST_RETRY_MS = 5_000;
 
@@ -58,7 +61,7 @@
   private refuse(now: number): PermitDecision {
     const betweenMs = 1_000 / this.bucket.terms.perSecond;
     const firstAt = now + this.bucket.waitMs(now);
-    const at = Math.max(firstAt, this.promisedAt + betweenMs);
+    const at = Math.max(firstAt, this.promisedAt + betweenMs, now);
     this.promisedAt = Math.min(at, now + MOST_RETRY_MS);
     return {
       kind: 'refused',
@@ -78,7 +81,11 @@
   private until: number;
   private dropsAt: number;
 
-  constructor(private readonly clock: Clock) {
+  /** @param leaseMs How long shares hold after a question, in milliseconds. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly leaseMs = SHARE_LEASE_MS,
+  ) {
     this.until = clock.now();
     this.dropsAt = this.until;
   }
@@ -101,14 +108,17 @@
     if (number !== 1 && number !== this.number + 1) return;
     this.number = number;
     if (now >= this.until) {
-      this.dropsAt = Math.max(this.dropsAt, now + AWAIT_LEASE_MS);
+      this.dropsAt = Math.max(
+        this.dropsAt,
+        now + this.leaseMs * AWAIT_LEASE_PART,
+      );
     }
     for (const share of shares) this.setShare(share, now);
   }
 
   extend(askedAt: number): void {
     this.dropLapsed(this.clock.now());
-    this.until = Math.max(this.until, askedAt + SHARE_LEASE_MS);
+    this.until = Math.max(this.until, askedAt + this.leaseMs);
     this.dropsAt = Math.max(this.dropsAt, this.until + DROP_AFTER_MS);
   }
 
--- a/src/services/account/common/counting.ts
+++ b/src/services/account/common/counting.ts
@@ -14,6 +14,25 @@
  */
 export const SHARE_LEASE_MS = 6_000;
 
+/**
+ * The part of the time in which a withdrawn key has to be out of use for which
+ * shares hold. Proxies that hear nothing serve no keyed work soon after (see
+ * `CatalogLease`), so that what their counters still hold is of no use to
+ * anybody; two thirds outlast an election and the way to the next leader.
+ */
+const REVOCATION_PART = 0.65;
+
+/**
+ * How long shares hold without a confirmed word of control, in milliseconds.
+ *
+ * @param revocationMs How long after its withdrawal a key may be in use; 0
+ *     where that is not promised.
+ */
+export function shareLeaseMs(revocationMs: number): number {
+  if (revocationMs === 0) return SHARE_LEASE_MS;
+  return Math.min(SHARE_LEASE_MS, revocationMs * REVOCATION_PART);
+}
+
 /** An account that came close to its limit, or has room again. */
 export interface AccountJudgement {
   readonly account: string;
--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -6,7 +6,11 @@
   AccountUse,
   CounterEntry,
 } from '../../../schema/generated/fleet';
-import type {AccountJudgement, ShareAllocator} from './counting';
+import {
+  SHARE_LEASE_MS,
+  type AccountJudgement,
+  type ShareAllocator,
+} from './counting';
 import {PLAIN_BUCKETS, type LimitPrecision} from './enforcement';
 import {LimitedAccount} from './limited_account';
 import {leaseEnd, ShareHolder} from './share_holder';
@@ -29,10 +33,14 @@
   private confirmedAt: number;
   private wasUnknown = false;
 
-  /** @param since When this leadership began. */
+  /**
+   * @param since When this leadership began.
+   * @param leaseMs How long shares hold after a counter's question.
+   */
   constructor(
     private readonly since: number,
     private readonly precision: LimitPrecision = PLAIN_BUCKETS,
+    private readonly leaseMs = SHARE_LEASE_MS,
   ) {
     this.confirmedAt = since;
   }
@@ -139,7 +147,7 @@
    * not know.
    */
   private get hasUnknown(): boolean {
-    if (this.confirmedAt >= leaseEnd(this.since)) return false;
+    if (this.confirmedAt >= leaseEnd(this.since, this.leaseMs)) return false;
     const counters = [...this.listed].map(name => this.holders.get(name)!);
     if (counters.some(({isAttached}) => !isAttached)) return true;
     // One that lost its shares may have permits out. Where all lost theirs, no
@@ -195,7 +203,7 @@
 
   private holderOf(name: string): ShareHolder {
     const known = this.holders.get(name);
-    const holder = known ?? new ShareHolder();
+    const holder = known ?? new ShareHolder(this.leaseMs);
     this.holders.set(name, holder);
     return holder;
   }
--- a/src/services/account/common/share_holder.ts
+++ b/src/services/account/common/share_holder.ts
@@ -4,7 +4,6 @@
   AccountUse,
   CounterEntry,
 } from '../../../schema/generated/fleet';
-import {SHARE_LEASE_MS} from './counting';
 import {DecayedRate} from './decayed_rate';
 import {PERMIT_VALID_MS} from './permit_bucket';
 import {ShareHolding} from './share_holding';
@@ -30,9 +29,13 @@
  */
 const DEMAND_MEMORY_MS = 4_000;
 
-/** When what was granted at a time has ended for sure. */
-export function leaseEnd(grantedAt: number): number {
-  return grantedAt + SHARE_LEASE_MS + LEASE_MARGIN_MS;
+/**
+ * When what was granted at a time has ended for sure.
+ *
+ * @param leaseMs How long shares hold after a counter's question.
+ */
+export function leaseEnd(grantedAt: number, leaseMs: number): number {
+  return grantedAt + leaseMs + LEASE_MARGIN_MS;
 }
 
 /** A counter, as the leader of control knows it. */
@@ -50,6 +53,8 @@
   private number = 0;
   private acknowledged = 0;
 
+  constructor(private readonly leaseMs: number) {}
+
   get isAttached(): boolean {
     return this.attachedAt > -Infinity;
   }
@@ -111,7 +116,7 @@
   /** Drops what it held if its lease ended before a time; whether it did. */
   expire(confirmedAt: number, now: number): boolean {
     const heldSince = Math.max(this.renewedAt, this.attachedAt);
-    const isOver = confirmedAt >= leaseEnd(heldSince);
+    const isOver = confirmedAt >= leaseEnd(heldSince, this.leaseMs);
     if (!isOver || this.holdings.size === 0) return false;
     this.holdings.clear();
     this.restartLists();
--- a/src/services/account/test/common/account_counter.test.ts
+++ b/src/services/account/test/common/account_counter.test.ts
@@ -1,7 +1,10 @@
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
+import {SeededRandom} from '../../../../base/common/random';
+import {PermitReply} from '../../../../schema/generated/account';
 import {AccountCounter} from '../../common/account_counter';
 import {SHARE_LEASE_MS} from '../../common/counting';
+import {encodeDecision} from '../../common/permit_messages';
 
 const ACCOUNT = 'fern';
 const LIMIT = {perSecond: 1_000, burst: 1_000};
@@ -183,3 +186,32 @@
     expect(counter.ask(ACCOUNT, 1).kind).toBe('unknown account');
   });
 });
+
+/** A share that a counter may be told, of an account of any size. */
+function anyShare(random: SeededRandom) {
+  const perSecond = random.pick([0, 0.001, 0.3, 1, 70]);
+  const depth = random.pick([0, 0.5, 1, 3.8, 30]);
+  return {account: ACCOUNT, perSecond, depth};
+}
+
+it('answers with times that a message can carry', () => {
+  // A flood meets a counter just when its share shrinks. One caller was told to
+  // come back 22 ms ago; a time below 0 cannot be written as a count, and the
+  // process of the counter ended, with all that it served.
+  for (let seed = 1; seed <= 300; seed++) {
+    const random = new SeededRandom(seed);
+    const {clock, counter} = makeCounter(1, 1);
+    for (let step = 0, number = 1; step < 200; step++) {
+      clock.advance(random.integer(0, 300) / random.pick([1, 7]));
+      counter.extend(clock.now());
+      const what = random.integer(0, 7);
+      if (what === 0) {
+        counter.setShares({shares: [anyShare(random)], number: ++number});
+      }
+      if (what === 1) counter.takeBack(ACCOUNT, random.integer(1, 3));
+      const decision = counter.ask(ACCOUNT, random.integer(1, 20));
+      const reply = encodeDecision(1, decision);
+      expect(() => PermitReply.encode(reply).finish()).not.toThrow();
+    }
+  }
+});
--- a/src/services/account/test/common/limit_fleet.ts
+++ b/src/services/account/test/common/limit_fleet.ts
@@ -27,8 +27,8 @@
   /** No majority confirms it any more. */
   isDeposed = false;
 
-  constructor(since: number) {
-    this.allocator = new LimitAllocator(since, PRECISION);
+  constructor(since: number, leaseMs: number) {
+    this.allocator = new LimitAllocator(since, PRECISION, leaseMs);
   }
 }
 
@@ -60,7 +60,7 @@
 
   extend(askedAt: number): void {
     this.counter.extend(askedAt);
-    const until = askedAt + SHARE_LEASE_MS;
+    const until = askedAt + this.fleet.leaseMs;
     this.leasedUntil = Math.max(this.leasedUntil, until);
   }
 
@@ -100,10 +100,12 @@
   constructor(
     readonly timeline: Timeline,
     private readonly random: SeededRandom,
+    /** How long shares hold without a word of control. */
+    readonly leaseMs = SHARE_LEASE_MS,
   ) {}
 
   makeCounter(): AccountCounter {
-    const counter = new AccountCounter(this.timeline.clock);
+    const counter = new AccountCounter(this.timeline.clock, this.leaseMs);
     counter.setAccounts(this.accounts);
     return counter;
   }
@@ -172,7 +174,7 @@
   electLeader(): void {
     this.loseLeader();
     const now = this.timeline.now();
-    const leader = new Leader(now);
+    const leader = new Leader(now, this.leaseMs);
     leader.allocator.setAccounts(this.accounts, now);
     leader.allocator.setCounters(this.list, now);
     this.leader = leader;
--- a/src/services/account/test/common/limit_world.ts
+++ b/src/services/account/test/common/limit_world.ts
@@ -90,8 +90,9 @@
     readonly random: SeededRandom,
     limits: readonly AccountLimit[],
     proxiesPerRegion = 25,
+    leaseMs?: number,
   ) {
-    this.fleet = new CountingFleet(this.timeline, random);
+    this.fleet = new CountingFleet(this.timeline, random, leaseMs);
     this.proxies = Array.from(
       {length: REGIONS * proxiesPerRegion},
       (...[, at]) => ({region: at % REGIONS, book: new HeldPermits()}),
--- a/src/services/fleet_control/node/account_counting.ts
+++ b/src/services/fleet_control/node/account_counting.ts
@@ -17,6 +17,8 @@
 /** What the counting of accounts is built on. */
 export interface AccountCountingSurroundings {
   readonly limitPrecision: LimitPrecision;
+  /** How long shares hold without a word of control, in milliseconds. */
+  readonly shareLeaseMs: number;
   readonly node: Pick<ConsensusNode, 'propose'>;
   readonly machine: Pick<FleetMachine, 'counters'>;
   readonly clock: Clock;
@@ -37,9 +39,9 @@
     private readonly around: AccountCountingSurroundings,
     private readonly proposals: OneAtATime,
   ) {
-    const {clock, limitPrecision} = around;
+    const {clock, limitPrecision, shareLeaseMs} = around;
     const now = clock.now();
-    this.allocator = new LimitAllocator(now, limitPrecision);
+    this.allocator = new LimitAllocator(now, limitPrecision, shareLeaseMs);
     this.planner = new CounterPlanner(now);
   }
 
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -44,6 +44,8 @@
   /** Voters that must hold something before it is acknowledged. */
   readonly wantedVoters: number;
   readonly limitPrecision: LimitPrecision;
+  /** How long shares of limits hold without a word of control, in ms. */
+  readonly shareLeaseMs: number;
   readonly node: ConsensusNode;
   readonly machine: FleetMachine;
   readonly reader: CatalogReader;
--- a/src/services/fleet_control/test/node/account_counting.test.ts
+++ b/src/services/fleet_control/test/node/account_counting.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '../../../../base/common/clock';
 import {ok} from '../../../../base/common/outcome';
 import type {AccountEntry} from '../../../../schema/generated/fleet';
+import {SHARE_LEASE_MS} from '../../../account/common/counting';
 import {PLAIN_BUCKETS} from '../../../account/common/enforcement';
 import {
   makeCounter,
@@ -41,6 +42,7 @@
   return new AccountCounting(
     {
       limitPrecision: PLAIN_BUCKETS,
+      shareLeaseMs: SHARE_LEASE_MS,
       machine,
       node: {
         propose: command => {
