Work shares out with less, for fleets with many proxies

What an account's counters hold was summed up for each share, told or not, and proxies that count nothing were gone through with each that came.

--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -68,7 +68,8 @@
     const wasUnknown = this.listed.has(counter) && !holder.isAttached;
     holder.attach(shares, now);
     if (wasUnknown) this.learn(shares);
-    this.refresh(now);
+    const isCounter = this.listed.has(counter) || !holder.holdsNothing(now);
+    if (isCounter) this.refresh(now);
   }
 
   report(
--- a/src/services/account/common/limited_account.ts
+++ b/src/services/account/common/limited_account.ts
@@ -91,6 +91,8 @@
     const target = this.planFor(holders, now).get(holder);
     if (!target) return undefined;
     const holding = holder.holding(this.name);
+    // What is allowed lies between that and what it was told.
+    if (!this.isWorthTelling(holding, target)) return undefined;
     const terms = this.allowed(holder, target, holders, now);
     if (!this.isWorthTelling(holding, terms)) return undefined;
     if (isSame(terms, target)) holding.edition = this.edition;
@@ -117,9 +119,9 @@
     holders: readonly ShareHolder[],
     now: number,
   ): BucketTerms {
-    const others = holders.filter(one => one !== holder);
     const holding = holder.holding(this.name);
-    const inUse = plus(this.sumOfMost(others, now), holding.strayAt(now));
+    const own = minus(holding.most(now), holding.strayAt(now));
+    const inUse = minus(this.sumOfMost(holders, now), own);
     const free = minus(this.budget, inUse);
     const {told} = holding;
     return lesser(target, greater(free, told));
@@ -183,8 +185,13 @@
   }
 
   private sumOfMost(holders: readonly ShareHolder[], now: number): BucketTerms {
-    return holders.reduce((sum, holder) => {
-      return plus(sum, holder.most(this.name, now));
-    }, NO_SHARE);
+    let perSecond = 0;
+    let depth = 0;
+    for (const holder of holders) {
+      const most = holder.most(this.name, now);
+      perSecond += most.perSecond;
+      depth += most.depth;
+    }
+    return {perSecond, depth};
   }
 }
--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -29,11 +29,10 @@
   const rates = divideRate(terms.perSecond, demands);
   // Tokens that wait are lost where depth moves away: it is divided evenly.
   const depth = terms.depth / Math.max(1, shared.length);
-  return claims.map(claim => {
-    const at = shared.indexOf(claim);
-    if (at < 0) return NO_SHARE;
-    return {perSecond: rates[at]!, depth};
-  });
+  const parts = new Map(
+    shared.map((claim, at) => [claim, {perSecond: rates[at]!, depth}]),
+  );
+  return claims.map(claim => parts.get(claim) ?? NO_SHARE);
 }
 
 /** A counter where no token can wait runs nothing: then fewer get more. */
--- a/src/services/account/common/share_holding.ts
+++ b/src/services/account/common/share_holding.ts
@@ -20,6 +20,8 @@
 export class ShareHolding {
   /** The first one is in force. */
   private lists: ToldShare[];
+  /** The most of all lists. */
+  private inUse: BucketTerms;
   private stray: StrayPermits | undefined;
 
   constructor(
@@ -30,6 +32,7 @@
     public edition = 0,
   ) {
     this.lists = [{number: 0, terms: inForce}];
+    this.inUse = inForce;
   }
 
   /** What it was told last. */
@@ -43,11 +46,8 @@
    * would be in use twice, and the account over its limit.
    */
   most(now: number): BucketTerms {
-    const inUse = this.lists.reduce(
-      (most, {terms}) => greater(most, terms),
-      NO_SHARE,
-    );
-    return plus(inUse, this.strayAt(now));
+    const {inUse, stray} = this;
+    return stray ? plus(inUse, this.strayAt(now)) : inUse;
   }
 
   /** Permits that an earlier life of the counter gave and that may be out. */
@@ -58,19 +58,25 @@
 
   tell(terms: BucketTerms, number: number): void {
     this.lists.push({number, terms});
+    this.inUse = greater(this.inUse, terms);
     this.isNews = false;
   }
 
   /** The counter keeps to the list with a number. */
   acknowledge(number: number): void {
     const inForce = this.lists.findLastIndex(one => one.number <= number);
-    if (inForce > 0) this.lists.splice(0, inForce);
+    if (inForce <= 0) return;
+    this.lists.splice(0, inForce);
+    this.inUse = this.lists
+      .map(({terms}) => terms)
+      .reduce((most, terms) => greater(most, terms));
   }
 
   /** The counter lost the share; permits that it gave run until a time. */
   lose(until: number, now: number): void {
     this.stray = {depth: this.most(now).depth * PERMIT_PART, until};
     this.lists = [{number: 0, terms: NO_SHARE}];
+    this.inUse = NO_SHARE;
     this.isNews = true;
   }
 }
