Decide on a service's rest after its messages are handled

Cause: a message woke a dispatcher when it was posted. Whether there is something to do shows only once it is handled; a look in between could send the dispatcher to rest. No case was found in which a request waited for it: each of them opens a connection or waits for one that is in use, and both keep it awake.

Change: a message wakes it after it was handled.

--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -118,7 +118,6 @@
 
   /** False where the mailbox is full. */
   post(message: DispatcherMessage): boolean {
-    this.wakeTick();
     return this.mailbox.post(message);
   }
 
@@ -127,6 +126,8 @@
       const message = yield* this.mailbox.receive();
       if (!message) break;
       this.handle(message);
+      // After it was handled: whether there is something to do shows only then.
+      if (message.kind !== 'tick') this.wakeTick();
     }
     for (const pool of this.pools.values()) pool.closeAll();
   }
@@ -454,7 +455,7 @@
 
   private noteChange(): void {
     if (this.changedQueued) return;
-    this.changedQueued = this.post({kind: 'changed'});
+    this.changedQueued = this.mailbox.post({kind: 'changed'});
   }
 
   /** Says when trouble with the primary begins and ends. */
