Leave deployments without grants without timer and lookups

Where control hands out nothing, a proxy looked each 50 ms for something to tell and worked out equal shares three times for each member and tick. The timer starts with control's first word on connections, shares are looked up once that word came, and the line on waiting work too. vitest run src/services/room src/services/dispatch src/services/fleet_link src/services/gateway: 132 passed.

--- a/src/services/dispatch/node/connection_limits.ts
+++ b/src/services/dispatch/node/connection_limits.ts
@@ -53,9 +53,11 @@
 
   /** What control granted; undefined where it hands no connections out. */
   grantOf(member: Member): number | undefined {
+    const {room} = this.around;
+    if (!room.isShared) return undefined;
     const {service, instance} = member;
     const equal = this.equalShareOf(member);
-    return this.around.room.limitOf(service, instance, equal);
+    return room.limitOf(service, instance, equal);
   }
 
   /** Its equal share of a member; may be below 1. */
--- a/src/services/dispatch/node/member_demand.ts
+++ b/src/services/dispatch/node/member_demand.ts
@@ -34,9 +34,9 @@
   /** Tells what is handed out of connections what they are wanted for. */
   tell(pools: Iterable<MemberPool>, primary: string): void {
     const {room, service} = this.around;
+    if (!room.isAsked) return;
     const all = [...pools];
     this.logWaiting(all, primary);
-    if (!room.isAsked) return;
     const readers = this.readersOf(all).length;
     for (const pool of all) {
       const {instance} = pool.member;
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -89,6 +89,8 @@
   private readonly reports = new Map<string, PrimaryReport>();
   private tries = 0;
   private redirects = 0;
+  /** Whether something to tell control at once is looked for. */
+  private looks = false;
 
   constructor(
     private readonly options: FollowerOptions,
@@ -110,10 +112,6 @@
     every(this.signal, RENEW_EVERY_MS, () => {
       if (this.attached) this.renewLeases(this.attached);
     });
-    every(this.signal, LOOK_MS, () => {
-      const {room} = this.options;
-      if (this.attached && room.isUrgent) this.renewLeases(this.attached);
-    });
   }
 
   /**
@@ -214,10 +212,21 @@
         return this.options.throttle.setShares(body.value.shares);
       case 'connections':
         this.attach(stream);
+        this.lookForUrgent();
         return this.options.room.setGrants(body.value);
     }
   }
 
+  /** From the first word on connections: others do without this timer. */
+  private lookForUrgent(): void {
+    if (this.looks) return;
+    this.looks = true;
+    every(this.signal, LOOK_MS, () => {
+      const {room} = this.options;
+      if (this.attached && room.isUrgent) this.renewLeases(this.attached);
+    });
+  }
+
   private onRenewed({number, catalogVersion}: LeasesRenewed): void {
     const {leases, catalogLease, throttle, room} = this.options;
     const askedAt = leases.onRenewed(number);
