Tell no waits of a lost primary; name the word in each refusal

Cause: while a primary is lost, what waits for it is held until there is one, but the words of the pooler grew with the stall, and a proxy would have refused by them. The detail of a pooler's refusals lacked the word.

Both tests were red before.

--- a/src/services/dispatch/common/waiting_requests.ts
+++ b/src/services/dispatch/common/waiting_requests.ts
@@ -107,7 +107,9 @@
   waits(now: number): PlaceWait[] {
     const waits: PlaceWait[] = [];
     for (const kind of KINDS) {
-      if (this.counts[kind] === 0) continue;
+      // Without a primary work waits for that, and not for its turn.
+      const isOutage = this.isOutageFor({kind}, now);
+      if (this.counts[kind] === 0 || isOutage) continue;
       for (const priority of this.queue.priorities) {
         const ahead = this.aheadOf({caller: NEW_CALLER, priority}, kind, now);
         const waitMs = this.rates[kind].expectedWait(ahead, now);
@@ -199,10 +201,7 @@
     {kind, ahead, expectedMs, room}: WaitEstimate,
     now: number,
   ): PlaceRefusal {
-    const expected = this.isByClass
-      ? ` expected=${Math.round(expectedMs)}`
-      : '';
-    const detail = `ahead=${ahead}${expected} room=${Math.round(room)}`;
+    const detail = `ahead=${ahead} room=${Math.round(room)}`;
     return this.refuse('overloaded', {kind, afterMs: expectedMs, detail}, now);
   }
 
@@ -242,7 +241,7 @@
     return from + patienceMs;
   }
 
-  private isOutageFor({kind}: PlaceNeed, now: number): boolean {
+  private isOutageFor({kind}: Pick<PlaceNeed, 'kind'>, now: number): boolean {
     return kind === 'primary' && this.outage.expectedEnd(now) !== undefined;
   }
 
@@ -252,11 +251,13 @@
     now: number,
   ): PlaceRefusal {
     const least = Math.max(LEAST_RETRY_MS, afterMs);
+    if (!this.isByClass) {
+      return {reason, retryAfterMs: Math.ceil(least), detail};
+    }
     const intervalMs = this.rates[kind].drainMs(1);
-    const spread = this.isByClass
-      ? this.returns.next(now, least, intervalMs)
-      : least;
-    return {reason, retryAfterMs: Math.ceil(spread), detail};
+    const retryAfterMs = Math.ceil(this.returns.next(now, least, intervalMs));
+    const expected = `expected=${Math.round(afterMs)}`;
+    return {reason, retryAfterMs, detail: `${detail} ${expected} word=own`};
   }
 }
 
--- a/src/services/dispatch/test/common/waiting_by_class.test.ts
+++ b/src/services/dispatch/test/common/waiting_by_class.test.ts
@@ -181,6 +181,9 @@
   it('sends the refused back at different times', () => {
     const load = play();
     const {refusals} = load.of(PATIENT);
+    expect(refusals[0]!.detail).toMatch(
+      /^ahead=.* room=.* expected=.* word=own/,
+    );
     const first = refusals.slice(0, 20).map(one => one.retryAfterMs);
     expect(new Set(first).size).toBeGreaterThan(10);
   });
@@ -262,6 +265,17 @@
     expect(reads[0]!.waitMs).toBeGreaterThan(30);
   });
 
+  it('are none of what waits for a primary that is lost', () => {
+    // Work that needs a primary is held until there is one; a proxy that took
+    // that for a long queue would refuse what will be served in time.
+    const load = new MixedLoad();
+    load.run(3_000, [{...URGENT, perS: 120}], PLACES);
+    load.isPrimaryCut = true;
+    load.outage.note('lost', load.now);
+    load.run(1_500, [URGENT], PLACES);
+    expect(load.waiting.waits(load.now)).toEqual([]);
+  });
+
   it('are none where nobody waits', () => {
     expect(new MixedLoad().waiting.waits(0)).toEqual([]);
   });
