Keep proxies at a control instance that was elected and is not ready yet

An instance that was elected is the leader it knows, and sent the proxies that wait there on to the leader, itself, until it knew that it had all that was committed. They came back at once, twice in each 300 ms, each with a connection, a greeting and a question for leases.

Change: an instance sends proxies on to another instance only.

--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -42,6 +42,8 @@
   /** Whether this instance leads and knows all that was committed. */
   isLeading(): boolean;
   leaderAddress(): string;
+  /** Where proxies reach this instance itself. */
+  ownAddress(): string;
   catalog(): Catalog | undefined;
   members(): readonly Member[];
   membersRevision(): number;
@@ -125,11 +127,22 @@
       for (const follower of this.followers) this.pushTo(follower);
       // Some asked before this instance led.
       this.renew();
-    } else if (this.source.leaderAddress() !== '') {
+    } else if (this.isAnotherLeading) {
       for (const follower of [...this.followers]) this.sendOn(follower);
     }
   }
 
+  /**
+   * Guard: an instance that was just elected does not know yet whether it has all
+   * that was committed. Naming itself to those that wait here, it would have them
+   * all come back at once, again and again until it knows.
+   */
+  private get isAnotherLeading(): boolean {
+    const {source} = this;
+    const leader = source.leaderAddress();
+    return leader !== '' && leader !== source.ownAddress();
+  }
+
   /** Sends news at once, or with others that follow within a moment. */
   pushSoon(): void {
     if (this.isPushDue) return;
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -45,6 +45,7 @@
       {
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
+        ownAddress: () => this.address,
         catalog: () => makeCatalog(this.routes, {version: this.version}),
         members: () => this.members,
         membersRevision: () => 1,
@@ -179,6 +180,27 @@
   expect(Date.now() - electedAt).toBeLessThan(1_000);
 });
 
+it('stays at an instance that was elected and is not ready yet', async () => {
+  // After a common restart an instance is elected that does not know yet whether
+  // it has all that was committed. Sent from there to the leader, which is the
+  // same instance, each proxy comes back at once; with many of them it has no
+  // time for what it waits for, and the fleet never starts.
+  first.knownLeader = first.address;
+  const follower = follow();
+  for (let push = 0; push < 10; push++) {
+    first.leader.push();
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  const attached = first.logged.lines.filter(line => {
+    return line.startsWith('A proxy is attached.');
+  });
+  expect(attached).toHaveLength(1);
+  first.leads = true;
+  first.leader.push();
+  await until(() => catalogs.length === 1);
+  expect(follower.isAttached).toBe(true);
+});
+
 it('asks another instance while the first one keeps silent', async () => {
   // All machines lost power, and the proxy is back before the first control
   // instance on its list, which takes connections and says nothing. Waiting
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -89,6 +89,7 @@
       {
         isLeading: () => true,
         leaderAddress: () => '',
+        ownAddress: () => 'own',
         catalog: () => catalog,
         members: () => this.members,
         membersRevision: () => this.revision,
