--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -52,6 +52,8 @@
   opens = 0;
   /** Connections that were closed so far. */
   closes = 0;
+  /** Connections to it that were closed, by their numbers. */
+  readonly closed = new Set<number>();
 
   constructor(readonly instance: string) {}
 }
@@ -155,6 +157,7 @@
     this.isClosed = true;
     this.member.connections--;
     this.member.closes++;
+    this.member.closed.add(this.id);
     for (const settle of this.waiting) settle({kind: 'lost', reason: 'closed'});
     for (const listener of this.listeners) listener();
   }
