Test that a grant taken back counts until it is given back

The guard went unproved since the parts at the start became even: the random test met the case by luck only. The new test makes it: a pooler opens by the grant that is being taken from it. vitest run src/services/room: green.

--- a/src/services/room/test/common/room_allocator.test.ts
+++ b/src/services/room/test/common/room_allocator.test.ts
@@ -52,6 +52,27 @@
     }
   });
 
+  it('stays with who was told to give it back until that is done', () => {
+    // A pooler rests on a large grant. Its callers come back just when those
+    // of another one ask for as much: it opens by the grant that control is
+    // taking from it, and keeps what its work holds.
+    const fleet = new TestFleet(SHARED, 3);
+    const [resting, other] = fleet.poolers;
+    resting!.wants = 36;
+    fleet.run(3_000);
+    resting!.wants = 0;
+    fleet.run(8_000);
+    resting!.open = 0;
+    fleet.run(1_000);
+    expect(resting!.limit).toBeGreaterThan(20);
+    resting!.wants = 36;
+    resting!.isHolding = true;
+    other!.wants = 36;
+    fleet.run(2_000, () => {
+      expect(fleet.openInAll).toBeLessThanOrEqual(SHARED);
+    });
+  });
+
   it('is what each wants while all of it fits', () => {
     const fleet = new TestFleet(SHARED, 6);
     fleet.poolers.forEach((pooler, at) => (pooler.wants = at * 2));
