--- a/src/services/room/test/node/room_exchange.test.ts
+++ b/src/services/room/test/node/room_exchange.test.ts
@@ -51,6 +51,7 @@
     {
       isLeading: () => true,
       leaderAddress: () => '',
+      ownAddress: () => 'own',
       catalog: () => catalog,
       members: () => [MEMBER],
       membersRevision: () => 1,
