--- a/src/services/account/common/account_counter.ts
+++ b/src/services/account/common/account_counter.ts
@@ -6,6 +6,7 @@
   AccountUse,
 } from '../../../schema/generated/fleet';
 import {
+  MOST_RETRY_MS,
   SHARE_LEASE_MS,
   type PermitCounter,
   type PermitDecision,
@@ -22,8 +23,6 @@
  * time: control counts it as in use for longer.
  */
 const AWAIT_LEASE_PART = 2 / 3;
-/** A retry is not asked for later than this, in milliseconds. */
-const MOST_RETRY_MS = 5_000;
 
 /** What this counter knows of one account. */
 class CountedAccount {
--- a/src/services/account/common/counting.ts
+++ b/src/services/account/common/counting.ts
@@ -82,19 +82,31 @@
   isFree(counter: string, now: number): boolean;
 }
 
+/** A retry is never asked for later than this, in milliseconds. */
+export const MOST_RETRY_MS = 5_000;
+
+/** A counter lets operations run. */
+export interface GrantedPermits {
+  readonly kind: 'granted';
+  /** Operations that may run, the one asked for included. */
+  readonly count: number;
+  /** How long after the question they may be used, in milliseconds. */
+  readonly validMs: number;
+  /** How long the operation waits before it runs, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** A counter has no room for an operation. */
+export interface RefusedPermit {
+  readonly kind: 'refused';
+  /** When there is room, in milliseconds; each one told so gets a later time. */
+  readonly retryAfterMs: number;
+}
+
 /** What a counter says to a request for permits. */
 export type PermitDecision =
-  | {
-      readonly kind: 'granted';
-      /** Operations that may run, the one asked for included. */
-      readonly count: number;
-      /** How long after the question they may be used, in milliseconds. */
-      readonly validMs: number;
-      /** How long the operation waits before it runs, in milliseconds. */
-      readonly waitMs: number;
-    }
-  /** When there is room, in milliseconds; each one told so gets a later time. */
-  | {readonly kind: 'refused'; readonly retryAfterMs: number}
+  | GrantedPermits
+  | RefusedPermit
   /** It holds no share of the account. */
   | {readonly kind: 'unknown account'};
 
--- a/src/services/account/common/held_permits.ts
+++ b/src/services/account/common/held_permits.ts
@@ -1,4 +1,9 @@
-import type {PermitBook, PermitDecision, PermitKnowledge} from './counting';
+import {
+  MOST_RETRY_MS,
+  type PermitBook,
+  type PermitDecision,
+  type PermitKnowledge,
+} from './counting';
 import {DecayedRate} from './decayed_rate';
 
 /** What can be used in this time is asked for, in milliseconds. */
@@ -8,13 +13,11 @@
 /** Between the times told to callers that are refused here, in milliseconds. */
 const LEAST_BETWEEN_MS = 5;
 const MOST_BETWEEN_MS = 1_000;
-/** A retry is not asked for later than this, in milliseconds. */
-const MOST_RETRY_MS = 5_000;
 
 /** Counters that are asked after one without room: those of a small fleet. */
-const FURTHER = 5;
-/** As many while the account has no room, so that a flood asks little. */
-const FURTHER_WHILE_SHORT = 1;
+const MOST_FURTHER = 5;
+/** The same while the account has no room, so that a flood asks little. */
+const MOST_FURTHER_WHILE_SHORT = 1;
 /** An account without room is taken to be short of it for so long, in ms. */
 const SHORT_MS = 1_000;
 
@@ -34,10 +37,11 @@
 class AccountPermits {
   private readonly demand: DecayedRate;
   private readonly granted: DecayedRate;
-  private hand: Permits[] = [];
+  private unused: Permits[] = [];
   private used: Permits[] = [];
+  /** Of a question for several permits that has no answer yet. */
   private askedAt = -Infinity;
-  /** There is no room before. */
+  /** Before this time no counter has room, by what they said. */
   private roomAt = -Infinity;
   /** The time told to the last one that was refused here. */
   private toldAt = -Infinity;
@@ -51,7 +55,7 @@
     this.demand.add(1, now);
     if (this.take(now)) return {kind: 'taken'};
     if (now < this.roomAt) return this.refuse(now);
-    const further = this.isShort(now) ? FURTHER_WHILE_SHORT : FURTHER;
+    const further = this.isShort(now) ? MOST_FURTHER_WHILE_SHORT : MOST_FURTHER;
     return {kind: 'ask', wanted: this.wanted(now), further};
   }
 
@@ -59,7 +63,7 @@
     this.granted.add(count, now);
     this.roomAt = Math.min(this.roomAt, now);
     this.askedAt = -Infinity;
-    if (count > 1) add(this.hand, {until, count: count - 1});
+    if (count > 1) add(this.unused, {until, count: count - 1});
   }
 
   onRefused(roomAt: number, now: number): void {
@@ -76,7 +80,7 @@
     if (!first) return false;
     first.count--;
     if (first.count === 0) this.used.shift();
-    add(this.hand, {until: first.until, count: 1});
+    add(this.unused, {until: first.until, count: 1});
     return true;
   }
 
@@ -87,11 +91,11 @@
 
   private take(now: number): boolean {
     // Guard: counters count a permit as run or gone when its time is over.
-    this.hand = this.hand.filter(({until}) => now < until);
-    const first = this.hand[0];
+    this.unused = this.unused.filter(({until}) => now < until);
+    const first = this.unused[0];
     if (!first) return false;
     first.count--;
-    if (first.count === 0) this.hand.shift();
+    if (first.count === 0) this.unused.shift();
     this.used = this.used.filter(({until}) => now < until);
     add(this.used, {until: first.until, count: 1});
     return true;
--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -155,8 +155,8 @@
   /**
    * Gives accounts tokens to begin with, where all counters started anew: what
    * would have come since the last of them granted anything. Guard: with empty
-   * buckets a fleet that restarted as one refused 1,500 operations of accounts
-   * far below their limits.
+   * buckets a fleet that restarts as one refuses operations of accounts far
+   * below their limits.
    */
   private begin(now: number): void {
     if (this.hasTold || this.hasUnknown) return;
--- a/src/services/account/common/permit_bucket.ts
+++ b/src/services/account/common/permit_bucket.ts
@@ -3,7 +3,7 @@
 /** How long permits beyond the first of an answer are good, in milliseconds. */
 export const PERMIT_VALID_MS = 500;
 /** A token that comes within this time is waited for, in milliseconds. */
-export const MOST_WAIT_MS = 150;
+const MOST_WAIT_MS = 150;
 /** The part of the depth for permits that are out. */
 export const PERMIT_PART = 0.5;
 /** Permits beyond the first leave this part of the depth in the bucket. */
--- a/src/services/account/common/permit_question.ts
+++ b/src/services/account/common/permit_question.ts
@@ -1,12 +1,9 @@
-import type {PermitDecision} from './counting';
-
-type Refusal = Extract<PermitDecision, {kind: 'refused'}>;
+import type {RefusedPermit} from './counting';
 
 /**
  * An operation's question to one counter after the other. Guard: each counter
- * has a part of the limit only; without asking on, one in fifty operations of a
- * small account far below its limit is refused where too many come to one part
- * by chance.
+ * has a part of the limit only; without asking on, operations of a small account
+ * far below its limit are refused where too many come to one part by chance.
  */
 export class PermitQuestion {
   private refusals = 0;
@@ -15,7 +12,7 @@
   /** @param further Counters worth asking after one that has no room. */
   constructor(private readonly further: number) {}
 
-  onRefused(askedAt: number, {retryAfterMs}: Refusal): void {
+  onRefused(askedAt: number, {retryAfterMs}: RefusedPermit): void {
     this.refusals++;
     this.roomAt = Math.min(this.roomAt, askedAt + retryAfterMs);
   }
@@ -26,7 +23,7 @@
   }
 
   /** What those asked said together; undefined where none refused. */
-  refusalAt(now: number): Refusal | undefined {
+  refusalAt(now: number): RefusedPermit | undefined {
     if (this.refusals === 0) return undefined;
     const retryAfterMs = Math.max(1, Math.ceil(this.roomAt - now));
     return {kind: 'refused', retryAfterMs};
--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -49,7 +49,7 @@
 function divideRate(all: number, demands: readonly number[]): number[] {
   const total = sumOf(demands);
   const spare = Math.max(0, all - total);
-  const leftOver = Math.max(0, all - total) * LEFT_OVER_PART;
+  const leftOver = spare * LEFT_OVER_PART;
   const alike = Math.max(all * FLOOR_PART, spare * EQUAL_PART);
   const byDemand = all - leftOver - alike;
   return demands.map(demand => {
--- a/src/services/account/node/account_limits.ts
+++ b/src/services/account/node/account_limits.ts
@@ -3,9 +3,11 @@
 import {pause, settled, type Task} from '../../../base/node/task';
 import type {AccountEntry, CounterEntry} from '../../../schema/generated/fleet';
 import type {
+  GrantedPermits,
   PermitBook,
   PermitDecision,
   PermitKnowledge,
+  RefusedPermit,
 } from '../common/counting';
 import {PermitQuestion} from '../common/permit_question';
 import type {Counters} from './counter_directory';
@@ -33,13 +35,11 @@
   readonly at: number;
 }
 
-type Granted = Extract<PermitDecision, {kind: 'granted'}>;
-type Refused = Extract<PermitDecision, {kind: 'refused'}>;
 type Asking = Extract<PermitKnowledge, {kind: 'ask'}>;
 
 /** A decision, and since when it counts. */
 interface Decided {
-  readonly decision: Granted | Refused;
+  readonly decision: GrantedPermits | RefusedPermit;
   readonly askedAt: number;
 }
 
