Room: say what its fields tell; add numbers up in one place

Stumbled over: four private functions that add numbers up; four flags of ConnectionRoom (wasGranted, shared, asked, isInTouch) whose names do not tell them apart, and two of MemberRoom; one export without a doc line.

Now: sumOf in src/base/common/numbers.ts, a line for each flag. No behaviour meant.

vitest run src/services/room src/services/admission and limit_allocator.test.ts: 65 passed.

--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -1,3 +1,4 @@
+import {sumOf} from '../../../base/common/numbers';
 import {NO_SHARE} from './share_terms';
 import type {BucketTerms} from './token_bucket';
 
@@ -57,7 +58,3 @@
     return byDemand * part + alike / demands.length;
   });
 }
-
-function sumOf(numbers: readonly number[]): number {
-  return numbers.reduce((sum, one) => sum + one, 0);
-}
--- a/src/services/admission/common/retry_budget.ts
+++ b/src/services/admission/common/retry_budget.ts
@@ -1,3 +1,5 @@
+import {sumOf} from '../../../base/common/numbers';
+
 /** Repeats may be this part of the requests of the last seconds. */
 const REPEAT_PART = 0.1;
 /** So many more: a single failure among few requests is repeated. */
@@ -27,8 +29,8 @@
   /** Takes one repeat; false where the budget is used up. */
   take(now: number): boolean {
     const step = this.stepAt(now);
-    const requests = sum(this.steps.map(one => one.requests));
-    const repeats = sum(this.steps.map(one => one.repeats));
+    const requests = sumOf(this.steps.map(one => one.requests));
+    const repeats = sumOf(this.steps.map(one => one.repeats));
     if (repeats >= requests * REPEAT_PART + RESERVE) return false;
     step.repeats++;
     return true;
@@ -46,7 +48,3 @@
     return step;
   }
 }
-
-function sum(numbers: readonly number[]): number {
-  return numbers.reduce((total, one) => total + one, 0);
-}
--- a/src/services/room/common/capacity.ts
+++ b/src/services/room/common/capacity.ts
@@ -8,6 +8,7 @@
   readonly linkMbps: number;
 }
 
+/** Of an instance that knows nothing of its machine. */
 export const UNKNOWN_CAPACITY: InstanceCapacity = {cores: 0, linkMbps: 0};
 
 /** Instances differ once the largest has so many times what the smallest has. */
--- a/src/services/room/common/connection_room.ts
+++ b/src/services/room/common/connection_room.ts
@@ -3,8 +3,7 @@
   ConnectionGrants,
   ConnectionUse,
 } from '../../../schema/generated/fleet';
-import type {RoomReport} from './room_allocator';
-import {ROOM_LEASE_MS} from './room_allocator';
+import {ROOM_LEASE_MS, type RoomReport} from './room_allocator';
 import {WantedConnections} from './wanted_connections';
 
 /** What a dispatcher has and would use of one member. */
@@ -46,15 +45,21 @@
  */
 export class ConnectionRoom {
   private readonly members = new Map<string, KnownMember>();
+  /** Whether it ever had a grant of those that hand connections out now. */
   private wasGranted = false;
+  /** Control hands connections out, by its word of late. */
   private shared = false;
+  /** The instance of control that is followed asked what is used here. */
   private asked = false;
   /** The newest list that is kept to. */
   private number = 0;
+  /** The list that the last report named. */
   private toldNumber = 0;
   private toldAt = -Infinity;
+  /** When the newest question was asked that control answered. */
   private heardAt = -Infinity;
   private attachedAt = -Infinity;
+  /** Control answered a question within a lease. */
   private isInTouch = false;
 
   constructor(private readonly clock: Clock) {}
--- a/src/services/room/common/member_room.ts
+++ b/src/services/room/common/member_room.ts
@@ -1,3 +1,4 @@
+import {sumOf} from '../../../base/common/numbers';
 import {needOf, shareRoom} from './share_room';
 
 /** What a pooler says of one member. */
@@ -53,7 +54,9 @@
  */
 export class MemberRoom {
   private readonly holders = new Map<string, Holder>();
+  /** No grant rises until then: the member refused connections. */
   private fullUntil = -Infinity;
+  /** A pooler left since grants were last raised. */
   private lostSome = false;
   private isChanged = true;
   private shared = 1;
@@ -84,7 +87,7 @@
 
   /** Connections that may be open, as far as is known. */
   get charged(): number {
-    return sum([...this.holders.values()].map(chargeOf));
+    return sumOf([...this.holders.values()].map(chargeOf));
   }
 
   /** Takes what a pooler has and wants, and the newest list it keeps to. */
@@ -135,13 +138,13 @@
     const holders = [...this.holders.values()].filter(({pooler}) => {
       return this.poolers.has(pooler);
     });
-    const others = this.charged - sum(holders.map(chargeOf));
+    const others = this.charged - sumOf(holders.map(chargeOf));
     const kept = Math.ceil(this.shared * KEPT_PART);
     const room = Math.max(holders.length, this.shared - kept - others);
     const wanted = holders.map(one => Math.min(one.wanted, this.shared));
     const targets = shareRoom(room, [...wanted, ...Array(awaited).fill(0)]);
     const plan = holders.map((holder, at) => ({holder, target: targets[at]!}));
-    if (!isShort(plan) && sum(holders.map(({told}) => told)) <= room) {
+    if (!isShort(plan) && sumOf(holders.map(({told}) => told)) <= room) {
       return changes;
     }
     for (const {holder, target} of plan) {
@@ -218,7 +221,3 @@
 function partOf({holder, target}: {holder: Holder; target: number}): number {
   return holder.told / Math.max(1, target);
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, one) => total + one, 0);
-}
--- a/src/services/room/common/share_room.ts
+++ b/src/services/room/common/share_room.ts
@@ -1,3 +1,5 @@
+import {sumOf} from '../../../base/common/numbers';
+
 /** What a pooler has at least of a member while others want all, if it fits. */
 const FLOOR = 2;
 /** What is wanted changes within the time in which grants do: a part more. */
@@ -21,7 +23,7 @@
   const each = Math.floor(room / count);
   const floor = Math.max(1, Math.min(FLOOR, each));
   const needs = wanted.map(one => Math.max(floor, needOf(one)));
-  const all = sum(needs);
+  const all = sumOf(needs);
   if (all <= room) return addParts(needs, room - all, needs);
   const beyond = needs.map(need => need - floor);
   const floors = needs.map(() => floor);
@@ -34,18 +36,14 @@
   left: number,
   weights: readonly number[],
 ): number[] {
-  const weight = sum(weights);
+  const weight = sumOf(weights);
   if (weight === 0) return [...bases];
   const exact = weights.map(one => (left * one) / weight);
   const parts = exact.map(part => Math.floor(part));
   const order = exact
     .map((part, at) => ({at, rest: part - Math.floor(part)}))
     .sort((a, b) => b.rest - a.rest || a.at - b.at);
-  const spare = left - sum(parts);
+  const spare = left - sumOf(parts);
   for (const {at} of order.slice(0, spare)) parts[at]!++;
   return bases.map((base, at) => base + parts[at]!);
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, one) => total + one, 0);
-}
