Base, dispatch: usual words for periodic callbacks, one estimate of waits

Now: PeriodicCallback, Periods, callUntil; reasons without figures; estimateOf. The test of the ticker follows the type's name only. No behaviour meant.

vitest run src/base src/services/dispatch src/services/fleet_link src/services/pooler: 27 files passed.

--- a/src/base/node/ticker.ts
+++ b/src/base/node/ticker.ts
@@ -6,8 +6,8 @@
 /** A timer may come so much before its time, in milliseconds. */
 const EARLY_MS = 1;
 
-/** Something that comes again and again. */
-export interface Beat {
+/** A callback that comes again and again. */
+export interface PeriodicCallback {
   /** How long until it comes next, in milliseconds; Infinity: it rests. */
   periodMs(): number;
   onDidCome(): void;
@@ -16,31 +16,31 @@
 /**
  * One timer for all that a process does periodically.
  *
- * Buys: each service and each link had a timer of its own, and a proxy with six
- * services woke up 200 times a second with nothing to do.
+ * With a timer of its own for each service and each link, a process that has
+ * nothing to do would wake up for one after the other.
  */
 export class Ticker {
-  private readonly dueAt = new Map<Beat, number>();
+  private readonly dueAt = new Map<PeriodicCallback, number>();
   private timer: NodeJS.Timeout | undefined;
   private armedFor = Infinity;
 
   constructor(private readonly now: () => number) {}
 
-  /** Begins a beat, or has it come at its period as it is now. */
-  schedule(beat: Beat): void {
-    const at = this.nextFor(beat);
-    this.dueAt.set(beat, at);
+  /** Begins a callback, or has it come at its period as it is now. */
+  schedule(periodic: PeriodicCallback): void {
+    const at = this.nextFor(periodic);
+    this.dueAt.set(periodic, at);
     if (at < this.armedFor) this.arm(at);
   }
 
-  remove(beat: Beat): void {
-    this.dueAt.delete(beat);
+  remove(periodic: PeriodicCallback): void {
+    this.dueAt.delete(periodic);
     if (this.dueAt.size === 0) this.disarm();
   }
 
-  /** Beats of the same period come together. */
-  private nextFor(beat: Beat): number {
-    const periodMs = beat.periodMs();
+  /** Those of the same period come together. */
+  private nextFor(periodic: PeriodicCallback): number {
+    const periodMs = periodic.periodMs();
     if (periodMs === Infinity) return Infinity;
     const step = Math.max(1, Math.round(periodMs / GRID_MS)) * GRID_MS;
     return Math.round((this.now() + step) / step) * step;
@@ -61,10 +61,11 @@
 
   private run(): void {
     const now = this.now() + EARLY_MS;
-    for (const [beat, at] of [...this.dueAt]) {
-      if (at > now || this.dueAt.get(beat) !== at) continue;
-      beat.onDidCome();
-      if (this.dueAt.has(beat)) this.dueAt.set(beat, this.nextFor(beat));
+    for (const [periodic, at] of [...this.dueAt]) {
+      if (at > now || this.dueAt.get(periodic) !== at) continue;
+      periodic.onDidCome();
+      if (!this.dueAt.has(periodic)) continue;
+      this.dueAt.set(periodic, this.nextFor(periodic));
     }
     this.arm(Math.min(Infinity, ...this.dueAt.values()));
   }
--- a/src/base/node/timers.ts
+++ b/src/base/node/timers.ts
@@ -1,5 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {GRID_MS, processTicker, type Beat} from './ticker';
+import {GRID_MS, processTicker, type PeriodicCallback} from './ticker';
 
 /** Timers that end with an abort signal. */
 
@@ -30,11 +30,11 @@
 ): void {
   if (signal.aborted) return;
   if (milliseconds < GRID_MS) return everyShort(signal, milliseconds, callback);
-  beatUntil(signal, {periodMs: () => milliseconds, onDidCome: callback});
+  callUntil(signal, {periodMs: () => milliseconds, onDidCome: callback});
 }
 
 /** How often something is looked at, in milliseconds. */
-export interface Paces {
+export interface Periods {
   /** While there is something to do. */
   readonly busyMs: number;
   /** While there is nothing to do; Infinity for not at all. */
@@ -48,28 +48,28 @@
  */
 export function everyWhileBusy(
   signal: AbortSignal,
-  {busyMs, restMs}: Paces,
+  {busyMs, restMs}: Periods,
   callback: () => boolean,
 ): () => void {
   if (signal.aborted) return () => {};
   let isBusy = true;
-  const beat = {
+  const periodic = {
     periodMs: () => (isBusy ? busyMs : restMs),
     onDidCome: () => {
       isBusy = callback();
     },
   };
-  beatUntil(signal, beat);
+  callUntil(signal, periodic);
   return () => {
     if (isBusy || signal.aborted) return;
     isBusy = true;
-    processTicker.schedule(beat);
+    processTicker.schedule(periodic);
   };
 }
 
-function beatUntil(signal: AbortSignal, beat: Beat): void {
-  processTicker.schedule(beat);
-  const onAbort = () => processTicker.remove(beat);
+function callUntil(signal: AbortSignal, periodic: PeriodicCallback): void {
+  processTicker.schedule(periodic);
+  const onAbort = () => processTicker.remove(periodic);
   signal.addEventListener('abort', onAbort, {once: true});
 }
 
--- a/src/base/test/node/ticker.test.ts
+++ b/src/base/test/node/ticker.test.ts
@@ -1,11 +1,13 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {GRID_MS, Ticker, type Beat} from '../../node/ticker';
+import {GRID_MS, Ticker, type PeriodicCallback} from '../../node/ticker';
 
 let ticker: Ticker;
 let now = 0;
 let wakeUps = 0;
 
-function makeBeat(periodMs: () => number): Beat & {times: number[]} {
+function makeBeat(
+  periodMs: () => number,
+): PeriodicCallback & {times: number[]} {
   const times: number[] = [];
   return {times, periodMs, onDidCome: () => times.push(now)};
 }
@@ -20,7 +22,7 @@
   }
 }
 
-let beats: (Beat & {times: number[]})[] = [];
+let beats: (PeriodicCallback & {times: number[]})[] = [];
 const hasCome = () => beats.some(({times}) => times.at(-1) === now);
 
 beforeEach(() => {
@@ -75,7 +77,7 @@
 
   it('end, also from within one of them', () => {
     const last = makeBeat(() => 100);
-    const first: Beat = {
+    const first: PeriodicCallback = {
       periodMs: () => 100,
       onDidCome: () => {
         ticker.remove(last);
--- a/src/services/dispatch/common/waiting_requests.ts
+++ b/src/services/dispatch/common/waiting_requests.ts
@@ -147,12 +147,11 @@
     request: PlaceRequest<G>,
     now: number,
   ): PlaceRefusal | undefined {
-    const {need, since, patienceMs, dueAt} = request;
-    const ahead = this.aheadOf(request, need.kind, now, dueAt <= now);
-    const expectedMs = this.rates[need.kind].expectedWait(ahead, now);
-    const room = since + patienceMs - now;
-    if (this.isOutageFor(need, now) || expectedMs <= room) return undefined;
-    return this.overloaded({kind: need.kind, ahead, expectedMs, room}, now);
+    const estimate = this.estimateOf(request, now);
+    const {expectedMs, room} = estimate;
+    const isOutage = this.isOutageFor(request.need, now);
+    if (isOutage || expectedMs <= room) return undefined;
+    return this.overloaded(estimate, now);
   }
 
   /** Refuses where the queue is full, of what is as urgent by class. */
@@ -162,11 +161,16 @@
   ): PlaceRefusal | undefined {
     if (this.queue.size < QUEUE_LIMIT) return undefined;
     if (this.isByClass && this.makeRoom(request, now)) return undefined;
+    return this.overloaded(this.estimateOf(request, now), now);
+  }
+
+  /** How long one that comes now would wait, and may. */
+  private estimateOf(request: PlaceRequest<G>, now: number): WaitEstimate {
     const {need, since, patienceMs, dueAt} = request;
-    const ahead = this.aheadOf(request, need.kind, now, dueAt <= now);
-    const expectedMs = this.rates[need.kind].expectedWait(ahead, now);
-    const room = since + patienceMs - now;
-    return this.overloaded({kind: need.kind, ahead, expectedMs, room}, now);
+    const {kind} = need;
+    const ahead = this.aheadOf(request, kind, now, dueAt <= now);
+    const expectedMs = this.rates[kind].expectedWait(ahead, now);
+    return {kind, ahead, expectedMs, room: since + patienceMs - now};
   }
 
   /** Refuses the last of the least urgent for a more urgent request. */
--- a/src/services/dispatch/node/service_dispatcher.ts
+++ b/src/services/dispatch/node/service_dispatcher.ts
@@ -104,8 +104,8 @@
 
   start(signal: AbortSignal): Promise<void> {
     this.signal = signal;
-    const paces = {busyMs: TICK_MS, restMs: REST_TICK_MS};
-    this.wakeTick = everyWhileBusy(signal, paces, () => {
+    const periods = {busyMs: TICK_MS, restMs: REST_TICK_MS};
+    this.wakeTick = everyWhileBusy(signal, periods, () => {
       this.mailbox.post({kind: 'tick'});
       return !this.isAtRest;
     });
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -128,8 +128,8 @@
 
   /**
    * Sends what each proxy has not heard of yet. One that came while nobody
-   * leads waits here and hears at once who does: asking around in turn took
-   * proxies up to 0.6 s after each election.
+   * leads waits here and hears at once who does: asking around in turn would
+   * take proxies longer.
    */
   push(): void {
     this.pushedAt = this.clock.now();
@@ -223,8 +223,8 @@
 
   /**
    * Counts the proxies, at most once in a while: the count goes to all of them
-   * with the list of members, and told at each arrival it cost 63 proxies that
-   * came together 4,000 lists. A new leader tells the usual number until they
+   * with the list of members, and told at each arrival all would be told as often
+   * as there are proxies when they come together. A new leader tells the usual number until they
    * had time to come: told that they are few, each would open the connections
    * of all.
    */
--- a/src/services/pooler/node/pooler_link.ts
+++ b/src/services/pooler/node/pooler_link.ts
@@ -85,8 +85,8 @@
       onDidEnd: reason => this.end(reason),
     });
     this.ended.signal.addEventListener('abort', () => this.end('stopped'));
-    const paces = {busyMs: LOOK_MS, restMs: Infinity};
-    this.wakeLook = everyWhileBusy(this.ended.signal, paces, () => {
+    const periods = {busyMs: LOOK_MS, restMs: Infinity};
+    this.wakeLook = everyWhileBusy(this.ended.signal, periods, () => {
       this.look();
       return this.askedAt !== undefined;
     });
