Accounts: open tests of failures with their stories

Stumbled over: tests whose titles name a failure, and which do not say what a user would see of it. Comments only; no assertion is touched.

--- a/src/services/account/test/common/account_counter.test.ts
+++ b/src/services/account/test/common/account_counter.test.ts
@@ -123,6 +123,9 @@
   });
 
   it('drops its shares where the lease was over for long', () => {
+    // Control was lost for longer than the lease, and has given this counter's
+    // shares to others since. Were they in force again with the next lease,
+    // the account would run beyond its limit.
     const {clock, counter} = makeCounter(10, 10);
     clock.advance(SHARE_LEASE_MS + 600);
     expect(counter.sharesNumber).toBe(0);
@@ -131,6 +134,9 @@
   });
 
   it('names no shares to a leader after its lease', () => {
+    // The lease is over, and the counter comes to a leader with what it had.
+    // That leader may have given the same to others; named, it would be in use
+    // twice once the next lease is there.
     const {clock, counter} = makeCounter(10, 10);
     const share = {account: ACCOUNT, perSecond: 10, depth: 10, tokens: 0};
     expect(counter.held).toEqual([share]);
@@ -141,6 +147,9 @@
   });
 
   it('takes no list of changes after it dropped its shares', () => {
+    // A list of changes was under way when the counter dropped its shares. Kept
+    // to, it would stand for the whole, and callers of all accounts that did not
+    // change would be refused.
     const {clock, counter} = makeCounter(10, 10);
     clock.advance(SHARE_LEASE_MS + 600);
     counter.setShares({shares: [], number: 2});
@@ -150,6 +159,8 @@
   });
 
   it('keeps its shares and counts lists anew for another leader', () => {
+    // The leader of control changes. Were the shares gone with it, callers would
+    // be refused until the next leader hands them out.
     const {counter} = makeCounter(10, 10);
     expect(counter.sharesNumber).toBe(1);
     counter.onDidDetach();
--- a/src/services/account/test/common/counter_plan.test.ts
+++ b/src/services/account/test/common/counter_plan.test.ts
@@ -103,6 +103,9 @@
   });
 
   it('stays while its proxy comes back soon, as after an election', () => {
+    // All proxies lose their streams when the leader changes and come back one
+    // by one. Replaced meanwhile, counters would move at each election, and
+    // callers be refused while shares move with them.
     const before = active();
     look([], SETTLED_MS + 200);
     look([], SETTLED_MS + 2_400);
@@ -128,6 +131,8 @@
   });
 
   it('is not named anew before it is free', () => {
+    // The only proxy of a region was retired as a counter. Shares of before may
+    // be in use there; named at once, it would get new ones on top.
     const lonely = ['south-1/a'];
     counters = [makeCounter('south-1/a', {site: 'south-1', retiring: true})];
     look(lonely, SETTLED_MS);
@@ -139,6 +144,8 @@
   });
 
   it('is met at its new address where it came back elsewhere', () => {
+    // A counter's machine comes back at another address. Proxies that know the
+    // old one only would ask nobody, and refuse callers of its accounts.
     const elsewhere = {...makeProxy(lost), address: 'elsewhere:1'};
     const need = {hasLimits, regionOf, isFree: () => false};
     const proxies = [...left.map(makeProxy), elsewhere];
--- a/src/services/account/test/common/limit_allocator.test.ts
+++ b/src/services/account/test/common/limit_allocator.test.ts
@@ -128,6 +128,8 @@
   });
 
   it('withholds what a silent counter has until its lease is over', () => {
+    // A counter is cut off from control, while callers reach it still. Were its
+    // share given to the other at once, the account would run both.
     const control = makeBusy();
     const before = control.rates.get('a')!;
     control.run(SHARE_LEASE_MS, {b: 50});
@@ -182,6 +184,9 @@
   });
 
   it('shares that out when the lease of those who did not come is over', () => {
+    // One of the counters of an earlier leader never comes. Withheld for good,
+    // its share would be missing to the account: callers below the limit are
+    // refused.
     const control = new Control(['a', 'b', 'c']);
     control.attach('a', 10);
     control.attach('b', 10);
@@ -234,6 +239,9 @@
   });
 
   it('counts the permits of a counter that starts again', () => {
+    // A counter dies and comes back without shares. Proxies still hold permits
+    // that it granted before; the whole share on top would let the account run
+    // beyond its limit.
     const control = makeBusy();
     const before = 60 / 2;
     control.attach('a');
--- a/src/services/account/test/common/limit_world.test.ts
+++ b/src/services/account/test/common/limit_world.test.ts
@@ -75,6 +75,8 @@
   });
 
   it('are served while control is lost for 5 s', () => {
+    // Control is lost, and no share changes. Callers would be refused where the
+    // work of an account moves to a counter that has little of it.
     const parts = refusedParts(10, world => {
       world.load(USUAL_PART);
       world.run(5_000);
@@ -127,6 +129,8 @@
   });
 
   it('are served while counters restart one after the other', () => {
+    // An update restarts all counters in turn. Each loses its shares and tokens;
+    // callers would be refused while the other has half of the limit only.
     const restartAll = (world: LimitWorld) => {
       world.load(USUAL_PART);
       world.run(8_000);
@@ -140,6 +144,8 @@
   });
 
   it('are served where a counter dies, or a region loses control', () => {
+    // What the lost counter held is withheld for its lease, then given to others.
+    // Callers would be refused where the rest does not suffice meanwhile.
     const lose = (world: LimitWorld) => {
       const {nodes} = world.fleet;
       world.load(USUAL_PART);
@@ -198,6 +204,8 @@
   });
 
   it('stay below it in a crowd that comes while control is lost', () => {
+    // Control is lost, and counters go by the shares of before. An account would
+    // run beyond its limit where they add up to more than that.
     for (let seed = 1; seed <= 5; seed++) {
       const world = makeWorld(seed);
       world.load(0.8);
--- a/src/services/account/test/node/counter_links.test.ts
+++ b/src/services/account/test/node/counter_links.test.ts
@@ -212,6 +212,8 @@
   });
 
   it('died goes to the second', async () => {
+    // The process of a counter ends. Callers whose accounts it counted would be
+    // refused until control names another one, some seconds later.
     const [first, second] = await firstAndSecond();
     first.stop.abort();
     await pause(50);
@@ -222,6 +224,8 @@
   });
 
   it('holds no share of the account goes to the second', async () => {
+    // A counter lost its lease, or is new: it cannot say anything of the account.
+    // Its callers would be refused although the other counter has room.
     const [first, second] = await firstAndSecond();
     first.counter.decision = {kind: 'unknown account'};
     expect((await admit()).refusal).toBeUndefined();
@@ -229,6 +233,8 @@
   });
 
   it('and second are lost goes to another region', async () => {
+    // Both counters of a region die. Its callers would be refused although a
+    // counter elsewhere holds a share.
     await admit();
     for (const counter of near) counter.stop.abort();
     await pause(50);
@@ -267,6 +273,8 @@
   });
 
   it('runs once a counter is named within its time', async () => {
+    // A fleet starts: callers come before control has named counters. Refused at
+    // once, they would all come again in the same moment.
     directory.setCounters([]);
     const admitted = admit();
     await pause(60);
