--- a/src/services/room/test/common/connection_room.test.ts
+++ b/src/services/room/test/common/connection_room.test.ts
@@ -57,6 +57,8 @@
   });
 
   it('keeps to no list that is older than the one in force', () => {
+    // Control lowered a grant, and a list of before comes late. Kept to, it would
+    // have the member refuse connections that others opened meanwhile.
     grant(5, 2);
     grant(40, 1);
     expect(limit()).toBe(5);
@@ -73,6 +75,8 @@
   });
 
   it('takes the word of a member that is full', () => {
+    // A member refuses a connection below the grant: its own count is another.
+    // Each further try would cost a caller its time, for nothing.
     grant(12, 1);
     room.onFull('books', 'm1', 8);
     expect(limit()).toBe(8);
@@ -93,6 +97,8 @@
   });
 
   it('counts the lease from its question, not from the answer', () => {
+    // An answer is long under way. Control counts the lease from when it heard the
+    // question, then gives the connections to others: both would open them.
     grant(20, 1);
     const askedAt = clock.now();
     clock.advance(2_000);
@@ -102,6 +108,8 @@
   });
 
   it('tells the next leader what it goes by', () => {
+    // The leader of control changes. If the next one knew only what is open, it
+    // would lower all grants to that, and callers wait after each election.
     grant(20, 3);
     note(12, 12);
     clock.advance(800);
@@ -114,6 +122,8 @@
   });
 
   it('forgets grants where the next leader hands out none', () => {
+    // An operator takes all limits away while the leader changes. Kept to, the
+    // last grants would bound the proxy for good, and callers wait.
     grant(20, 1);
     room.onDidAttach();
     for (let asked = 0; asked < 8; asked++) {
--- a/src/services/room/test/common/room_allocator.test.ts
+++ b/src/services/room/test/common/room_allocator.test.ts
@@ -161,6 +161,8 @@
   });
 
   it('frees the part of one that it does not hear for a lease', () => {
+    // A pooler hangs, with its stream open. Its connections would be missing to
+    // the callers of all others for as long as that lasts.
     const fleet = new TestFleet(SHARED, 6);
     for (const pooler of fleet.poolers) pooler.wants = 20;
     fleet.run(3_000);
