--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -1,5 +1,6 @@
 import type {Task} from '../../../base/node/task';
 import {WorkScope} from '../../../schema/generated/pooler';
+import type {Attempt} from '../../gateway/node/request_journal';
 import {
   mayRepeat,
   refusalResult,
@@ -80,21 +81,11 @@
       if (context.gone.aborted) return failure('timeout', 'the caller left');
       const tookMs = context.clock.now() - now;
       const attempt = {instance: link.address, tookMs, detail: 'no answer'};
-      if (isWrite) {
-        context.journal.onFailed(requestId, route.service, attempt);
-        const text = 'the write may have taken effect';
-        return failure('unknown outcome', text);
-      }
-      context.journal.onRepeated(requestId, route.service, attempt);
       passed.add(link);
       const isLate = context.clock.now() >= deadline;
       const isLast = isLate || passed.size >= MOST_POOLERS;
-      if (
-        isLast ||
-        !mayRepeat(context, requestId, route.service, attempt.detail)
-      ) {
-        return failure('timeout', 'no answer from the pooler');
-      }
+      const result = endUnanswered(context, request, attempt, isLast);
+      if (result) return result;
     }
   }
 
@@ -111,3 +102,23 @@
     );
   }
 }
+
+/** What a caller is told without an answer; undefined to ask another pooler. */
+function endUnanswered(
+  context: SessionContext,
+  {requestId, route: {service}, isWrite}: SingleRequest,
+  attempt: Attempt,
+  isLast: boolean,
+): StatementResult | undefined {
+  const {journal} = context;
+  if (isWrite) {
+    journal.onFailed(requestId, service, attempt);
+    return failure('unknown outcome', 'the write may have taken effect');
+  }
+  journal.onRepeated(requestId, service, attempt);
+  const {detail} = attempt;
+  if (!isLast && mayRepeat(context, requestId, service, detail)) {
+    return undefined;
+  }
+  return failure('timeout', 'no answer from the pooler');
+}
