--- a/src/base/node/timers.ts
+++ b/src/base/node/timers.ts
@@ -43,8 +43,8 @@
 
 /**
  * Calls back again and again until the signal aborts, less often while there is
- * nothing to do, as the last call said. The result tells that there is something
- * to do from now on.
+ * nothing to do, as the last call said. The result tells that there is
+ * something to do from now on.
  */
 export function everyWhileBusy(
   signal: AbortSignal,
--- a/src/services/account/common/counter_choice.ts
+++ b/src/services/account/common/counter_choice.ts
@@ -19,9 +19,10 @@
   | 'closed';
 
 /**
- * The order in which a proxy asks counters about an account: those of its region
- * by rendezvous hashing, so that all its proxies ask the same one first, then
- * others. One that is retiring may still have something to give and comes last.
+ * The order in which a proxy asks counters about an account: those of its
+ * region by rendezvous hashing, so that all its proxies ask the same one first,
+ * then others. One that is retiring may still have something to give and comes
+ * last.
  */
 export function rankCounters(
   counters: readonly CounterEntry[],
@@ -47,9 +48,9 @@
 }
 
 /**
- * The counter that is asked next; 'soon' where a link to it is being opened, and
- * undefined where none can be asked. Looks at states in order and no further
- * than it has to: a look opens a link.
+ * The counter that is asked next; 'soon' where a link to it is being opened,
+ * and undefined where none can be asked. Looks at states in order and no
+ * further than it has to: a look opens a link.
  */
 export function chooseCounter(
   ranked: readonly CounterEntry[],
--- a/src/services/account/common/permit_question.ts
+++ b/src/services/account/common/permit_question.ts
@@ -2,8 +2,9 @@
 
 /**
  * An operation's question to one counter after the other. Guard: each counter
- * has a part of the limit only; without asking on, operations of a small account
- * far below its limit are refused where too many come to one part by chance.
+ * has a part of the limit only; without asking on, operations of a small
+ * account far below its limit are refused where too many come to one part by
+ * chance.
  */
 export class PermitQuestion {
   private refusals = 0;
--- a/src/services/account/test/common/account_counter.test.ts
+++ b/src/services/account/test/common/account_counter.test.ts
@@ -112,7 +112,8 @@
   });
 
   it('grants nothing once its lease is over', () => {
-    // Cut off from control, whose other counters get its shares after the lease.
+    // Cut off from control, whose other counters get its shares after the
+    // lease.
     const {clock, counter} = makeCounter(10, 10);
     clock.advance(SHARE_LEASE_MS - 1);
     expect(counter.ask(ACCOUNT, 1).kind).toBe('granted');
@@ -148,8 +149,8 @@
 
   it('takes no list of changes after it dropped its shares', () => {
     // A list of changes was under way when the counter dropped its shares. Kept
-    // to, it would stand for the whole, and callers of all accounts that did not
-    // change would be refused.
+    // to, it would stand for the whole, and callers of all accounts that did
+    // not change would be refused.
     const {clock, counter} = makeCounter(10, 10);
     clock.advance(SHARE_LEASE_MS + 600);
     counter.setShares({shares: [], number: 2});
@@ -159,8 +160,8 @@
   });
 
   it('keeps its shares and counts lists anew for another leader', () => {
-    // The leader of control changes. Were the shares gone with it, callers would
-    // be refused until the next leader hands them out.
+    // The leader of control changes. Were the shares gone with it, callers
+    // would be refused until the next leader hands them out.
     const {counter} = makeCounter(10, 10);
     expect(counter.sharesNumber).toBe(1);
     counter.onDidDetach();
--- a/src/services/account/test/common/held_permits.test.ts
+++ b/src/services/account/test/common/held_permits.test.ts
@@ -28,7 +28,8 @@
   });
 
   it('end when their time is over, counted from the question', () => {
-    // The counter fills its bucket again then. Used later, they would run twice.
+    // The counter fills its bucket again then. Used later, they would run
+    // twice.
     const book = new HeldPermits();
     book.onAnswered(ACCOUNT, 0, granted(4), 60);
     expect(book.look(ACCOUNT, 499).kind).toBe('taken');
--- a/src/services/account/test/common/limit_chaos.test.ts
+++ b/src/services/account/test/common/limit_chaos.test.ts
@@ -19,12 +19,12 @@
   'holds limits whatever happens: %o',
   ({leaseMs, seeds}) => {
     // Accounts ask for 7.5 times their usual, all at once or two of them, while
-    // leaders change with lists under way, control is lost for seconds, counters
-    // are cut off, restart one by one or all together, are replaced, and limits
-    // are lowered and raised. A user would see an account run more than it may:
-    // because two counters kept to one part of a limit, because tokens or permits
-    // were there twice, or because shares outlived their lease.
-    // Load: 180 proxies, 40 s; the limit as users count it, in any 5 s.
+    // leaders change with lists under way, control is lost for seconds,
+    // counters are cut off, restart one by one or all together, are replaced,
+    // and limits are lowered and raised. A user would see an account run more
+    // than it may: because two counters kept to one part of a limit, because
+    // tokens or permits were there twice, or because shares outlived their
+    // lease. Load: 180 proxies, 40 s; the limit as users count it, in any 5 s.
     for (const seed of seeds) {
       const random = new SeededRandom(seed);
       const world = new LimitWorld(random, LIMITS, 60, leaseMs);
--- a/src/services/account/test/common/limit_world.test.ts
+++ b/src/services/account/test/common/limit_world.test.ts
@@ -64,7 +64,8 @@
 describe('accounts below 0.9 of their limits', () => {
   // Load: what accounts usually ask for (the limit by 1.6), by callers that
   // come independently of each other at 75 proxies in 3 regions. Users are owed
-  // that hardly any of their operations, less than one in a thousand, is refused.
+  // that hardly any of their operations, less than one in a thousand, is
+  // refused.
 
   it('are served on a calm day', () => {
     const parts = refusedParts(5, world => {
@@ -101,7 +102,8 @@
   });
 
   it('are served while callers move between machines and regions', () => {
-    // Seven callers in ten go round the regions, each region's crowd within 10 s.
+    // Seven callers in ten go round the regions, each region's crowd within 10
+    // s.
     const parts = refusedParts(4, world => {
       for (const callers of world.callers) {
         callers.place = ({random, timeline}) => {
@@ -129,8 +131,9 @@
   });
 
   it('are served while counters restart one after the other', () => {
-    // An update restarts all counters in turn. Each loses its shares and tokens;
-    // callers would be refused while the other has half of the limit only.
+    // An update restarts all counters in turn. Each loses its shares and
+    // tokens; callers would be refused while the other has half of the limit
+    // only.
     const restartAll = (world: LimitWorld) => {
       world.load(USUAL_PART);
       world.run(8_000);
@@ -144,8 +147,9 @@
   });
 
   it('are served where a counter dies, or a region loses control', () => {
-    // What the lost counter held is withheld for its lease, then given to others.
-    // Callers would be refused where the rest does not suffice meanwhile.
+    // What the lost counter held is withheld for its lease, then given to
+    // others. Callers would be refused where the rest does not suffice
+    // meanwhile.
     const lose = (world: LimitWorld) => {
       const {nodes} = world.fleet;
       world.load(USUAL_PART);
@@ -204,8 +208,8 @@
   });
 
   it('stay below it in a crowd that comes while control is lost', () => {
-    // Control is lost, and counters go by the shares of before. An account would
-    // run beyond its limit where they add up to more than that.
+    // Control is lost, and counters go by the shares of before. An account
+    // would run beyond its limit where they add up to more than that.
     for (let seed = 1; seed <= 5; seed++) {
       const world = makeWorld(seed);
       world.load(0.8);
--- a/src/services/account/test/node/counter_links.test.ts
+++ b/src/services/account/test/node/counter_links.test.ts
@@ -224,8 +224,9 @@
   });
 
   it('holds no share of the account goes to the second', async () => {
-    // A counter lost its lease, or is new: it cannot say anything of the account.
-    // Its callers would be refused although the other counter has room.
+    // A counter lost its lease, or is new: it cannot say anything of the
+    // account. Its callers would be refused although the other counter has
+    // room.
     const [first, second] = await firstAndSecond();
     first.counter.decision = {kind: 'unknown account'};
     expect((await admit()).refusal).toBeUndefined();
@@ -273,8 +274,8 @@
   });
 
   it('runs once a counter is named within its time', async () => {
-    // A fleet starts: callers come before control has named counters. Refused at
-    // once, they would all come again in the same moment.
+    // A fleet starts: callers come before control has named counters. Refused
+    // at once, they would all come again in the same moment.
     directory.setCounters([]);
     const admitted = admit();
     await pause(60);
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -119,8 +119,8 @@
 
   /**
    * Tells control of trouble with the primary of a service and of its end, now
-   * and after reconnects. Without this, 191 proxies before 14 services told a
-   * leader that just took over 5,300 times that all is well.
+   * and after reconnects. Nothing is told where all was well and is: each proxy
+   * would tell a leader that just took over so of each service.
    */
   report(report: PrimaryReport): void {
     const {service, trouble} = report;
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -78,8 +78,8 @@
  */
 const PUSH_MS = 250;
 /**
- * News of members go out this far apart at least, in milliseconds: while a fleet
- * starts they come by the hundred, and each message wakes up all proxies.
+ * News of members go out this far apart at least, in milliseconds: while a
+ * fleet starts they come by the hundred, and each message wakes up all proxies.
  */
 const LEAST_PUSH_MS = 50;
 /**
@@ -146,9 +146,9 @@
   }
 
   /**
-   * Guard: an instance that was just elected does not know yet whether it has all
-   * that was committed. Naming itself to those that wait here, it would have them
-   * all come back at once, again and again until it knows.
+   * Guard: an instance that was just elected does not know yet whether it has
+   * all that was committed. Naming itself to those that wait here, it would
+   * have them all come back at once, again and again until it knows.
    */
   private get isAnotherLeading(): boolean {
     const {source} = this;
@@ -223,10 +223,10 @@
 
   /**
    * Counts the proxies, at most once in a while: the count goes to all of them
-   * with the list of members, and told at each arrival all would be told as often
-   * as there are proxies when they come together. A new leader tells the usual number until they
-   * had time to come: told that they are few, each would open the connections
-   * of all.
+   * with the list of members, and told at each arrival all would be told as
+   * often as there are proxies when they come together. A new leader tells the
+   * usual number until they had time to come: told that they are few, each
+   * would open the connections of all.
    */
   private countProxies(): void {
     const now = this.clock.now();
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -204,10 +204,10 @@
 });
 
 it('stays at an instance that was elected and is not ready yet', async () => {
-  // After a common restart an instance is elected that does not know yet whether
-  // it has all that was committed. Sent from there to the leader, which is the
-  // same instance, each proxy comes back at once; with many of them it has no
-  // time for what it waits for, and the fleet never starts.
+  // After a common restart an instance is elected that does not know yet
+  // whether it has all that was committed. Sent from there to the leader, which
+  // is the same instance, each proxy comes back at once; with many of them it
+  // has no time for what it waits for, and the fleet never starts.
   first.knownLeader = first.address;
   const follower = follow();
   for (let push = 0; push < 10; push++) {
--- a/src/services/gateway/node/session_context.ts
+++ b/src/services/gateway/node/session_context.ts
@@ -190,8 +190,8 @@
 }
 
 /**
- * A member that says so sends a statement on: it ran nothing, and is passed over
- * for a while. Such repeats end by themselves and need no budget.
+ * A member that says so sends a statement on: it ran nothing, and is passed
+ * over for a while. Such repeats end by themselves and need no budget.
  */
 const REDIRECTIONS: ReadonlySet<string> = new Set<Failure>([
   'lagging',
--- a/src/services/pooler/common/choose_pooler.ts
+++ b/src/services/pooler/common/choose_pooler.ts
@@ -46,8 +46,8 @@
  * work is done, the primary's for what needs it and the caller's otherwise.
  *
  * Buys: a connection serves one account only. With each site's own pooler, six
- * of them held six connections each for 74 accounts, and two operations of three
- * opened one (12 ms of one of a member's three slots).
+ * of them held six connections each for 74 accounts, and two operations of
+ * three opened one (12 ms of one of a member's three slots).
  */
 export class OneForAccount implements PoolerChoice {
   constructor(private readonly here: Whereabouts) {}
--- a/src/services/pooler/node/pooler_call.ts
+++ b/src/services/pooler/node/pooler_call.ts
@@ -47,8 +47,8 @@
 
 /**
  * Sends a statement and waits for its outcome, to a little past its deadline,
- * or until its caller leaves; undefined where none came. A position that comes back is the session's newest
- * commit.
+ * or until its caller leaves; undefined where none came. A position that comes
+ * back is the session's newest commit.
  */
 export function* callPooler(
   {clock, memory, gone}: SessionContext,
--- a/src/services/promotion/test/node/member_watch.test.ts
+++ b/src/services/promotion/test/node/member_watch.test.ts
@@ -86,8 +86,8 @@
 
 it('asks many members 600 times a second in all, and takes none for silent', async () => {
   // Load: 1,000 members of one leader. Asked 4,000 times a second, a control
-  // instance with 0.4 of a core did nothing else; asked less often and judged by
-  // the time since the last answer, each member would look dead in between.
+  // instance with 0.4 of a core did nothing else; asked less often and judged
+  // by the time since the last answer, each member would look dead in between.
   const watched = watch(1_000);
   let longest = 0;
   for (let step = 0; step < 400; step++) {
--- a/src/services/room/test/common/connection_room.test.ts
+++ b/src/services/room/test/common/connection_room.test.ts
@@ -57,8 +57,8 @@
   });
 
   it('keeps to no list that is older than the one in force', () => {
-    // Control lowered a grant, and a list of before comes late. Kept to, it would
-    // have the member refuse connections that others opened meanwhile.
+    // Control lowered a grant, and a list of before comes late. Kept to, it
+    // would have the member refuse connections that others opened meanwhile.
     grant(5, 2);
     grant(40, 1);
     expect(limit()).toBe(5);
@@ -97,8 +97,8 @@
   });
 
   it('counts the lease from its question, not from the answer', () => {
-    // An answer is long under way. Control counts the lease from when it heard the
-    // question, then gives the connections to others: both would open them.
+    // An answer is long under way. Control counts the lease from when it heard
+    // the question, then gives the connections to others: both would open them.
     grant(20, 1);
     const askedAt = clock.now();
     clock.advance(2_000);
