--- a/src/services/account/common/share_division.ts
+++ b/src/services/account/common/share_division.ts
@@ -1,3 +1,4 @@
+import {sumOf} from '../../../base/common/numbers';
 import {NO_SHARE} from './share_terms';
 import type {BucketTerms} from './token_bucket';
 
@@ -49,7 +50,7 @@
 function divideRate(all: number, demands: readonly number[]): number[] {
   const total = sumOf(demands);
   const spare = Math.max(0, all - total);
-  const leftOver = Math.max(0, all - total) * LEFT_OVER_PART;
+  const leftOver = spare * LEFT_OVER_PART;
   const alike = Math.max(all * FLOOR_PART, spare * EQUAL_PART);
   const byDemand = all - leftOver - alike;
   return demands.map(demand => {
@@ -57,7 +58,3 @@
     return byDemand * part + alike / demands.length;
   });
 }
-
-function sumOf(numbers: readonly number[]): number {
-  return numbers.reduce((sum, one) => sum + one, 0);
-}
