Say that a counter has rested for no time while an operation waits

A token that is reserved for later counted as granted later, so the rest was below 0, which the greeting of a new leader cannot carry: the process ended (invalid uint32: -100).

Change: the rest is between 0 and a minute, in whole milliseconds.

Test: red before (rest of -40), green after.

--- a/src/services/account/common/account_counter.ts
+++ b/src/services/account/common/account_counter.ts
@@ -69,6 +69,9 @@
   }
 }
 
+/** A longer rest brings no more tokens, in milliseconds. */
+const MOST_IDLE_MS = 60_000;
+
 /**
  * Counts the operations of accounts for a region: grants what its shares allow,
  * and nothing once its lease on them is over.
@@ -138,8 +141,13 @@
     });
   }
 
+  /**
+   * Guard: it goes out as a count. One below 0, while an operation waits for
+   * its token, cannot be written and ended the process at its next greeting.
+   */
   get idleMs(): number {
-    return this.clock.now() - this.grantedAt;
+    const idleMs = this.clock.now() - this.grantedAt;
+    return Math.floor(Math.min(Math.max(0, idleMs), MOST_IDLE_MS));
   }
 
   get sharesNumber(): number {
--- a/src/services/account/test/common/account_counter.test.ts
+++ b/src/services/account/test/common/account_counter.test.ts
@@ -199,6 +199,19 @@
   });
 });
 
+it('has rested for no time while an operation waits for its token', () => {
+  // A flood reserves tokens that are to come. The counter greets a new leader
+  // just then; a rest below 0 cannot be written, and its process ended.
+  const {clock, counter, pass} = makeCounter(10, 1);
+  pass(60);
+  expect(counter.ask(ACCOUNT, 1)).toMatchObject({kind: 'granted', waitMs: 40});
+  expect(counter.idleMs).toBe(0);
+  clock.advance(140);
+  expect(counter.idleMs).toBe(100);
+  clock.advance(2 ** 33);
+  expect(counter.idleMs).toBe(60_000);
+});
+
 /** A share that a counter may be told, of an account of any size. */
 function anyShare(random: SeededRandom) {
   const perSecond = random.pick([0, 0.001, 0.3, 1, 70]);
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -161,7 +161,7 @@
       catalogVersion: this.catalog?.version ?? 0,
       address,
       shares: counter.held,
-      counterIdleMs: Math.floor(counter.idleMs),
+      counterIdleMs: counter.idleMs,
       capacityCores: capacity.cores,
       capacityLinkMbps: capacity.linkMbps,
     };
