Free counters of accounts that have no limit any more

Cause: found by reading. A counter's share of an account whose limit was lifted was remembered for good, so that a retiring counter never was free, and was not named again when limits came back in its region.

Change: such a share counts until its lease is over for sure. Test: red before, green after.

--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -52,7 +52,7 @@
   setAccounts(entries: readonly AccountEntry[], now: number): void {
     const limits = new Map(entries.map(({account, limit}) => [account, limit]));
     for (const account of this.accounts.keys()) {
-      if (!limits.get(account)) this.drop(account);
+      if (!limits.get(account)) this.drop(account, now);
     }
     for (const [account, limit] of limits) {
       if (limit) this.setLimit(account, limit, now);
@@ -175,9 +175,9 @@
     if (this.hasUnknown) account.withhold(this.active, now);
   }
 
-  private drop(account: string): void {
+  private drop(account: string, now: number): void {
     this.accounts.delete(account);
-    for (const holder of this.holders.values()) holder.forget(account);
+    for (const holder of this.holders.values()) holder.forget(account, now);
   }
 
   /**
--- a/src/services/account/common/share_holder.ts
+++ b/src/services/account/common/share_holder.ts
@@ -42,6 +42,8 @@
 export class ShareHolder {
   private readonly holdings = new Map<string, ShareHolding>();
   private readonly demands = new Map<string, DecayedRate>();
+  /** When accounts lost their limits of which it had shares. */
+  private readonly forgottenAt = new Map<string, number>();
   private isListed = false;
   private retiringSince = Infinity;
   private attachedAt = -Infinity;
@@ -150,6 +152,7 @@
   tell(shares: AccountShare[]): AccountShares {
     const number = ++this.number;
     for (const {account, perSecond, depth} of shares) {
+      this.forgottenAt.delete(account);
       this.holding(account).tell({perSecond, depth}, number);
     }
     return {shares, number};
@@ -157,20 +160,31 @@
 
   /** Whether no account can have a share here any more. */
   holdsNothing(now: number): boolean {
-    for (const holding of this.holdings.values()) {
+    for (const [account, holding] of this.holdings) {
+      if (this.isForgotten(account, now)) continue;
       const {perSecond, depth} = holding.most(now);
       if (perSecond > 0 || depth > 0) return false;
     }
     return true;
   }
 
-  /** An account has no limit any more: the counter forgets its share. */
-  forget(account: string): void {
+  /**
+   * An account has no limit any more: the counter drops its share with its next
+   * catalog, or with its lease.
+   */
+  forget(account: string, now: number): void {
     const holding = this.holdings.get(account);
-    if (holding) holding.isNews = true;
+    if (!holding) return;
+    holding.isNews = true;
+    this.forgottenAt.set(account, now);
     this.demands.delete(account);
   }
 
+  private isForgotten(account: string, now: number): boolean {
+    const at = this.forgottenAt.get(account);
+    return at !== undefined && now >= leaseEnd(at, this.leaseMs);
+  }
+
   private restartLists(): void {
     this.number = 0;
     this.acknowledged = 0;
--- a/src/services/account/test/common/limit_allocator.test.ts
+++ b/src/services/account/test/common/limit_allocator.test.ts
@@ -205,6 +205,19 @@
     expect(sum).toBeGreaterThan(5);
   });
 
+  it('frees a counter once the account has no limit any more', () => {
+    // An operator lifts all limits. Counters that stayed listed as retiring for
+    // good were not named again when the limits came back, and callers of their
+    // region were refused for want of one.
+    const control = makeBusy();
+    control.allocator.setAccounts([], control.now);
+    control.name([], ['a', 'b']);
+    control.run(SHARE_LEASE_MS - 1_000, {a: 0, b: 0});
+    expect(control.allocator.isFree('a', control.now)).toBe(false);
+    control.run(6_000, {a: 0, b: 0});
+    expect(control.allocator.isFree('a', control.now)).toBe(true);
+  });
+
   it('gives a retiring counter nothing new, and frees it', () => {
     const control = makeBusy();
     control.attach('c');
