Close a connection that opens for a pool that has ended

Cause: found by reading, older than this work. A member that is forgotten or moves while a connection to it opens kept that connection for nobody.

Test: red before (1 connection left), green after.

--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -120,6 +120,7 @@
   /** Since when nothing was answered, although something was asked. */
   private suspectedSince: number | undefined;
   private isConfirmed = false;
+  private isEnded = false;
   private readonly window = new ConcurrencyWindow();
   private lag = {ms: 0, at: -Infinity};
 
@@ -340,12 +341,16 @@
     return keepsStandby ? IDLE_CLOSE_MS : RARE_CLOSE_MS;
   }
 
+  /** Ends the pool: what is being opened for it is closed once it is there. */
   closeAll(): void {
+    this.isEnded = true;
     for (const pooled of [...this.all]) this.drop(pooled);
   }
 
   private onOpened(link: TargetLink, user: MemberUser): void {
-    if (this.signal.aborted) return link.close();
+    // Guard: a member that is gone, or has moved, would keep the connection,
+    // one of a few, for nobody.
+    if (this.signal.aborted || this.isEnded) return link.close();
     const {instance} = this.member;
     const pooled: PooledLink = {
       link,
