Call no read refused that was sent to a pooler before

Cause: found by reading. A read without an answer went on to this proxy's own connections where no pooler was left; found busy there, its caller was told that it had not run, though a pooler may have run it.

Test: red before, green after. vitest on src/services: 486 passed.

--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -11,7 +11,11 @@
   type SingleRequest,
 } from '../../gateway/node/single_statement';
 import {LOCAL_RUNNER, type WorkRunner} from '../../gateway/node/work_runner';
-import {failure, type StatementResult} from '../../statement/common/statement';
+import {
+  failure,
+  saysNotRun,
+  type StatementResult,
+} from '../../statement/common/statement';
 import {
   encodeSession,
   encodeStep,
@@ -55,7 +59,10 @@
     };
     for (;;) {
       const found = yield* takeLink(directory, context, wish, passed);
-      if (!found) return yield* LOCAL_RUNNER.runSingle(context, request);
+      if (!found) {
+        const result = yield* LOCAL_RUNNER.runSingle(context, request);
+        return passed.size === 0 ? result : mayHaveRun(result);
+      }
       // What was sent before may have run, and is not refused as not run.
       const isFirst = passed.size === 0;
       const work = {route, wish, since, deadline, requestId};
@@ -103,6 +110,15 @@
   }
 }
 
+/**
+ * The outcome of a read that was sent to a pooler before. Guard: it may have run
+ * there, so nobody may say that it did not.
+ */
+function mayHaveRun(result: StatementResult): StatementResult {
+  const isRefused = result.kind === 'error' && saysNotRun(result.failure);
+  return isRefused ? failure('timeout', 'no answer from the pooler') : result;
+}
+
 /** What a caller is told without an answer; undefined to ask another pooler. */
 function endUnanswered(
   context: SessionContext,
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -106,6 +106,8 @@
 let near: TestPooler;
 let far: TestPooler;
 let edge: TestGateway;
+/** The members as the proxy without connections reaches them itself. */
+let edgeGroup: FakeGroup;
 let directory: PoolerDirectory;
 let stop: AbortController;
 let edgeLimits: FakeLimits;
@@ -127,7 +129,8 @@
   const {log} = near.gateway.logged;
   directory = new PoolerDirectory(here, clock, log, stop.signal);
   edgeLimits = new FakeLimits();
-  edge = new TestGateway(new FakeGroup(['a', 'b', 'c']), CATALOG, {
+  edgeGroup = new FakeGroup(['a', 'b', 'c']);
+  edge = new TestGateway(edgeGroup, CATALOG, {
     instance: 'edge',
     pooledRunner: new PooledRunner(directory),
     limits: edgeLimits,
@@ -334,6 +337,19 @@
     expect(Date.now() - next).toBeLessThan(100);
   });
 
+  it('is not the end of a read of which nobody knows whether it ran', async () => {
+    // One pooler freezes with a read on its way, the other one is gone, and the
+    // members have no room for this proxy. That it did not run could be false.
+    const caller = new Caller(edge, 'db');
+    await caller.ask(READ);
+    near.freeze();
+    far.end();
+    await pause(50);
+    for (const name of ['a', 'b', 'c']) edgeGroup.member(name).busyFor = 100;
+    const read = await caller.ask(READ);
+    expect(read.result).toMatchObject({failure: 'timeout'});
+  });
+
   it('leaves the outcome of a write unknown, and runs it once', async () => {
     // The pooler freezes with a write on its way and may run it when it wakes
     // up: sent to another pooler, the write could take effect twice.
