Find the listed counters in one place; one condition instead of two

Seen in the last read of the change: the allocator looked the listed counters up by the same line twice, and a report asked the same question in two lines.

--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -160,7 +160,7 @@
    */
   private begin(now: number): void {
     if (this.hasTold || this.hasUnknown) return;
-    const counters = [...this.listed].map(name => this.holders.get(name)!);
+    const counters = this.listedHolders;
     if (counters.some(one => !one.isAttached || one.hadShares)) return;
     const idleSince = Math.max(...counters.map(one => one.idleSince));
     const idleMs = now - idleSince - STRAY_MS;
@@ -186,7 +186,7 @@
    */
   private get hasUnknown(): boolean {
     if (this.confirmedAt >= leaseEnd(this.since, this.leaseMs)) return false;
-    const counters = [...this.listed].map(name => this.holders.get(name)!);
+    const counters = this.listedHolders;
     if (counters.some(({isAttached}) => !isAttached)) return true;
     // One that lost its shares may have permits out. Where all lost theirs, no
     // leader was there for longer than permits last.
@@ -194,6 +194,10 @@
     return isFresh && counters.some(({hadShares}) => hadShares);
   }
 
+  private get listedHolders(): ShareHolder[] {
+    return [...this.listed].map(name => this.holders.get(name)!);
+  }
+
   /** What a counter that came holds is unknown no more. */
   private learn(shares: readonly AccountShare[]): void {
     for (const share of shares) {
--- a/src/services/account/common/share_holder.ts
+++ b/src/services/account/common/share_holder.ts
@@ -113,8 +113,10 @@
     // Guard: a counter whose lease ended has dropped its shares and all lists.
     // Told of changes only, it would refuse the account for good.
     const hasLost = number === 0 && this.acknowledged > 0;
-    if (hasLost) this.lose(now);
-    if (hasLost) this.restartLists();
+    if (hasLost) {
+      this.lose(now);
+      this.restartLists();
+    }
     this.acknowledge(number);
   }
 
