Log what limits are divided by, and count repeated runs by account

Logs and metrics could not tell the hypotheses apart: a refusal names its counter, but nothing said how often work ran that was admitted once, whether a new leader withheld shares, or how many tokens counters began with after a restart of everything.

'Tries again.' now has the caller and whether a member may have run the statement, with a counter by account; a leader logs when it withholds shares of unknown counters and when it knows all, and the idle time that it gives tokens for; a counter logs the first list of each leader with its tokens. One line a decision of a leader, none an operation but the existing one a retry.

No decision changed.

--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -8,6 +8,7 @@
 } from '../../../schema/generated/fleet';
 import {
   SHARE_LEASE_MS,
+  type AllocationNotice,
   type NearLimitChange,
   type ShareAllocator,
 } from './permit_counting';
@@ -41,6 +42,7 @@
   private hasSentShares = false;
   /** When counters were first seen without shares, by name. */
   private readonly emptiedAt = new Map<string, number>();
+  private notices: AllocationNotice[] = [];
 
   /**
    * @param beganAt When this leader's term began.
@@ -120,7 +122,7 @@
       shares.push({account: accountName, ...share, tokens});
     }
     if (shares.length === 0) return undefined;
-    this.hasSentShares ||= shares.some(({perSecond}) => perSecond > 0);
+    if (shares.some(({perSecond}) => perSecond > 0)) this.onDidSendShares(now);
     return counter.recordList(shares);
   }
 
@@ -145,6 +147,12 @@
     return changed;
   }
 
+  takeNotices(): AllocationNotice[] {
+    const {notices} = this;
+    this.notices = [];
+    return notices;
+  }
+
   canRemove(name: string, now: number): boolean {
     if (!this.isEmpty(name, now)) {
       this.emptiedAt.delete(name);
@@ -164,6 +172,15 @@
     return counter.isEmpty(now);
   }
 
+  private onDidSendShares(now: number): void {
+    if (this.hasSentShares) return;
+    this.hasSentShares = true;
+    const idleMs = this.fleetIdleMs(now);
+    if (idleMs === undefined || idleMs <= 0) return;
+    const counters = this.listedNames.size;
+    this.notices.push({kind: 'initial tokens', idleMs, counters});
+  }
+
   /**
    * Adds the tokens of the idle time where all counters started without shares.
    * Guard: with empty buckets, a fleet that restarts as a whole would refuse
@@ -171,11 +188,21 @@
    */
   private grantInitialTokens(now: number): void {
     if (this.hasSentShares || this.hasUnknown) return;
+    const idleMs = this.fleetIdleMs(now);
+    if (idleMs === undefined) return;
+    for (const one of this.accounts.values()) one.setInitialTokens(idleMs);
+  }
+
+  /**
+   * Returns how long nobody can have granted a permit, where all counters
+   * started without shares; undefined where one held some or did not attach.
+   */
+  private fleetIdleMs(now: number): number | undefined {
     const counters = this.listedCounters;
-    if (counters.some(one => !one.isAttached || one.hadShares)) return;
+    const areAllEmpty = counters.every(one => one.isAttached && !one.hadShares);
+    if (!areAllEmpty) return undefined;
     const lastGrantAt = Math.max(...counters.map(one => one.lastGrantAt));
-    const idleMs = now - lastGrantAt - OUTSTANDING_PERMITS_MS;
-    for (const one of this.accounts.values()) one.setInitialTokens(idleMs);
+    return now - lastGrantAt - OUTSTANDING_PERMITS_MS;
   }
 
   private setLimit(name: string, limit: AccountLimit, now: number): void {
@@ -230,9 +257,22 @@
       if (isUnknown && !this.hadUnknown) account.reserve(this.active, now);
       if (!isUnknown) account.releaseAll();
     }
+    if (isUnknown !== this.hadUnknown) this.noteUnknown(isUnknown);
     this.hadUnknown = isUnknown;
   }
 
+  private noteUnknown(isUnknown: boolean): void {
+    const unattached = [...this.listedNames].filter(name => {
+      return !this.counters.get(name)!.isAttached;
+    });
+    const counters = this.listedNames.size;
+    this.notices.push(
+      isUnknown
+        ? {kind: 'withholding', unattached}
+        : {kind: 'all known', counters},
+    );
+  }
+
   /**
    * Frees the shares of counters whose lease expired. Guard: as of the last
    * confirmation and not of now. A deposed leader that does not know it would
--- a/src/services/account/common/permit_counting.ts
+++ b/src/services/account/common/permit_counting.ts
@@ -45,6 +45,19 @@
   readonly counters: number;
 }
 
+/** What the division of limits depends on changed. */
+export type AllocationNotice =
+  /** Counters that did not attach may hold shares of an earlier leader. */
+  | {readonly kind: 'withholding'; readonly unattached: readonly string[]}
+  /** No share is withheld for unknown counters any more. */
+  | {readonly kind: 'all known'; readonly counters: number}
+  /** All counters started without shares and get tokens of their idle time. */
+  | {
+      readonly kind: 'initial tokens';
+      readonly idleMs: number;
+      readonly counters: number;
+    };
+
 /**
  * Divides the limit of each account among the counters, on the leader of
  * control. The shares that counters may still apply never exceed the limit.
@@ -78,6 +91,8 @@
   takeChangedShares(counter: string, now: number): AccountShares | undefined;
   /** Returns the accounts that changed since the last call. */
   updateNearLimit(now: number): NearLimitChange[];
+  /** Returns what happened since the last call. */
+  takeNotices(): AllocationNotice[];
   /** Whether a retiring counter holds no share any more. */
   canRemove(counter: string, now: number): boolean;
 }
--- a/src/services/account/test/common/limit_allocator.test.ts
+++ b/src/services/account/test/common/limit_allocator.test.ts
@@ -189,6 +189,29 @@
     expect(control.rates.get('a')!).toBeGreaterThan(40);
   });
 
+  it('reports how long it withholds shares of unknown counters', () => {
+    const control = new Control(['a', 'b']);
+    control.attach('a', 10);
+    const before = control.allocator.takeNotices();
+    expect(before).toEqual([{kind: 'withholding', unattached: ['a', 'b']}]);
+    control.attach('b', 10);
+    const after = control.allocator.takeNotices();
+    expect(after).toEqual([{kind: 'all known', counters: 2}]);
+  });
+
+  it('reports the idle time for which it adds tokens', () => {
+    const control = new Control(['a', 'b']);
+    for (const counter of control.counters) control.attach(counter);
+    control.now = 1_600;
+    for (const counter of control.counters) control.report(counter);
+    control.allocator.takeNotices();
+    for (const counter of control.counters) control.send(counter);
+    const notices = control.allocator.takeNotices();
+    expect(notices).toEqual([
+      {kind: 'initial tokens', idleMs: 1_000, counters: 2},
+    ]);
+  });
+
   it('grants withheld shares once the lease of all counters expired', () => {
     // Guards against refusals below the limit where a counter never attaches.
     const control = new Control(['a', 'b', 'c']);
--- a/src/services/account/test/common/permit_counting_fakes.ts
+++ b/src/services/account/test/common/permit_counting_fakes.ts
@@ -72,6 +72,10 @@
     return list;
   }
 
+  takeNotices(): [] {
+    return [];
+  }
+
   updateNearLimit(): [] {
     return [];
   }
--- a/src/services/fleet_link/node/counter_session.ts
+++ b/src/services/fleet_link/node/counter_session.ts
@@ -7,7 +7,10 @@
   LeaderMessage,
   RenewLeases,
 } from '../../../schema/generated/fleet';
-import type {ShareAllocator} from '../../account/common/permit_counting';
+import type {
+  AllocationNotice,
+  ShareAllocator,
+} from '../../account/common/permit_counting';
 
 /** Provides the counters and the allocator of account limits. */
 export interface CounterSource {
@@ -93,12 +96,13 @@
   }
 }
 
-/** Logs accounts that became limited or are no longer. */
+/** Logs accounts that became limited or are no longer, and other changes. */
 export function logLimitChanges(
   allocator: ShareAllocator,
   clock: Clock,
   log: Log,
 ): void {
+  for (const notice of allocator.takeNotices()) logNotice(notice, log);
   for (const change of allocator.updateNearLimit(clock.now())) {
     const {account, isNearLimit, demand, rateLimit, counters} = change;
     const message = isNearLimit
@@ -108,3 +112,21 @@
     log.info(message, {account, demand, perSecond, depth, counters});
   }
 }
+
+function logNotice(notice: AllocationNotice, log: Log): void {
+  switch (notice.kind) {
+    case 'withholding': {
+      const unattached = notice.unattached.join(' ');
+      return log.info('Withholds shares of unknown counters.', {unattached});
+    }
+    case 'all known': {
+      const {counters} = notice;
+      return log.info('Knows the shares of all counters.', {counters});
+    }
+    case 'initial tokens': {
+      const {idleMs, counters} = notice;
+      const idle = Math.round(idleMs);
+      return log.info('Adds tokens of an idle time.', {idle, counters});
+    }
+  }
+}
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -1,6 +1,8 @@
 import type {Log} from '../../../base/node/log';
 import {after, every} from '../../../base/node/timers';
+import {sumOf} from '../../../base/common/numbers';
 import type {
+  AccountShares,
   Catalog,
   CatalogDelta,
   CounterEntry,
@@ -219,7 +221,7 @@
         return this.onCount(body.value.proxies);
       case 'shares':
         if (stream !== this.attached) return;
-        return this.options.counter.setShares(body.value);
+        return this.onShares(body.value);
       case 'counters':
         this.attach(stream);
         return this.listener.onDidReceiveCounters(body.value.counters);
@@ -267,6 +269,16 @@
     this.notifyMembers();
   }
 
+  private onShares(shares: AccountShares): void {
+    this.options.counter.setShares(shares);
+    if (shares.number !== 1) return;
+    const tokens = sumOf(shares.shares.map(share => share.tokens));
+    this.log.info('Takes its first shares from a leader.', {
+      accounts: shares.shares.length,
+      tokens: Math.round(tokens),
+    });
+  }
+
   private onCount(proxyCount: number): void {
     this.proxyCount = proxyCount;
     this.notifyMembers();
--- a/src/services/gateway/node/gateway_meter.ts
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -25,6 +25,7 @@
   private readonly accounts = new Set<string>();
   private readonly answers = new Map<string, number>();
   private readonly refusals = new Map<string, number>();
+  private readonly repeatedRuns = new Map<string, number>();
   private readonly classes = new Set<string>();
   private readonly queued = new Map<string, number>();
   private readonly checkouts = new Map<string, number>();
@@ -54,6 +55,11 @@
     increase(this.refusals, `account="${name}",reason="${reason}"`);
   }
 
+  /** Counts a statement sent again after a member may have run it. */
+  countRepeatedRun(account: string): void {
+    increase(this.repeatedRuns, `account="${this.accountLabelOf(account)}"`);
+  }
+
   /** Changes the number of queued requests of a service and priority. */
   addQueued(service: string, priority: number, change: number): void {
     increase(this.queued, this.classLabelsOf(service, priority), change);
@@ -75,6 +81,10 @@
       ...renderCounter('bulrushstage_requests_total', this.counts),
       ...renderCounter('bulrushstage_account_answers_total', this.answers),
       ...renderCounter('bulrushstage_account_refusals_total', this.refusals),
+      ...renderCounter(
+        'bulrushstage_account_repeated_runs_total',
+        this.repeatedRuns,
+      ),
       ...renderCounter('bulrushstage_places_total', this.checkouts),
       ...renderGauge('bulrushstage_places_waiting', this.queued),
     ];
--- a/src/services/gateway/node/local_transaction.ts
+++ b/src/services/gateway/node/local_transaction.ts
@@ -148,8 +148,10 @@
         instance: connection.instance,
         tookMs: 0,
         detail: reason,
+        mightHaveRun: false,
       };
-      context.telemetry.recordRetry(requestId, route.service, attempt);
+      const identity = {request: requestId, caller: context.caller};
+      context.telemetry.recordRetry(identity, route.service, attempt);
       const isLast = attempts >= MAX_ATTEMPTS || now >= deadline;
       if (isLast || !tryTakeRetry(context, requestId, route.service, reason)) {
         return failure('busy', `${reason}, retry after 100 ms`);
--- a/src/services/gateway/node/request_telemetry.ts
+++ b/src/services/gateway/node/request_telemetry.ts
@@ -18,6 +18,12 @@
   readonly detail: string;
 }
 
+/** An attempt after which the request is sent again. */
+export interface RetriedAttempt extends Attempt {
+  /** Whether a member may have run it. */
+  readonly mightHaveRun: boolean;
+}
+
 /**
  * Logs and counts the outcomes of requests. Successful requests are counted but
  * not logged.
@@ -89,11 +95,19 @@
     this.log.info('Refused, not run.', {...fields, waited, retryAfterMs});
   }
 
-  recordRetry(request: string, service: string, attempt: Attempt): void {
+  recordRetry(
+    {request, caller}: RequestIdentity,
+    service: string,
+    attempt: RetriedAttempt,
+  ): void {
+    const {mightHaveRun} = attempt;
+    if (mightHaveRun) this.meter.countRepeatedRun(caller);
     this.log.info('Tries again.', {
       request,
+      caller,
       service,
       ...attemptFields(attempt),
+      mightHaveRun,
     });
   }
 
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -12,6 +12,7 @@
   isOutsideTransaction,
   type CheckedOutConnection,
 } from './checked_out_connection';
+import type {RetriedAttempt} from './request_telemetry';
 import {prepareConnection, type MemberStatement} from './statement_preparation';
 import {
   tryTakeRetry,
@@ -86,12 +87,12 @@
     const now = context.clock.now();
     const {detail, isBusy} = outcome;
     mightHaveRun ||= outcome.mightHaveRun;
-    const attempt = {
+    recordRetry(context, request, {
       instance: connection.instance,
       tookMs: now - startedAt,
       detail,
-    };
-    context.telemetry.recordRetry(requestId, route.service, attempt);
+      mightHaveRun: outcome.mightHaveRun,
+    });
     const isLast = attempts >= MAX_ATTEMPTS || now >= deadline;
     if (isLast || !tryTakeRetry(context, requestId, route.service, detail)) {
       if (mightHaveRun) return failure('timeout', detail);
@@ -104,6 +105,15 @@
   }
 }
 
+function recordRetry(
+  {telemetry, caller}: SessionContext,
+  {requestId, route}: StatementRequest,
+  attempt: RetriedAttempt,
+): void {
+  const identity = {request: requestId, caller};
+  telemetry.recordRetry(identity, route.service, attempt);
+}
+
 function retryOutcome(
   detail: string,
   overrides: Partial<RetryOutcome> = {},
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -153,12 +153,15 @@
   attempt: Attempt,
   isLast: boolean,
 ): StatementResult | undefined {
-  const {telemetry} = context;
+  const {telemetry, caller} = context;
   if (isWrite) {
     telemetry.recordFailure(requestId, service, attempt);
     return failure('unknown outcome', 'the write may have taken effect');
   }
-  telemetry.recordRetry(requestId, service, attempt);
+  telemetry.recordRetry({request: requestId, caller}, service, {
+    ...attempt,
+    mightHaveRun: true,
+  });
   const {detail} = attempt;
   if (!isLast && tryTakeRetry(context, requestId, service, detail)) {
     return undefined;
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -186,9 +186,12 @@
       if (reply || !isRetryable || isOver) return reply;
       link.cancel(work);
       excluded.add(link);
-      const attempt = {instance: link.address, tookMs: 0, detail: 'no answer'};
-      context.telemetry.recordRetry(requestId, route.service, attempt);
-      const {detail} = attempt;
+      const detail = 'no answer';
+      context.telemetry.recordRetry(
+        {request: requestId, caller: context.caller},
+        route.service,
+        {instance: link.address, tookMs: 0, detail, mightHaveRun: true},
+      );
       const mayRetry = tryTakeRetry(context, requestId, route.service, detail);
       if (!mayRetry) return undefined;
       const next = yield* this.acquireLink(excluded);
