Do not report a read as not run that a lost pooler may have run

Callers saw: a read that was sent to a pooler without a reply, and then to another one that refused it as busy, was refused as not run; and its account got the permit back, so that it ran one more than its limit for each. Cause: only the fallback to local connections marked the result as possibly run. Why it works: any refusal after a first attempt without a reply becomes a time-out, which promises nothing and returns no permit.

--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -104,7 +104,7 @@
           terms: encodeTerms(route),
         },
       });
-      if (reply) return reply.result;
+      if (reply) return isFirst ? reply.result : asPossiblyRun(reply.result);
       if (context.callerGone.aborted) {
         return failure('timeout', 'the caller left');
       }
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -355,6 +355,17 @@
     expect(read.result).toMatchObject({failure: 'timeout'});
   });
 
+  it('does not let a refusal of another pooler count as not run', async () => {
+    // Guards against a permit that is returned though the lost pooler used it.
+    const caller = new TestCaller(edge, 'db');
+    await caller.send(READ);
+    near.freeze();
+    for (const name of ['a', 'b', 'c']) group.member(name).busyAnswers = 100;
+    const read = await caller.send(READ);
+    expect(read.result).toMatchObject({failure: 'timeout'});
+    expect(edgeLimits.refunded).toEqual([]);
+  });
+
   it('leaves the outcome of a write unknown', async () => {
     // The pooler freezes with a pending write and may run it later: sent to
     // another pooler, the write could take effect twice.
