Take a permit for each member that may run a retried read

Cause: an operation is admitted once, at its first proxy, while reads without a reply go on to other members there, at its pooler, and at a second pooler; the first step of a transaction does so too.

Why it works: an attempt that a member may have run uses its permit up, and the next attempt asks a counter for another one, on the instance that retries, before it is sent. What ran is then at most what was granted. A retry without a permit ends as a time-out at once. Below its limit an account gets these permits from its proxy's cache or in one exchange. Refused attempts (busy, lagging) keep the permit, and one that was taken for a retry that never ran is returned.

--- a/src/services/gateway/node/request_telemetry.ts
+++ b/src/services/gateway/node/request_telemetry.ts
@@ -1,5 +1,6 @@
 import type {Log} from '../../../base/node/log';
 import type {DatabaseRoute} from '../../../schema/generated/fleet';
+import type {LimitRefusal} from '../../account/node/operation_limits';
 import type {CheckoutRefusal} from '../../dispatch/common/checkout_request';
 import type {StatementResult} from '../../statement/common/statement';
 import type {AccessDenial} from '../common/caller_access';
@@ -124,6 +125,21 @@
     });
   }
 
+  /** Records a read that is not sent again since no permit was granted. */
+  recordRetryOverLimit(
+    {request, caller}: RequestIdentity,
+    service: string,
+    {reason, detail}: LimitRefusal,
+  ): void {
+    this.log.info('No permit for a retry; not retrying.', {
+      request,
+      caller,
+      service,
+      reason,
+      detail,
+    });
+  }
+
   recordFailure(request: string, service: string, attempt: Attempt): void {
     this.log.info('Failed.', {request, service, ...attemptFields(attempt)});
   }
--- a/src/services/gateway/node/single_statement.ts
+++ b/src/services/gateway/node/single_statement.ts
@@ -7,6 +7,7 @@
   type TargetCall,
   type TargetStatement,
 } from '../../statement/common/statement';
+import {AttemptPermits} from './attempt_permits';
 import {
   isDone,
   isOutsideTransaction,
@@ -61,6 +62,7 @@
   context.classes.onRequest(route.service);
   const deadline = receivedAt + route.statementMs;
   const triedInstances = new Set<string>();
+  const permits = new AttemptPermits(context, requestId, route.service);
   let mightHaveRun = false;
   let waitedMs = 0;
   for (let attempts = 1; ; attempts++) {
@@ -76,6 +78,7 @@
     });
     if (checkout.isErr) {
       const refusal = refusalResult(checkout.error);
+      permits.release();
       return mightHaveRun ? failure('timeout', 'no answer in time') : refusal;
     }
     const connection = checkout.value;
@@ -83,6 +86,7 @@
     const startedAt = context.clock.now();
     const outcome = yield* attemptOn(context, connection, request, deadline);
     if (outcome.kind === 'final') return outcome.result;
+    if (outcome.mightHaveRun) permits.onDidPossiblyRun();
     triedInstances.add(connection.instance);
     const now = context.clock.now();
     const {detail, isBusy} = outcome;
@@ -95,12 +99,14 @@
     });
     const isLast = attempts >= MAX_ATTEMPTS || now >= deadline;
     if (isLast || !tryTakeRetry(context, requestId, route.service, detail)) {
+      permits.release();
       if (mightHaveRun) return failure('timeout', detail);
       return failure(
         'busy',
         `${detail}, retry after ${BUSY_RETRY_DELAY_MS * 4} ms`,
       );
     }
+    if (!(yield* permits.acquire(deadline))) return failure('timeout', detail);
     if (isBusy) yield* sleep(BUSY_RETRY_DELAY_MS * attempts);
   }
 }
--- a/src/services/pooler/node/pooled_runner.ts
+++ b/src/services/pooler/node/pooled_runner.ts
@@ -1,5 +1,6 @@
 import type {Task} from '../../../base/node/task';
 import {WorkScope} from '../../../schema/generated/pooler';
+import {AttemptPermits} from '../../gateway/node/attempt_permits';
 import type {Attempt} from '../../gateway/node/request_telemetry';
 import {
   tryTakeRetry,
@@ -58,6 +59,7 @@
     if (!step) return failure('unknown name', 'not prepared');
     const deadline = receivedAt + route.statementMs;
     const excluded = new Set<PoolerLink>();
+    const permits = new AttemptPermits(context, requestId, route.service);
     const requirements = {
       service: route.service,
       user: context.user,
@@ -72,7 +74,7 @@
       );
       if (!acquired) {
         const result = yield* LOCAL_RUNNER.runStatement(context, request);
-        return excluded.size === 0 ? result : asPossiblyRun(result);
+        return excluded.size === 0 ? result : asPossiblyRun(result, permits);
       }
       // A request that was sent before may have run, so it must not be refused
       // as not run.
@@ -104,7 +106,8 @@
           terms: encodeTerms(route),
         },
       });
-      if (reply) return isFirst ? reply.result : asPossiblyRun(reply.result);
+      if (reply && isFirst) return reply.result;
+      if (reply) return asPossiblyRun(reply.result, permits);
       if (context.callerGone.aborted) {
         return failure('timeout', 'the caller left');
       }
@@ -115,6 +118,8 @@
       const isLast = isLate || excluded.size >= MAX_POOLERS_PER_READ;
       const result = resultWithoutReply(context, request, attempt, isLast);
       if (result) return result;
+      permits.onDidPossiblyRun();
+      if (!(yield* permits.acquire(deadline))) return NO_ANSWER;
     }
   }
 
@@ -138,11 +143,18 @@
  * The result of a read that was also sent to a pooler. Guard: the pooler may
  * have run it, so it must not be reported as not run.
  */
-function asPossiblyRun(result: StatementResult): StatementResult {
+function asPossiblyRun(
+  result: StatementResult,
+  permits: AttemptPermits,
+): StatementResult {
   const isRefused = result.kind === 'error' && didNotRun(result.failure);
-  return isRefused ? failure('timeout', 'no answer from the pooler') : result;
+  if (!isRefused) return result;
+  permits.release();
+  return NO_ANSWER;
 }
 
+const NO_ANSWER = failure('timeout', 'no answer from the pooler');
+
 /**
  * The result of a request without a reply; undefined to retry it at another
  * pooler.
@@ -166,5 +178,5 @@
   if (!isLast && tryTakeRetry(context, requestId, service, detail)) {
     return undefined;
   }
-  return failure('timeout', 'no answer from the pooler');
+  return NO_ANSWER;
 }
--- a/src/services/pooler/node/pooled_transaction.ts
+++ b/src/services/pooler/node/pooled_transaction.ts
@@ -6,6 +6,7 @@
   type WorkRequest,
   type WorkStep,
 } from '../../../schema/generated/pooler';
+import {AttemptPermits} from '../../gateway/node/attempt_permits';
 import type {StatementOutcome} from '../../gateway/node/local_transaction';
 import {
   tryTakeRetry,
@@ -172,6 +173,7 @@
     this.hasBegun = true;
     const isRetryable = isFirst && !isCommit;
     const excluded = new Set<PoolerLink>();
+    const permits = new AttemptPermits(context, requestId, route.service);
     for (let remote = this.remote; remote; remote = this.remote) {
       const {link, work} = remote;
       const request = this.requestFor(work, requestId, step, isFirst);
@@ -195,6 +197,8 @@
       const mayRetry = tryTakeRetry(context, requestId, route.service, detail);
       if (!mayRetry) return undefined;
       const next = yield* this.acquireLink(excluded);
+      permits.onDidPossiblyRun();
+      if (next && !(yield* permits.acquire(deadline))) return undefined;
       this.remote = next && {link: next, work: next.nextWorkId()};
     }
     return undefined;
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -10,6 +10,7 @@
 import {FakeLimits} from '../../../gateway/test/node/fake_limits';
 import {
   BEGIN,
+  BEGIN_READ,
   TestCaller,
   COMMIT,
   makeCatalog,
@@ -355,15 +356,46 @@
     expect(read.result).toMatchObject({failure: 'timeout'});
   });
 
+  it('has a read charged again that is sent to another pooler', async () => {
+    // Guards against an account that exceeds its limit while poolers are lost.
+    const caller = new TestCaller(edge, 'db');
+    await caller.send(READ);
+    near.freeze();
+    await caller.send(READ);
+    expect(edgeLimits.admitted).toHaveLength(3);
+    expect(edgeLimits.refunded).toEqual([]);
+  });
+
+  it('gets no read back that the account has no permit for', async () => {
+    const caller = new TestCaller(edge, 'db');
+    await caller.send(READ);
+    near.freeze();
+    edgeLimits.left = 1;
+    const read = await caller.send(READ);
+    expect(read.result).toMatchObject({failure: 'timeout'});
+    expect(group.callerStatements).toHaveLength(1);
+  });
+
   it('does not let a refusal of another pooler count as not run', async () => {
-    // Guards against a permit that is returned though the lost pooler used it.
+    // The permit of the first attempt stays used; that of the second returns.
     const caller = new TestCaller(edge, 'db');
     await caller.send(READ);
     near.freeze();
     for (const name of ['a', 'b', 'c']) group.member(name).busyAnswers = 100;
     const read = await caller.send(READ);
     expect(read.result).toMatchObject({failure: 'timeout'});
-    expect(edgeLimits.refunded).toEqual([]);
+    expect(edgeLimits.admitted).toHaveLength(3);
+    expect(edgeLimits.refunded).toHaveLength(1);
+  });
+
+  it('has a transaction charged again that begins elsewhere', async () => {
+    const caller = new TestCaller(edge, 'db');
+    await caller.send(READ);
+    near.freeze();
+    await caller.send(BEGIN_READ);
+    const read = await caller.send(READ);
+    expect(read.result).toMatchObject({rows: ['row']});
+    expect(edgeLimits.admitted).toHaveLength(3);
   });
 
   it('leaves the outcome of a write unknown', async () => {
