Let the tokens of an idle time lapse at a counter that gets no share

Callers saw, possibly: an account above its limit long after a restart of everything. Cause: tokens of the time in which all counters restarted go out with each counter's first share of the leader's term, whenever that is. Where one counter failed before its first list, its part stayed in hand, while the others got its depth and filled it; a counter named minutes later got the tokens on top of that. Class: granted over a restart of everything, and valid without an end.

Why it works: only counters listed when the idle time was computed may get the tokens, and each forfeits them with the first plan that leaves it out, so levels and tokens still to be given stay below the depth.

--- a/src/services/account/common/limit_allocator.ts
+++ b/src/services/account/common/limit_allocator.ts
@@ -190,7 +190,10 @@
     if (this.hasSentShares || this.hasUnknown) return;
     const idleMs = this.fleetIdleMs(now);
     if (idleMs === undefined) return;
-    for (const one of this.accounts.values()) one.setInitialTokens(idleMs);
+    const counters = this.listedCounters;
+    for (const one of this.accounts.values()) {
+      one.setInitialTokens(idleMs, counters);
+    }
   }
 
   /**
--- a/src/services/account/common/limited_account.ts
+++ b/src/services/account/common/limited_account.ts
@@ -40,7 +40,8 @@
   private plannedAt = -Infinity;
   /** Initial tokens that remain, and their fraction of a depth. */
   private initial = {fraction: 0, tokens: 0};
-  private readonly startedCounters = new Set<TrackedCounter>();
+  /** Counters that get initial tokens with their first share. */
+  private readonly unstartedCounters = new Set<TrackedCounter>();
 
   constructor(
     private readonly name: string,
@@ -98,8 +99,14 @@
     return allowed;
   }
 
-  /** @param idleMs How long nobody granted anything, in milliseconds. */
-  setInitialTokens(idleMs: number): void {
+  /**
+   * Adds the tokens of an idle time to the first shares of counters.
+   *
+   * @param idleMs How long nobody granted anything, in milliseconds.
+   */
+  setInitialTokens(idleMs: number, counters: readonly TrackedCounter[]): void {
+    this.unstartedCounters.clear();
+    for (const counter of counters) this.unstartedCounters.add(counter);
     const {perSecond, depth} = this.rateLimit;
     const added = Math.max(0, (idleMs / 1_000) * perSecond);
     const tokens = Math.min(depth, added);
@@ -108,8 +115,7 @@
 
   /** Returns the tokens that a counter gets with its first share. */
   takeInitialTokens(counter: TrackedCounter, depth: number): number {
-    if (depth === 0 || this.startedCounters.has(counter)) return 0;
-    this.startedCounters.add(counter);
+    if (depth === 0 || !this.unstartedCounters.delete(counter)) return 0;
     const {fraction, tokens: remaining} = this.initial;
     // Less than one token runs no operation, so some counters get whole ones.
     const tokens = Math.min(remaining, depth, Math.max(1, depth * fraction));
@@ -184,6 +190,9 @@
     const eligible = counters.filter(counter => counter.isEligible(now));
     const others = counters.filter(counter => !counter.isEligible(now));
     for (const counter of others) {
+      // Guard: others get its depth and fill it. Tokens that it got later would
+      // add to these, and the account would exceed its limit.
+      this.unstartedCounters.delete(counter);
       if (counter.mustReturnShares(now)) plan.set(counter, NO_SHARE);
     }
     const kept = add(
--- a/src/services/account/test/common/limit_allocator.test.ts
+++ b/src/services/account/test/common/limit_allocator.test.ts
@@ -212,6 +212,27 @@
     ]);
   });
 
+  it('adds no tokens of an idle time that ended long ago', () => {
+    // Guards against a counter that gets, with its first share, what another
+    // one did not get after a restart of all: the depth is in use elsewhere.
+    const control = new Control(['a', 'b', 'c']);
+    for (const counter of control.counters) control.attach(counter);
+    control.now = 1_400;
+    for (const counter of ['a', 'b']) control.report(counter);
+    expect(control.send('a')!.tokens).toBeGreaterThan(0);
+    control.run(20_000, {a: 30, b: 30});
+    control.setCounters(['a', 'b', 'd']);
+    control.attach('d');
+    control.run(200, {a: 30, b: 30});
+    control.report('d');
+    expect(control.send('d')).toMatchObject({tokens: 0});
+    control.report('c');
+    control.setCounters(['a', 'b', 'c', 'd']);
+    control.attach('c');
+    control.run(200, {a: 30, b: 30, d: 1});
+    expect(control.send('c')).toMatchObject({tokens: 0});
+  });
+
   it('grants withheld shares once the lease of all counters expired', () => {
     // Guards against refusals below the limit where a counter never attaches.
     const control = new Control(['a', 'b', 'c']);
