Count tokens of limits on the steady clock

Callers saw, possibly: an account above its limit where the time of day was set forward at a counter. Cause: one clock served the lease on shares and the tokens. The one of the lease counts suspensions and takes a step of the time of day for one, which is safe for a lease and gives a bucket tokens of a time that did not pass; the idle time that a restart of everything is granted tokens for grew by the step too. Class: counted by a clock that may run ahead.

Why it works: buckets, outstanding permits and idle times use the steady clock, which is never ahead; the lease keeps its clock. Control counted on the steady clock already.

--- a/src/services/account/common/account_counter.ts
+++ b/src/services/account/common/account_counter.ts
@@ -84,14 +84,21 @@
   private dropSharesAt: number;
   private lastGrantAt: number;
 
-  /** @param leaseMs How long shares are valid after a lease request. */
+  /**
+   * @param leaseClock Includes time in which the machine was suspended.
+   * @param leaseMs How long shares are valid after a lease request.
+   * @param tokenClock Is never ahead of the time that passed. Guard: the clock
+   *     of the lease follows a time of day that is set forward, and tokens of
+   *     such a step would let accounts exceed their limits.
+   */
   constructor(
-    private readonly clock: Clock,
+    private readonly leaseClock: Clock,
     private readonly leaseMs = SHARE_LEASE_MS,
+    private readonly tokenClock = leaseClock,
   ) {
-    this.leaseExpiresAt = clock.now();
+    this.leaseExpiresAt = leaseClock.now();
     this.dropSharesAt = this.leaseExpiresAt;
-    this.lastGrantAt = this.leaseExpiresAt;
+    this.lastGrantAt = tokenClock.now();
   }
 
   setAccounts(entries: readonly AccountEntry[]): void {
@@ -105,7 +112,7 @@
   }
 
   setShares({shares, number}: AccountShares): void {
-    const now = this.clock.now();
+    const now = this.leaseClock.now();
     this.dropExpired(now);
     // Guard: after a drop control sends all shares again, numbered from 1. A
     // late list of changes would leave the other accounts without a share.
@@ -117,11 +124,11 @@
         now + this.leaseMs * LEASE_WAIT_FRACTION,
       );
     }
-    for (const share of shares) this.setShare(share, now);
+    for (const share of shares) this.setShare(share, this.tokenClock.now());
   }
 
   extendLease(requestedAt: number): void {
-    this.dropExpired(this.clock.now());
+    this.dropExpired(this.leaseClock.now());
     this.leaseExpiresAt = Math.max(
       this.leaseExpiresAt,
       requestedAt + this.leaseMs,
@@ -137,7 +144,7 @@
   }
 
   get heldShares(): AccountShare[] {
-    const now = this.clock.now();
+    const now = this.leaseClock.now();
     // Guard: control reassigns shares that are not reported here at once, so
     // shares whose lease expired must not return to use with the next lease.
     if (now >= this.leaseExpiresAt) this.dropShares();
@@ -152,28 +159,30 @@
    * end the process when it connects to control.
    */
   get idleMs(): number {
-    const idleMs = this.clock.now() - this.lastGrantAt;
+    const idleMs = this.tokenClock.now() - this.lastGrantAt;
     return Math.floor(Math.min(Math.max(0, idleMs), MAX_IDLE_MS));
   }
 
   get shareListNumber(): number {
-    this.dropExpired(this.clock.now());
+    this.dropExpired(this.leaseClock.now());
     return this.listNumber;
   }
 
   requestPermits(name: string, wanted: number): PermitDecision {
-    const now = this.clock.now();
     // Guard: control grants these shares to others after the lease.
-    if (now >= this.leaseExpiresAt) return {kind: 'unknown account'};
+    if (this.leaseClock.now() >= this.leaseExpiresAt) {
+      return {kind: 'unknown account'};
+    }
     const account = this.accounts.get(name);
     if (!account || !canRun(account)) return {kind: 'unknown account'};
+    const now = this.tokenClock.now();
     const decision = account.requestPermits(wanted, now);
     if (decision.kind === 'granted') this.lastGrantAt = now + decision.waitMs;
     return decision;
   }
 
   returnPermits(name: string, count: number): void {
-    this.accounts.get(name)?.returnPermits(count, this.clock.now());
+    this.accounts.get(name)?.returnPermits(count, this.tokenClock.now());
   }
 
   takeReport(): AccountUse[] {
--- a/src/services/account/test/common/account_counter.test.ts
+++ b/src/services/account/test/common/account_counter.test.ts
@@ -240,3 +240,31 @@
     }
   }
 });
+
+describe('a counter whose time of day is set forward', () => {
+  // The clock of its lease counts the step as a suspension.
+  function makeSteppedCounter() {
+    const leaseClock = new ManualClock(1_000_000);
+    const tokenClock = new ManualClock(1_000_000);
+    const counter = new AccountCounter(leaseClock, SHARE_LEASE_MS, tokenClock);
+    counter.setAccounts([ENTRY]);
+    const share = {account: ACCOUNT, perSecond: 10, depth: 10, tokens: 0};
+    counter.setShares({shares: [share], number: 1});
+    return {counter, leaseClock};
+  }
+
+  it('gets no tokens for it', () => {
+    // Guards against an account that exceeds its limit by a bucket a step.
+    const {counter, leaseClock} = makeSteppedCounter();
+    leaseClock.advance(2_000);
+    counter.extendLease(leaseClock.now());
+    expect(drain(counter)).toBe(0);
+  });
+
+  it('was not idle for that time', () => {
+    // Guards against initial tokens for a time that did not pass.
+    const {counter, leaseClock} = makeSteppedCounter();
+    leaseClock.advance(2_000);
+    expect(counter.idleMs).toBe(0);
+  });
+});
