--- a/src/services/fleet_link/node/counter_session.ts
+++ b/src/services/fleet_link/node/counter_session.ts
@@ -96,7 +96,7 @@
   }
 }
 
-/** Logs accounts that became limited or are no longer, and other changes. */
+/** Logs what an allocator decided since the last call. */
 export function logLimitChanges(
   allocator: ShareAllocator,
   clock: Clock,
