--- a/src/services/gateway/test/node/repeated_runs.test.ts
+++ b/src/services/gateway/test/node/repeated_runs.test.ts
@@ -45,6 +45,7 @@
   });
 
   it('is not sent again for an account that is over its limit', async () => {
+    // Guards against a retry that runs without a permit.
     loseAnswers(1);
     limits.left = 1;
     const reply = await new TestCaller(gateway, 'db').send(READ);
@@ -53,6 +54,7 @@
   });
 
   it('is not charged for a retry that got no connection', async () => {
+    // Guards against permits that are lost with each failed retry.
     loseAnswers(1);
     const reply = new TestCaller(gateway, 'db').send(READ);
     for (const instance of INSTANCES) group.member(instance).isDown = true;
@@ -63,6 +65,7 @@
 
 describe('a read that a member refuses as busy', () => {
   it('is charged to its account once', async () => {
+    // Guards against an account that pays for attempts that did not run.
     for (const instance of INSTANCES) group.member(instance).busyAnswers = 1;
     await new TestCaller(gateway, 'db').send(READ);
     expect(limits.admitted).toHaveLength(1);
--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -366,7 +366,8 @@
     expect(edgeLimits.refunded).toEqual([]);
   });
 
-  it('gets no read back that the account has no permit for', async () => {
+  it('has no read sent elsewhere without a permit', async () => {
+    // Guards against a retry that runs without a permit.
     const caller = new TestCaller(edge, 'db');
     await caller.send(READ);
     near.freeze();
@@ -389,6 +390,7 @@
   });
 
   it('has a transaction charged again that begins elsewhere', async () => {
+    // Guards against a first statement that runs twice on one permit.
     const caller = new TestCaller(edge, 'db');
     await caller.send(READ);
     near.freeze();
