--- a/src/services/pooler/test/node/pooler.test.ts
+++ b/src/services/pooler/test/node/pooler.test.ts
@@ -378,7 +378,7 @@
   });
 
   it('does not let a refusal of another pooler count as not run', async () => {
-    // The permit of the first attempt stays used; that of the second returns.
+    // Guards against a permit that is returned though the lost pooler used it.
     const caller = new TestCaller(edge, 'db');
     await caller.send(READ);
     near.freeze();
