Tests: show what the processes of a failed test printed and how they ended

Seen: the listed failure of fleet.test.ts names an empty reply after 15 s and nothing else. The fixture collected what its processes print and when they exit, but a failed test showed neither, and a proxy that ended at its start was noticed only where a test happened to use it.

Change: FleetProcess, used by both fixtures, keeps the output and each end of a process, and whether anybody asked for it. A failed test prints both; a fleet whose process ended by itself fails the test when it stops, also where its checks passed; Fleet.start gives the same report when it times out. A suspended process is resumed by its own handle, as before.

--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -1,14 +1,13 @@
-import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdirSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {createConnection} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {describeProcesses, FleetProcess, killAll} from './fleet_process';
 import {findFreePorts} from './ports';
 
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 25;
-const MAX_LOG_LENGTH = 200_000;
 
 /** Composition of a fleet. */
 export interface FleetPlan {
@@ -32,81 +31,6 @@
   readonly mapObserver?: (address: string, target: string) => string;
 }
 
-/** A process of a fleet and its recent output. */
-export class FleetProcess {
-  private child: ChildProcess | undefined;
-  private output = '';
-
-  constructor(
-    readonly name: string,
-    private readonly program: string,
-    private args: readonly string[],
-  ) {}
-
-  /** Transforms the arguments; applies from the next start. */
-  mapArguments(transform: (argument: string) => string): void {
-    this.args = this.args.map(transform);
-  }
-
-  get log(): string {
-    return this.output;
-  }
-
-  /** Operating system process ID; throws if the process is not running. */
-  get processId(): number {
-    const id = this.child?.pid;
-    if (id === undefined) throw new Error(`${this.name} is not running`);
-    return id;
-  }
-
-  get isRunning(): boolean {
-    return this.child !== undefined;
-  }
-
-  start(extraArgs: readonly string[] = []): void {
-    const script = join('dist', `${this.program}.cjs`);
-    const child = spawn(
-      process.execPath,
-      [script, ...this.args, ...extraArgs],
-      {
-        stdio: ['ignore', 'pipe', 'pipe'],
-      },
-    );
-    const appendOutput = (chunk: Buffer) => {
-      this.output = (this.output + chunk.toString()).slice(-MAX_LOG_LENGTH);
-    };
-    child.stdout.on('data', appendOutput);
-    child.stderr.on('data', appendOutput);
-    child.on('exit', () => {
-      if (this.child === child) this.child = undefined;
-    });
-    this.child = child;
-  }
-
-  sendSignal(name: NodeJS.Signals): void {
-    this.child?.kill(name);
-  }
-
-  /** Signals the process, waits for its exit and returns its exit code. */
-  async kill(name: NodeJS.Signals = 'SIGKILL'): Promise<number | null> {
-    const {child} = this;
-    if (!child) return null;
-    const exited = new Promise<number | null>(resolve => {
-      child.once('exit', code => resolve(code));
-    });
-    child.kill(name);
-    if (name !== 'SIGKILL') child.kill('SIGCONT');
-    return exited;
-  }
-
-  /** Waits until the process exits by itself; returns its exit code. */
-  async waitForExit(): Promise<number | null> {
-    const {child} = this;
-    if (!child) return null;
-    return new Promise(resolve => child.once('exit', code => resolve(code)));
-  }
-}
-
 /** A process that runs a member of a service. */
 export interface FleetTarget extends FleetProcess {
   readonly service: string;
@@ -121,7 +45,7 @@
     readonly port: number,
     readonly replicationPort: number,
   ) {
-    super(name, 'bulrushstage-standin', args);
+    super(name, {script: 'dist/bulrushstage-standin.cjs', args});
   }
 }
 
@@ -134,7 +58,7 @@
     readonly announcementsPort: number,
     readonly statusPort: number,
   ) {
-    super(name, 'bulrushstage-proxy', args);
+    super(name, {script: 'dist/bulrushstage-proxy.cjs', args});
   }
 }
 
@@ -146,7 +70,7 @@
     readonly port: number,
     readonly data: string,
   ) {
-    super(name, 'bulrushstage-control', args);
+    super(name, {script: 'dist/bulrushstage-control.cjs', args});
   }
 }
 
@@ -193,7 +117,13 @@
   static async start(plan: FleetPlan): Promise<Fleet> {
     const fleet = await Fleet.prepare(plan);
     fleet.startAll();
-    await fleet.waitUntilReady();
+    try {
+      await fleet.waitUntilReady();
+    } catch (error) {
+      const report = fleet.describeProcesses();
+      await fleet.stop().catch(() => {});
+      throw new Error(`${(error as Error).message}\n${report}`, {cause: error});
+    }
     return fleet;
   }
 
@@ -233,10 +163,21 @@
     return [...this.controls, ...this.proxies, ...this.targets];
   }
 
-  /** Kills all processes and removes the fleet's files. */
+  /** Describes what the processes printed and how they ended. */
+  describeProcesses(): string {
+    return describeProcesses(this.processes);
+  }
+
+  /**
+   * Kills all processes and removes the fleet's files; throws if a process had
+   * ended by itself.
+   */
   async stop(): Promise<void> {
-    await Promise.all(this.processes.map(process => process.kill()));
-    rmSync(this.folder, {recursive: true, force: true});
+    try {
+      await killAll(this.processes);
+    } finally {
+      rmSync(this.folder, {recursive: true, force: true});
+    }
   }
 
   private addControl(name: string, port: number): void {
--- a/test/process/bad_input.test.ts
+++ b/test/process/bad_input.test.ts
@@ -4,11 +4,13 @@
 import {Fleet} from '../../bench/fleet/fleet';
 import {FrameDecoder} from '../../src/services/wire/common/frames';
 import {SeededRandom} from '../../src/base/common/random';
+import {reportFailedTests} from '../process_report';
 import {connectToProxy, runQuery, SERVICE} from '../support';
 
 const TRY_COUNT = 120;
 
 let fleet: Fleet;
+reportFailedTests(() => fleet);
 beforeAll(async () => {
   fleet = await Fleet.start({
     controls: 1,
--- a/test/process/control.test.ts
+++ b/test/process/control.test.ts
@@ -4,12 +4,14 @@
 import {promisify} from 'node:util';
 import {afterEach, describe, expect, it} from 'vitest';
 import {fetchJson, Fleet, waitUntil} from '../../bench/fleet/fleet';
+import {reportFailedTests} from '../process_report';
 import {connectToProxy, runQuery, SERVICE} from '../support';
 
 const execute = promisify(execFile);
 const VOTERS_TIMEOUT_MS = 10_000;
 
 let fleet: Fleet;
+reportFailedTests(() => fleet);
 afterEach(() => fleet.stop());
 
 interface ApplyResult {
--- a/test/process/failover.test.ts
+++ b/test/process/failover.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import type pg from 'pg';
 import {Fleet, waitUntil, type FleetPlan} from '../../bench/fleet/fleet';
+import {reportFailedTests} from '../process_report';
 import {
   connectToProxy,
   connectToTarget,
@@ -10,6 +11,7 @@
 } from '../support';
 
 let fleet: Fleet;
+reportFailedTests(() => fleet);
 const relays: Relay[] = [];
 
 async function start(plan: Partial<FleetPlan> = {}): Promise<Fleet> {
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -2,9 +2,11 @@
 import {serialize} from 'pg-protocol';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {Fleet, waitUntil} from '../../bench/fleet/fleet';
+import {reportFailedTests} from '../process_report';
 import {connectToProxy, connectToTarget, runQuery, SERVICE} from '../support';
 
 let fleet: Fleet;
+reportFailedTests(() => fleet);
 beforeAll(async () => {
   fleet = await Fleet.start({
     controls: 1,
