Tests: give each fleet ports that nobody else gets

Cause: ports were drawn, closed and used later. PlatformFleet drew four of the ephemeral range, each free at 127.0.0.1 at that moment, and used them at five to eleven addresses; another fleet, or anything else that gets an ephemeral port, could take one before it was used, or between a kill and the restart. Fleet drew from a range by VITEST_POOL_ID, which two test runs share.

Change: a fleet claims a block of ports below the ephemeral range. It listens on the first one until it stops, at all addresses, so that no other process gets the block; each port is tried at all addresses before it is given out.

--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -4,7 +4,7 @@
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describeProcesses, FleetProcess, killAll} from './fleet_process';
-import {findFreePorts} from './ports';
+import {PortBlock} from './port_block';
 
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 25;
@@ -84,13 +84,15 @@
     readonly settingsFile: string,
     readonly settingsText: string,
     private readonly plan: FleetPlan,
+    private readonly portBlock: PortBlock,
   ) {}
 
   /** Creates a fleet's settings and processes without starting them. */
   static async prepare(plan: FleetPlan): Promise<Fleet> {
     const folder = mkdtempSync(join(tmpdir(), 'bulrushstage-'));
     const targetCount = plan.services.length * plan.members;
-    const ports = await findFreePorts(
+    const portBlock = await PortBlock.claim();
+    const ports = await portBlock.take(
       plan.controls + plan.proxies * 3 + targetCount * 2,
     );
     const next = () => ports.pop()!;
@@ -98,7 +100,7 @@
     const text = renderSettings(plan, controlPorts);
     const file = join(folder, 'settings.ini');
     writeFileSync(file, text);
-    const fleet = new Fleet(folder, file, text, plan);
+    const fleet = new Fleet(folder, file, text, plan, portBlock);
     controlPorts.forEach((port, index) =>
       fleet.addControl(`c${index + 1}`, port),
     );
@@ -177,6 +179,7 @@
       await killAll(this.processes);
     } finally {
       rmSync(this.folder, {recursive: true, force: true});
+      await this.portBlock.release();
     }
   }
 
--- a/bench/relay_cost.ts
+++ b/bench/relay_cost.ts
@@ -6,7 +6,7 @@
 import {FrameDecoder, typeByteOf} from '../src/services/wire/common/frames';
 import {cpuTimeMsOf} from './fleet/cpu_time';
 import {Fleet, type ProxyProcess, isListening, waitUntil} from './fleet/fleet';
-import {findFreePorts} from './fleet/ports';
+import {PortBlock} from './fleet/port_block';
 
 const SERVICE = 'bench';
 const CONNECTION_COUNT = 32;
@@ -29,7 +29,8 @@
 
 /** Compares the proxy with a plain TCP relay and a direct connection. */
 async function main(): Promise<void> {
-  const [relayPort = 0] = await findFreePorts(1);
+  const portBlock = await PortBlock.claim();
+  const [relayPort = 0] = await portBlock.take(1);
   const fleet = await Fleet.start({
     controls: 1,
     proxies: 1,
@@ -57,6 +58,7 @@
     await proxy.kill('SIGTERM');
     relay.kill();
     await fleet.stop();
+    await portBlock.release();
   }
   process.exit();
 }
