Log which address a program cannot serve before it exits

Seen: where a port was taken, a program wrote one bare line to standard error and exited with 69. On-call has only logs; none named the address, the part or that it had stopped, and the fleet ran on with one instance less.

Cause: the programs ended through exit(), which does not know the log; an event is written without blocking and may be lost when the process ends at once.

The endpoints of the PostgreSQL side return outcomes instead of throwing.

--- a/src/base/node/line_sink.ts
+++ b/src/base/node/line_sink.ts
@@ -15,6 +15,7 @@
   private readonly socket: Socket | undefined;
   private pendingBytes = 0;
   private omittedCount = 0;
+  private readonly drainListeners: (() => void)[] = [];
 
   constructor(private readonly descriptor: number) {
     const stat = fstatSync(descriptor);
@@ -38,12 +39,23 @@
     this.pendingBytes += bytes;
     const onDidWrite = () => {
       this.pendingBytes -= bytes;
+      if (this.pendingBytes === 0) this.onDidDrain();
     };
     if (this.socket) this.socket.write(text, onDidWrite);
     else write(this.descriptor, text, onDidWrite);
     return true;
   }
 
+  /** Calls back once all buffered lines are written. */
+  onceDrained(listener: () => void): void {
+    if (this.pendingBytes === 0) listener();
+    else this.drainListeners.push(listener);
+  }
+
+  private onDidDrain(): void {
+    for (const listener of this.drainListeners.splice(0)) listener();
+  }
+
   private takeOmissionNotice(): string {
     if (this.omittedCount === 0) return '';
     const notice = {
--- a/src/base/node/log.ts
+++ b/src/base/node/log.ts
@@ -67,6 +67,10 @@
   private readonly budget = new LineBudget(LINES_PER_SECOND, this.clock);
   private readonly sink = new LineSink(STANDARD_OUTPUT);
 
+  onceDrained(listener: () => void): void {
+    this.sink.onceDrained(listener);
+  }
+
   write({date, level, part, sentence, fields}: Event): void {
     const steady = Math.round(this.clock.now());
     const time = date.toISOString();
@@ -82,6 +86,14 @@
 
 let events: EventWriter | undefined;
 
+/** Resolves once all lines so far are written to the outputs. */
+export function logsWritten(): Promise<void> {
+  return new Promise(resolve => {
+    if (events) events.onceDrained(resolve);
+    else resolve();
+  });
+}
+
 let root = createConsola({
   level: LogLevels.info,
   reporters: [reporters.text],
--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -7,9 +7,9 @@
 import {
   EXIT_IO_ERROR,
   EXIT_SETTINGS,
-  EXIT_UNAVAILABLE,
   EXIT_USAGE,
   exit,
+  listenOrExit,
   createStopSignal,
   VERSION,
 } from '../../base/node/program';
@@ -133,8 +133,11 @@
     ConsensusService,
     consensusHandlers(node, transport, () => leadership),
   );
-  const listening = await listen(server, self.address, signal);
-  if (listening.isErr) exit(EXIT_UNAVAILABLE, [listening.error.message]);
+  await listenOrExit(
+    log,
+    {address: self.address, clients: 'instances'},
+    listen(server, self.address, signal),
+  );
 
   observer.start(fileSettings.system.pingMs, signal);
   every(signal, DRIVE_INTERVAL_MS, () => leadership?.drive());
--- a/src/proxy/node/caller_server.ts
+++ b/src/proxy/node/caller_server.ts
@@ -1,6 +1,7 @@
 import {randomInt} from 'node:crypto';
 import {createServer, type Server, type Socket} from 'node:net';
 import {callerName, serviceName} from '../../base/common/ids';
+import {err, ok, type Result} from '../../base/common/result';
 import type {Log} from '../../base/node/log';
 import {startTask, type Task} from '../../base/node/task';
 import {after, createChildController, every} from '../../base/node/timers';
@@ -78,10 +79,10 @@
     return this.sessions.size;
   }
 
-  listen(port: number, host: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
+  listen(port: number, host: string): Promise<Result<void, Error>> {
+    return new Promise(resolve => {
+      this.server.once('error', error => resolve(err(error)));
+      this.server.listen(port, host, () => resolve(ok(undefined)));
     });
   }
 
--- a/src/proxy/node/main.ts
+++ b/src/proxy/node/main.ts
@@ -8,13 +8,12 @@
 import {newIncarnation} from '../../base/node/incarnation';
 import {
   EXIT_SETTINGS,
-  EXIT_UNAVAILABLE,
   EXIT_USAGE,
   exit,
+  listenOrExit,
   createStopSignal,
   VERSION,
 } from '../../base/node/program';
-import {toError} from '../../base/node/task';
 import {createAbortController} from '../../base/node/timers';
 import {PostgresGrammar} from '../../services/sql/node/postgres_grammar';
 import {
@@ -62,8 +61,11 @@
 
   const announcements = createServer();
   announcements.addService(AnnouncementService, services.observer.handlers);
-  const listening = await listen(announcements, args.announcements, signal);
-  if (listening.isErr) exit(EXIT_UNAVAILABLE, [listening.error.message]);
+  await listenOrExit(
+    log,
+    {address: args.announcements, clients: 'targets'},
+    listen(announcements, args.announcements, signal),
+  );
   services.observer.start(system.pingMs, signal);
 
   const onSettings = (version: number, text: string) => {
@@ -120,12 +122,16 @@
     isAttached: () => control.isAttached,
     sessions: () => callers.sessionCount,
   });
-  try {
-    await endpoint.listen(statusAddress.port, statusAddress.host, signal);
-    await callers.listen(callersAddress.port, callersAddress.host);
-  } catch (thrown) {
-    exit(EXIT_UNAVAILABLE, [`proxy: ${toError(thrown).message}`]);
-  }
+  await listenOrExit(
+    log,
+    {address: args.status, clients: 'operators'},
+    endpoint.listen(statusAddress.port, statusAddress.host, signal),
+  );
+  await listenOrExit(
+    log,
+    {address: args.listen, clients: 'callers'},
+    callers.listen(callersAddress.port, callersAddress.host),
+  );
   log.info('Ready.', {instance: args.instance, address: args.listen});
   stopRequested.addEventListener('abort', () => {
     void callers.drain().then(() => {
--- a/src/proxy/node/status_endpoint.ts
+++ b/src/proxy/node/status_endpoint.ts
@@ -1,5 +1,6 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {encodeIntoCompressedBase64} from 'hdr-histogram-js';
+import {err, ok, type Result} from '../../base/common/result';
 import type {ProxyServices} from './proxy_services';
 import {PHASES, type RequestMeter, type Series} from './request_meter';
 
@@ -28,7 +29,11 @@
 
   constructor(private readonly dependencies: StatusDependencies) {}
 
-  listen(port: number, host: string, signal: AbortSignal): Promise<void> {
+  listen(
+    port: number,
+    host: string,
+    signal: AbortSignal,
+  ): Promise<Result<void, Error>> {
     const server = createServer((request, response) => {
       const page = this.pages[request.url ?? ''];
       if (page) return page(response);
@@ -39,9 +44,9 @@
       server.close();
       server.closeAllConnections();
     });
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
+    return new Promise(resolve => {
+      server.once('error', error => resolve(err(error)));
+      server.listen(port, host, () => resolve(ok(undefined)));
     });
   }
 
--- a/src/standin/node/database_server.ts
+++ b/src/standin/node/database_server.ts
@@ -1,6 +1,7 @@
 import {randomInt} from 'node:crypto';
 import {createServer, type Server, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {err, ok, type Result} from '../../base/common/result';
 import {settled, startTask, type Task} from '../../base/node/task';
 import {encodeError} from '../../services/wire/common/backend';
 import {FrameConnection} from '../../services/wire/node/frame_connection';
@@ -32,13 +33,13 @@
   }
 
   /** Starts listening and returns the bound port. */
-  listen(port: number, address: string): Promise<number> {
+  listen(port: number, address: string): Promise<Result<number, Error>> {
     this.signal.addEventListener('abort', () => this.server.close());
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
+    return new Promise(resolve => {
+      this.server.once('error', error => resolve(err(error)));
       this.server.listen(port, address, () => {
         const bound = this.server.address();
-        resolve(typeof bound === 'object' && bound ? bound.port : port);
+        resolve(ok(typeof bound === 'object' && bound ? bound.port : port));
       });
     });
   }
--- a/src/standin/node/main.ts
+++ b/src/standin/node/main.ts
@@ -6,9 +6,9 @@
 import {MonotonicClock} from '../../base/node/monotonic_clock';
 import {newIncarnation} from '../../base/node/incarnation';
 import {
-  EXIT_UNAVAILABLE,
   EXIT_USAGE,
   exit,
+  listenOrExit,
   createStopSignal,
   VERSION,
 } from '../../base/node/program';
@@ -65,8 +65,11 @@
   const replicationServer = createServer();
   const replication = new ReplicationService(member, signal);
   replicationServer.addService(ReplicationDefinition, replication.handlers);
-  const listening = await listen(replicationServer, args.replication, signal);
-  if (listening.isErr) exit(EXIT_UNAVAILABLE, [listening.error.message]);
+  await listenOrExit(
+    log,
+    {address: args.replication, clients: 'members'},
+    listen(replicationServer, args.replication, signal),
+  );
 
   const dependencies = {
     member,
@@ -76,7 +79,11 @@
     trySet: (name: string, value: string) => applySetting(member, name, value),
   };
   const databaseServer = new DatabaseServer(dependencies, args, signal);
-  await databaseServer.listen(address.port, address.host);
+  await listenOrExit(
+    log,
+    {address: args.listen, clients: 'proxies'},
+    databaseServer.listen(address.port, address.host),
+  );
   const announcers = args.announce
     .split(',')
     .filter(text => text !== '')
