Limit requests to counters by how fast they answer

Cause: a collapse under overload. Each operation asks a counter, up to six after refusals; six proxies of 59 answer all of them. A counter that was behind counted as unresponsive only until its next message, so requests went on at the rate of the operations; one without an answer after 60 or 150 ms went to the next counter and to all of them again each 100 ms; late permits were returned, one message more. Counters ended up working on requests that nobody waited for.

By logs the first time-outs come 0.6 s after the flood began, at one counter, and after 1.4 s at all six. A schedule with counters that take 1 ms a message: nothing runs during the flood, and 0.997 of the usual load is refused after it.

Ruled out: that counters are asked too often alone.

Change: RequestWindow limits what a proxy has pending at a counter: additive increase, multiplicative decrease on answers slower than 0.4 of the time-out, so that queues stay short and work is not wasted; a request without an answer counts until it is answered or the link ends; at one request the proxy pauses, each time for longer. An operation that finds no counter free within 120 ms is refused with a time to come back, reason "counters busy". Logs say when a counter falls behind and when it has caught up, at most once a second; metrics count requests sent, timed out and withheld.

Fixtures of the schedules now play time-outs, rounds and late answers as the product does.

--- a/src/services/account/common/counter_choice.ts
+++ b/src/services/account/common/counter_choice.ts
@@ -14,8 +14,8 @@
   | 'ready'
   /** The link to it is being opened. */
   | 'connecting'
-  /** A request timed out and nothing was received since. */
-  | 'unresponsive'
+  /** As many requests are pending as it answers in time. */
+  | 'busy'
   | 'closed';
 
 /**
@@ -40,29 +40,38 @@
 
 /** How a counter is chosen for one request. */
 export interface CounterChoiceOptions {
-  /** Instances that were tried and made no decision. */
+  /** Instances that were tried already. */
   readonly excluded: ReadonlySet<string>;
   /** Whether the request can wait for a link that is being opened. */
   readonly canWaitForLink: boolean;
 }
 
+/** What is known of the next counter where none can get a request now. */
+export type CounterWait =
+  /** Wait for the link to it. */
+  | 'connecting'
+  /** At least one can get requests once it answered others. */
+  | 'busy';
+
 /**
- * Returns the counter to try next, 'connecting' to wait for the link to it, or
- * undefined where none is available. Reads no more states than needed, because
- * reading a state opens a link.
+ * Returns the counter to try next, what to wait for, or undefined where none is
+ * available. Reads no more states than needed, because reading a state opens a
+ * link.
  */
 export function chooseCounter(
   ranked: readonly CounterEntry[],
   stateOf: (entry: CounterEntry) => CounterState,
   {excluded, canWaitForLink}: CounterChoiceOptions,
-): CounterEntry | 'connecting' | undefined {
+): CounterEntry | CounterWait | undefined {
+  let isAnyBusy = false;
   for (const entry of ranked) {
     if (excluded.has(entry.instance)) continue;
     const state = stateOf(entry);
     if (state === 'local' || state === 'ready') return entry;
     if (state === 'connecting' && canWaitForLink) return 'connecting';
+    isAnyBusy ||= state === 'busy';
   }
-  return undefined;
+  return isAnyBusy ? 'busy' : undefined;
 }
 
 function groupOf(
--- a/src/services/account/node/account_limits.ts
+++ b/src/services/account/node/account_limits.ts
@@ -21,6 +21,10 @@
 const ROUND_INTERVAL_MS = 100;
 /** Long enough to reopen a link, or for a new counter to get its shares. */
 const NO_COUNTER_RETRY_MS = 200;
+/** How long an operation waits until a counter can get its request. */
+const MAX_BUSY_WAIT_MS = 120;
+/** Spreads the operations out that counters cannot decide on in time. */
+const BUSY_RETRY_MS = 1_000;
 
 /** The last answer of a counter about an account, for the log. */
 interface LastAnswer {
@@ -31,6 +35,9 @@
 
 type PermitRequest = Extract<PermitLookup, {kind: 'request'}>;
 
+/** Why no counter made a decision. */
+type NoDecision = 'no counter' | 'counters busy';
+
 interface TimedDecision {
   readonly decision: GrantedPermits | RefusedPermit;
   readonly requestedAt: number;
@@ -89,7 +96,9 @@
     deadline: number,
   ): Task<Result<void, LimitRefusal>> {
     const decided = yield* this.requestDecision(account, request, deadline);
-    if (!decided) return this.refuseWithoutCounter(account);
+    if (typeof decided === 'string') {
+      return this.refuseWithoutDecision(account, decided);
+    }
     const {decision, requestedAt} = decided;
     const now = this.clock.now();
     this.permits.onDidReceiveDecision(account, requestedAt, decision, now);
@@ -106,12 +115,12 @@
     return this.refuse(account, waitMs);
   }
 
-  /** Tries counters in turn; undefined where none decides by the deadline. */
+  /** Tries counters in turn until one decides, at most until the deadline. */
   private *requestDecision(
     account: string,
     {wanted, maxFurtherCounters}: PermitRequest,
     deadline: number,
-  ): Task<TimedDecision | undefined> {
+  ): Task<TimedDecision | NoDecision> {
     const {clock, counters} = this;
     const startedAt = clock.now();
     const excluded = new Set<string>();
@@ -120,7 +129,14 @@
       const requestedAt = clock.now();
       const canWaitForLink = requestedAt - startedAt < MAX_LINK_WAIT_MS;
       const counter = counters.choose(account, {excluded, canWaitForLink});
-      if (counter === undefined) {
+      if (counter === 'busy') {
+        if (refusals.refusalAt(requestedAt)) break;
+        if (requestedAt - startedAt >= MAX_BUSY_WAIT_MS) {
+          counters.onDidWithhold();
+          return 'counters busy';
+        }
+        yield* sleep(POLL_INTERVAL_MS);
+      } else if (counter === undefined) {
         if (refusals.refusalAt(requestedAt)) break;
         yield* sleep(excluded.size > 0 ? ROUND_INTERVAL_MS : POLL_INTERVAL_MS);
         excluded.clear();
@@ -135,7 +151,8 @@
     }
     const now = clock.now();
     const refusal = refusals.refusalAt(now);
-    return refusal && {decision: refusal, requestedAt: now};
+    if (!refusal) return 'no counter';
+    return {decision: refusal, requestedAt: now};
   }
 
   /**
@@ -174,10 +191,14 @@
     return err({reason: 'over its limit', retryAfterMs: rounded, detail});
   }
 
-  private refuseWithoutCounter(account: string): Result<void, LimitRefusal> {
+  private refuseWithoutDecision(
+    account: string,
+    reason: NoDecision,
+  ): Result<void, LimitRefusal> {
     const detail = this.detailOf(account);
-    const retryAfterMs = NO_COUNTER_RETRY_MS;
-    return err({reason: 'no counter', retryAfterMs, detail});
+    const retryAfterMs =
+      reason === 'counters busy' ? BUSY_RETRY_MS : NO_COUNTER_RETRY_MS;
+    return err({reason, retryAfterMs, detail});
   }
 
   private detailOf(account: string): string {
--- a/src/services/account/node/counter_directory.ts
+++ b/src/services/account/node/counter_directory.ts
@@ -1,3 +1,6 @@
+import type {Clock} from '../../../base/common/clock';
+import {hashText} from '../../../base/common/hash';
+import {SeededRandom} from '../../../base/common/random';
 import type {Log} from '../../../base/node/log';
 import {after} from '../../../base/node/timers';
 import type {CounterEntry} from '../../../schema/generated/fleet';
@@ -6,10 +9,12 @@
   rankCounters,
   type CounterChoiceOptions,
   type CounterState,
+  type CounterWait,
   type ProxyRegion,
 } from '../common/counter_choice';
 import type {PermitDecision} from '../common/permit_counting';
-import {CounterLink} from './counter_link';
+import {RequestWindow} from '../common/request_window';
+import {CounterLink, RequestTotals} from './counter_link';
 import type {LocalCounter} from './local_counter';
 
 /** This proxy and its place among sites and regions. */
@@ -20,13 +25,13 @@
 /** Sends requests to the counters of accounts. */
 export interface CounterClient {
   /**
-   * Returns the counter to try next, 'connecting' to wait for the link to it,
-   * or undefined where none is available.
+   * Returns the counter to try next, what to wait for, or undefined where none
+   * is available.
    */
   choose(
     account: string,
     options: CounterChoiceOptions,
-  ): CounterEntry | 'connecting' | undefined;
+  ): CounterEntry | CounterWait | undefined;
   /** Requests permits; undefined where no decision arrives in time. */
   requestPermits(
     counter: CounterEntry,
@@ -35,6 +40,8 @@
   ): Promise<PermitDecision | undefined>;
   /** Returns permits of operations that did not run to their counter. */
   returnPermits(instance: string, account: string, count: number): void;
+  /** No counter could get a request for an operation in time. */
+  onDidWithhold(): void;
 }
 
 /** Leaves time to try another counter. */
@@ -52,13 +59,18 @@
   private readonly links = new Map<string, CounterLink>();
   /** Addresses that are not connected to again yet. */
   private readonly paused = new Set<string>();
+  private readonly totals = new RequestTotals();
+  private readonly random: SeededRandom;
 
   constructor(
     private readonly localProxy: LocalProxy,
     private readonly localCounter: LocalCounter,
+    private readonly clock: Clock,
     private readonly log: Log,
     private readonly signal: AbortSignal,
-  ) {}
+  ) {
+    this.random = new SeededRandom(hashText(localProxy.instance));
+  }
 
   setCounters(counters: readonly CounterEntry[]): void {
     if (counters.length + this.counters.length === 0) return;
@@ -78,7 +90,7 @@
   choose(
     account: string,
     options: CounterChoiceOptions,
-  ): CounterEntry | 'connecting' | undefined {
+  ): CounterEntry | CounterWait | undefined {
     return chooseCounter(
       this.rankingOf(account),
       entry => this.stateOf(entry),
@@ -87,7 +99,7 @@
   }
 
   requestPermits(
-    {instance, address, site}: CounterEntry,
+    {instance, address}: CounterEntry,
     account: string,
     wanted: number,
   ): Promise<PermitDecision | undefined> {
@@ -96,10 +108,16 @@
     }
     const link = this.links.get(address);
     if (!link) return Promise.resolve(undefined);
-    const timeoutMs = this.isInRegion(site)
-      ? REGION_ANSWER_TIMEOUT_MS
-      : REMOTE_ANSWER_TIMEOUT_MS;
-    return link.requestPermits(account, wanted, timeoutMs);
+    return link.requestPermits(account, wanted);
+  }
+
+  onDidWithhold(): void {
+    this.totals.withheld++;
+  }
+
+  /** Returns its metrics in the Prometheus text format. */
+  renderMetrics(): string {
+    return this.totals.render();
   }
 
   returnPermits(instance: string, account: string, count: number): void {
@@ -125,21 +143,23 @@
   }
 
   /** Also opens a missing link, as the counter is about to get a request. */
-  private stateOf({instance, address}: CounterEntry): CounterState {
+  private stateOf(entry: CounterEntry): CounterState {
+    const {instance, address} = entry;
     if (instance === this.localProxy.instance) return 'local';
-    this.open(address);
+    this.open(entry);
     return this.links.get(address)?.state ?? 'closed';
   }
 
   /** Keeps links to the counters of the region open. */
   private openRegionLinks(): void {
-    for (const {instance, address, site, retiring} of this.counters) {
+    for (const entry of this.counters) {
+      const {instance, site, retiring} = entry;
       const isOwn = instance === this.localProxy.instance;
-      if (!isOwn && !retiring && this.isInRegion(site)) this.open(address);
+      if (!isOwn && !retiring && this.isInRegion(site)) this.open(entry);
     }
   }
 
-  private open(address: string): void {
+  private open({address, site}: CounterEntry): void {
     if (this.signal.aborted) return;
     if (this.links.has(address) || this.paused.has(address)) return;
     const onDidClose = () => {
@@ -150,7 +170,15 @@
         this.openRegionLinks();
       });
     };
-    const link = new CounterLink(address, this.log, this.signal, onDidClose);
+    const timeoutMs = this.isInRegion(site)
+      ? REGION_ANSWER_TIMEOUT_MS
+      : REMOTE_ANSWER_TIMEOUT_MS;
+    const {clock, log, totals} = this;
+    const window = new RequestWindow(timeoutMs, this.random);
+    const link = new CounterLink(
+      {address, timeoutMs, window, totals, clock, log, onDidClose},
+      this.signal,
+    );
     this.links.set(address, link);
   }
 }
--- a/src/services/account/node/operation_limits.ts
+++ b/src/services/account/node/operation_limits.ts
@@ -3,8 +3,11 @@
 
 /** Why an operation of an account may not run now. */
 export interface LimitRefusal {
-  /** 'no counter' where no counter made a decision in time. */
-  readonly reason: 'over its limit' | 'no counter';
+  /**
+   * 'no counter' where no counter made a decision in time, 'counters busy' where
+   * they have more requests than they can answer.
+   */
+  readonly reason: 'over its limit' | 'no counter' | 'counters busy';
   /** When the caller should retry, in milliseconds. */
   readonly retryAfterMs: number;
   /** The last answer of a counter, for the log. */
--- a/src/services/account/test/common/limit_fleet.ts
+++ b/src/services/account/test/common/limit_fleet.ts
@@ -47,6 +47,8 @@
   leaseExpiresAt = -Infinity;
   /** Whether its process does not run. */
   isDown = false;
+  /** When it will have worked on all messages that it received. */
+  busyUntil = 0;
 
   constructor(
     readonly name: string,
--- a/src/services/account/test/common/limit_simulation.test.ts
+++ b/src/services/account/test/common/limit_simulation.test.ts
@@ -2,7 +2,11 @@
 import {SeededRandom} from '../../../../base/common/random';
 import type {AccountLimit} from '../../../../schema/generated/fleet';
 import {PRECISION} from './limit_fleet';
-import {allowedInWindow, LimitSimulation} from './limit_simulation';
+import {
+  allowedInWindow,
+  LimitSimulation,
+  type Callers,
+} from './limit_simulation';
 
 const {windowMs: WINDOW_MS} = PRECISION;
 
@@ -14,6 +18,7 @@
 const SMALL = LIMITS.filter(({perSecond}) => perSecond < 41);
 /** The usual load as a fraction of the limits. */
 const USUAL_FRACTION = 1 / 1.6;
+const PROXIES_PER_REGION = 20;
 /** For accounts below their limits. */
 const MAX_REFUSED_FRACTION = 0.001;
 
@@ -57,6 +62,25 @@
   return new Map(fractions.filter(([, one]) => one >= MAX_REFUSED_FRACTION));
 }
 
+function sumOf(
+  {callers}: LimitSimulation,
+  count: (one: Callers) => number,
+): number {
+  return callers.reduce((sum, one) => sum + count(one), 0);
+}
+
+function ranCount(simulation: LimitSimulation): number {
+  return sumOf(simulation, ({ranAt}) => ranAt.length);
+}
+
+function requestCount(simulation: LimitSimulation): number {
+  return sumOf(simulation, one => one.requestCount);
+}
+
+function refusedCount(simulation: LimitSimulation): number {
+  return sumOf(simulation, one => one.refusedCount + one.undecidedCount);
+}
+
 /** Returns the accounts that exceeded their limit in some window. */
 function excesses({callers}: LimitSimulation): string[] {
   return callers
@@ -353,6 +377,62 @@
   });
 });
 
+describe('a flood with more requests than counters can answer', () => {
+  // Guards against a collapse: requests time out and are repeated until
+  // counters work on nothing else, and no operation runs, even after the flood.
+
+  /** How long a counter on a small machine works on a message. */
+  const COUNTER_WORK_MS = 1;
+  const FLOOD_FRACTION = 6 * USUAL_FRACTION;
+  const limits = Array.from({length: 74}, (...[, at]) => {
+    const perSecond = at < 8 ? 100 : 14;
+    return {perSecond, burst: perSecond};
+  });
+
+  /** Starts a flood; returns what ran in each further second. */
+  function startFlood(seed: number) {
+    const simulation = new LimitSimulation(
+      new SeededRandom(seed),
+      limits,
+      PROXIES_PER_REGION,
+    );
+    simulation.counterWorkMs = COUNTER_WORK_MS;
+    simulation.run(3_000);
+    simulation.setLoad(USUAL_FRACTION);
+    simulation.run(4_000);
+    simulation.setLoad(FLOOD_FRACTION);
+    simulation.run(2_000);
+    return simulation;
+  }
+
+  it('leaves accounts what their limits allow', () => {
+    const allowed = limits.reduce((sum, one) => sum + one.perSecond, 0);
+    for (let seed = 1; seed <= 3; seed++) {
+      const simulation = startFlood(seed);
+      const before = ranCount(simulation);
+      simulation.run(8_000);
+      const perSecond = (ranCount(simulation) - before) / 8;
+      expect(perSecond, `seed ${seed}`).toBeGreaterThan(allowed * 0.9);
+      expect(excesses(simulation), `seed ${seed}`).toEqual([]);
+    }
+  });
+
+  it('refuses nobody soon after it ended', () => {
+    for (let seed = 1; seed <= 3; seed++) {
+      const simulation = startFlood(seed);
+      simulation.run(6_000);
+      simulation.setLoad(USUAL_FRACTION);
+      simulation.run(3_000);
+      const before = refusedCount(simulation);
+      const requestedBefore = requestCount(simulation);
+      simulation.run(5_000);
+      const refused = refusedCount(simulation) - before;
+      const requested = requestCount(simulation) - requestedBefore;
+      expect(refused / requested, `seed ${seed}`).toBeLessThan(0.01);
+    }
+  });
+});
+
 describe('an account below its limit', () => {
   it.each([122, 41, 14, 5])('is never refused at 0.8 of %i/s', rate => {
     const limits = [{perSecond: rate, burst: rate}];
--- a/src/services/account/test/node/counter_links.test.ts
+++ b/src/services/account/test/node/counter_links.test.ts
@@ -98,6 +98,7 @@
   directory = new CounterDirectory(
     {instance: 'p1', site: 'north', regionOf: site => site},
     new LocalCounter(localCounter, clock),
+    clock,
     makeLog().log,
     stop.signal,
   );
--- a/src/services/dispatch/common/checkout_request.ts
+++ b/src/services/dispatch/common/checkout_request.ts
@@ -50,8 +50,10 @@
     | 'abandoned'
     /** The account exceeds its rate limit. */
     | 'over its limit'
-    /** No counter of the account's rate limit was reachable. */
-    | 'no counter';
+    /** No counter of the account's rate limit decided in time. */
+    | 'no counter'
+    /** They have more requests than they can answer. */
+    | 'counters busy';
   /** When the caller should retry. */
   readonly retryAfterMs: number;
   /** The inputs of the decision, for the log. */
