Log the control group and each change of it

The leader logs each change that it decides on, with the silence of each peer, and how it ended. No decision is changed; consensus.ts is not touched.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -24,6 +24,7 @@
 import {ConsensusNode} from '../../services/consensus/node/consensus_node';
 import {requestJoinUntilVoter} from '../../services/consensus/node/join_requests';
 import {LogStorage} from '../../services/consensus/node/log_storage';
+import {MembershipLog} from '../../services/membership/node/membership_log';
 import {
   formatSettingsError,
   type Settings,
@@ -75,6 +76,7 @@
   const {machine} = stateMachine;
 
   let leadership: Leadership | undefined;
+  const membershipLog = new MembershipLog(core, log);
   const settings = new SettingsInForce(machine, fileSettings);
   const transport = new PeerTransport(self.address, signal);
   const node: ConsensusNode = new ConsensusNode(
@@ -92,6 +94,7 @@
             : undefined;
       },
       onDidApply: () => leadership?.drive(),
+      onDidChangeConfiguration: () => membershipLog.onDidChangeConfiguration(),
       onDidFail: ({kind, detail}) => {
         exit(EXIT_IO_ERROR, [`control: data folder ${kind}: ${detail}`]);
       },
--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -36,6 +36,8 @@
 export interface ConsensusListener {
   onDidChangeRole(role: ConsensusRole): void;
   onDidApply(): void;
+  /** The newest configuration in the log was replaced, or read at the start. */
+  onDidChangeConfiguration(): void;
   /** The disk failed and the node stopped. */
   onDidFail(failure: StorageFailure): void;
 }
@@ -47,6 +49,7 @@
   private readonly mailbox = new Mailbox<ConsensusEvent>();
   private readonly callbacks = new Map<RequestId, Callback>();
   private lastRequestId = 0;
+  private reportedConfiguration: Configuration | undefined;
 
   constructor(
     readonly core: Consensus,
@@ -117,6 +120,7 @@
         this.runEffects(effects);
         effects = this.reportSynced(effects);
       }
+      this.reportConfiguration();
       if (!(yield* this.compactIfDue())) return;
     }
     yield* settled(this.storage.close());
@@ -172,6 +176,13 @@
     return this.core.step({kind: 'synced', index, term}, this.clock.now());
   }
 
+  private reportConfiguration(): void {
+    const {configuration} = this.core;
+    if (configuration === this.reportedConfiguration) return;
+    this.reportedConfiguration = configuration;
+    this.listener.onDidChangeConfiguration();
+  }
+
   private runEffects(effects: readonly Effect[]): void {
     let hasApplied = false;
     for (const effect of effects) {
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -16,6 +16,7 @@
 } from '../../fleet_state/common/fleet_state_machine';
 import {planElasticMembership} from '../../membership/common/elastic_membership_plan';
 import type {Joiner} from '../../membership/common/membership_plan';
+import {GroupChangeLog} from '../../membership/node/group_change_log';
 import {PoolerPlanner} from '../../pooler/common/pooler_planner';
 import {PublishedPrimaries} from '../../lease/common/published_primaries';
 import {LeaseHolders} from '../../lease/common/lease_holders';
@@ -81,9 +82,12 @@
   private limitCoordinator: LimitCoordinator;
   private parsedCatalog: {version: number; catalog: Catalog} | undefined;
   private readonly connectionAllocation: ConnectionAllocation;
+  private readonly groupChanges: GroupChangeLog;
   leader: FleetLeader | undefined;
 
   constructor(private readonly dependencies: FleetControlDependencies) {
+    const {clock, log} = dependencies;
+    this.groupChanges = new GroupChangeLog(clock, log);
     this.limitCoordinator = this.makeLimitCoordinator();
     this.connectionAllocation = new ConnectionAllocation({
       catalog: () => this.catalog(),
@@ -443,8 +447,14 @@
       silentMsOf: id => core.silenceMsOf(id, clock.now()),
     });
     if (!next) return;
+    const end = this.groupChanges.begin({
+      before: core.configuration,
+      after: next,
+      term: core.currentTerm,
+      silenceMsOf: id => core.silenceMsOf(id, clock.now()),
+    });
     this.proposals.start('voters', async () => {
-      await node.changeConfiguration(next);
+      end(await node.changeConfiguration(next));
     });
   }
 }
