--- /dev/null
+++ b/src/services/membership/test/common/control_group.ts
@@ -0,0 +1,308 @@
+import {SeededRandom} from '../../../../base/common/random';
+import type {
+  ConsensusMessage,
+  HardState,
+  LogEntry,
+  Snapshot,
+} from '../../../../schema/generated/consensus';
+import {Consensus} from '../../../consensus/common/consensus';
+import type {
+  ConsensusEvent,
+  Effect,
+} from '../../../consensus/common/consensus_types';
+import {
+  emptyState,
+  initialPeerId,
+  initialSnapshot,
+} from '../../../consensus/common/initial_state';
+import {planElasticMembership} from '../../common/elastic_membership_plan';
+import type {Joiner} from '../../common/membership_plan';
+
+const OPTIONS = {electionMs: 350, heartbeatMs: 100};
+const TICK_INTERVAL_MS = 20;
+const PLAN_INTERVAL_MS = 200;
+const JOIN_INTERVAL_MS = 500;
+const LATENCY_MS = 20;
+
+/** Content of an instance's disk. */
+interface Disk {
+  id: string;
+  hardState: HardState;
+  snapshot: Snapshot;
+  entries: LogEntry[];
+}
+
+/** One control instance; it has no core while it is down. */
+interface ControlInstance {
+  readonly address: string;
+  disk: Disk;
+  core: Consensus | undefined;
+  isCut: boolean;
+  /** Counts starts; events of an earlier life are dropped. */
+  life: number;
+}
+
+/**
+ * The cores of a control group with their membership plan, on a virtual clock.
+ * Instances join, leave, lose power or disks and are cut off.
+ */
+export class ControlGroup {
+  private readonly instances = new Map<string, ControlInstance>();
+  private readonly joiners = new Map<string, Joiner>();
+  private readonly committed = new Set<number>();
+  private readonly events: {at: number; run(): void}[] = [];
+  private readonly random: SeededRandom;
+  private lastRequestId = 0;
+  private lastIncarnation = 0;
+  now = 0;
+
+  constructor(
+    addresses: readonly string[],
+    private readonly desiredVoterCount: number,
+    seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    for (const address of addresses) {
+      const disk = {
+        id: initialPeerId(address),
+        hardState: {term: 1, votedFor: ''},
+        snapshot: initialSnapshot(addresses),
+        entries: [],
+      };
+      this.addInstance(address, disk);
+    }
+  }
+
+  /** Starts an empty instance at a new address. */
+  add(address: string): void {
+    this.addInstance(address, this.makeEmptyDisk(address));
+  }
+
+  /** Removes an instance for good. */
+  remove(address: string): void {
+    this.stop(address);
+    this.instances.delete(address);
+  }
+
+  /** Stops an instance for a time; its disk is kept. */
+  kill(address: string, downMs: number): void {
+    const instance = this.stop(address);
+    this.after(downMs, () => this.start(instance));
+  }
+
+  /** Stops an instance, which returns with an empty disk. */
+  wipe(address: string, downMs: number): void {
+    const instance = this.stop(address);
+    instance.disk = this.makeEmptyDisk(address);
+    this.after(downMs, () => this.start(instance));
+  }
+
+  /** Cuts an instance off from all others for a time. */
+  cut(address: string, milliseconds: number): void {
+    const instance = this.instances.get(address)!;
+    instance.isCut = true;
+    this.after(milliseconds, () => (instance.isCut = false));
+  }
+
+  /** Calls back after a virtual time. */
+  after(milliseconds: number, callback: () => void): void {
+    this.events.push({at: this.now + milliseconds, run: callback});
+  }
+
+  run(milliseconds: number): void {
+    this.runUntil(() => false, milliseconds);
+  }
+
+  /** The address of a leader that a majority follows; undefined without one. */
+  get leader(): string | undefined {
+    const leading = [...this.instances.values()].filter(({core}) => {
+      return core?.isLeaderReady;
+    });
+    const [newest] = leading.sort((a, b) => {
+      return b.core!.currentTerm - a.core!.currentTerm;
+    });
+    return newest?.address;
+  }
+
+  get addresses(): string[] {
+    return [...this.instances.keys()];
+  }
+
+  /** Ids of the voters that the leader knows. */
+  get voters(): string[] {
+    const core = this.instances.get(this.leader ?? '')?.core;
+    const peers = core?.configuration.peers ?? [];
+    return peers.filter(({voter}) => voter).map(({id}) => id);
+  }
+
+  /**
+   * Proposes an entry until one is committed, and returns the address of the
+   * leader that committed it; undefined if none was in time.
+   */
+  commitEntry(maxMs: number): string | undefined {
+    const requests = new Map<number, string>();
+    const isCommitted = () => {
+      return [...requests.keys()].some(id => this.committed.has(id));
+    };
+    const propose = () => {
+      const {leader} = this;
+      if (leader === undefined) return;
+      const requestId = ++this.lastRequestId;
+      requests.set(requestId, leader);
+      const command = Buffer.from('entry');
+      const instance = this.instances.get(leader)!;
+      this.step(instance, {kind: 'propose', command, requestId});
+    };
+    for (let at = 0; at < maxMs; at += PLAN_INTERVAL_MS) {
+      this.after(at, () => {
+        if (!isCommitted()) propose();
+      });
+    }
+    this.runUntil(isCommitted, maxMs);
+    const done = [...requests].find(([id]) => this.committed.has(id));
+    return done?.[1];
+  }
+
+  private runUntil(isDone: () => boolean, maxMs: number): void {
+    const end = this.now + maxMs;
+    while (!isDone()) {
+      this.events.sort((a, b) => a.at - b.at);
+      const [next] = this.events;
+      if (!next || next.at > end) break;
+      this.events.shift();
+      this.now = next.at;
+      next.run();
+    }
+    if (!isDone()) this.now = end;
+  }
+
+  private makeEmptyDisk(address: string): Disk {
+    const id = `${address}#${++this.lastIncarnation}`;
+    return {id, ...emptyState(), entries: []};
+  }
+
+  private addInstance(address: string, disk: Disk): void {
+    const instance: ControlInstance = {
+      address,
+      disk,
+      core: undefined,
+      isCut: false,
+      life: 0,
+    };
+    this.instances.set(address, instance);
+    this.start(instance);
+  }
+
+  private start(instance: ControlInstance): void {
+    if (!this.instances.has(instance.address)) return;
+    const {id, hardState, snapshot, entries} = instance.disk;
+    const persisted = {hardState, snapshot, entries: [...entries]};
+    const seed = new SeededRandom(this.random.integer(1, 1_000_000));
+    instance.core = new Consensus(id, persisted, OPTIONS, seed);
+    instance.life++;
+    this.every(instance, TICK_INTERVAL_MS, () => {
+      this.step(instance, {kind: 'tick'});
+    });
+    this.every(instance, PLAN_INTERVAL_MS, () => this.plan(instance));
+    this.every(instance, JOIN_INTERVAL_MS, () => this.requestJoin(instance));
+  }
+
+  private stop(address: string): ControlInstance {
+    const instance = this.instances.get(address)!;
+    instance.core = undefined;
+    instance.life++;
+    return instance;
+  }
+
+  private every(
+    instance: ControlInstance,
+    milliseconds: number,
+    callback: () => void,
+  ): void {
+    const {life} = instance;
+    const repeat = () => {
+      if (instance.life !== life) return;
+      callback();
+      this.after(milliseconds, repeat);
+    };
+    this.after(this.random.integer(0, TICK_INTERVAL_MS), repeat);
+  }
+
+  private requestJoin({core, address, isCut}: ControlInstance): void {
+    const isVoter = core!.configuration.peers.some(peer => {
+      return peer.id === core!.id && peer.voter;
+    });
+    if (isCut || (isVoter && core!.leader !== '')) return;
+    this.joiners.set(core!.id, {id: core!.id, address});
+  }
+
+  private plan(instance: ControlInstance): void {
+    const core = instance.core!;
+    if (!core.isLeaderReady || !core.isConfigurationCommitted) return;
+    const joiners = [...this.joiners.values()];
+    this.joiners.clear();
+    const configuration = planElasticMembership({
+      configuration: core.configuration,
+      joiners,
+      desiredVoterCount: this.desiredVoterCount,
+      commitIndex: core.commitIndex,
+      matchIndexOf: id => core.matchIndexOf(id),
+      silentMsOf: id => core.silenceMsOf(id, this.now),
+    });
+    if (!configuration) return;
+    const requestId = ++this.lastRequestId;
+    this.step(instance, {
+      kind: 'changeConfiguration',
+      configuration,
+      requestId,
+    });
+  }
+
+  private step(instance: ControlInstance, event: ConsensusEvent): void {
+    const {core} = instance;
+    if (!core) return;
+    let effects = core.step(event, this.now);
+    while (effects.length > 0) {
+      const appended = this.save(instance.disk, effects);
+      for (const effect of effects) this.runEffect(instance, effect);
+      if (!appended) break;
+      const {index, term} = appended;
+      effects = core.step({kind: 'synced', index, term}, this.now);
+    }
+  }
+
+  private save(disk: Disk, effects: readonly Effect[]): LogEntry | undefined {
+    let last: LogEntry | undefined;
+    for (const effect of effects) {
+      if (effect.kind === 'saveHardState') disk.hardState = effect.state;
+      if (effect.kind === 'truncate') {
+        disk.entries = disk.entries.filter(({index}) => index < effect.from);
+      }
+      if (effect.kind === 'append') {
+        disk.entries.push(...effect.entries);
+        last = effect.entries.at(-1);
+      }
+      if (effect.kind === 'installSnapshot') {
+        disk.snapshot = effect.snapshot;
+        disk.entries = [...effect.remaining];
+      }
+    }
+    return last;
+  }
+
+  private runEffect(instance: ControlInstance, effect: Effect): void {
+    if (effect.kind === 'send') this.send(instance, effect.message);
+    if (effect.kind === 'committed') this.committed.add(effect.requestId);
+  }
+
+  private send(from: ControlInstance, message: ConsensusMessage): void {
+    if (from.isCut) return;
+    const jitter = 0.7 + 0.6 * this.random.fraction();
+    this.after(LATENCY_MS * jitter, () => {
+      const to = [...this.instances.values()].find(({core}) => {
+        return core?.id === message.to;
+      });
+      if (to && !to.isCut) this.step(to, {kind: 'message', message});
+    });
+  }
+}
