Control: replace a voter in one joint change of the control group

What callers would see: no configuration can be read back, for good, although only one disk is lost and everybody else returns.

Cause: a voter was replaced in two single changes, its removal and the promotion of its successor. Between the two the group needs every remaining voter; the removal counts as soon as it is in the leader's log, so a follower that is lost at this moment is needed for it to commit, and the removed voter, which is back with its disk, may not vote for it any more.

Ruled out as the fix: promotion before removal; four voters of which one is empty need all three others, and 'keeps a majority when an instance loses its disk twice' shows when they are not there.

Fix: a joint change. Until it is complete, decisions need a majority of the old and one of the new voters, so the group tolerates what both tolerate, and needs neither the old nor the new instance. Any leader completes the change that it finds. For both programs.

Instances of before this commit do not know joint changes: control is replaced as a whole.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -26,13 +26,12 @@
 import {PendingRequests} from './pending_requests';
 import {
   hasMajority,
-  isSingleChange,
+  isSafeChange,
   isVoter,
   majorityValue,
   peersExcept,
-  PeerTable,
-  type PeerProgress,
-} from './progress';
+} from './configuration';
+import {PeerTable, type PeerProgress} from './progress';
 
 /** A leader without a majority for this many election times steps down. */
 const LEADER_TIMEOUT_FACTOR = 2;
@@ -41,7 +40,7 @@
 
 /**
  * The Raft state machine: leader election with pre-vote, log replication,
- * single-voter changes, snapshots and confirmation of leadership.
+ * changes of voters, snapshots and confirmation of leadership.
  *
  * It does no I/O. The caller makes the entries of a step durable before it
  * sends the messages of the step, and reports that with a `synced` event.
@@ -184,7 +183,7 @@
     if (this.currentRole === 'leader') return this.leaderTick();
     if (!this.election.isDue(this.now)) return;
     this.election.resetTimer(this.now);
-    if (isVoter(this.configuration.peers, this.id)) this.startElection(true);
+    if (isVoter(this.configuration, this.id)) this.startElection(true);
   }
 
   private leaderTick(): void {
@@ -197,7 +196,7 @@
   private isFollowedByMajority(): boolean {
     const minAt = this.now - this.options.electionMs * LEADER_TIMEOUT_FACTOR;
     const replied = this.peers.repliedSince(minAt).add(this.id);
-    return hasMajority(this.configuration.peers, replied);
+    return hasMajority(this.configuration, replied);
   }
 
   private startElection(pre: boolean): void {
@@ -213,7 +212,7 @@
       this.votedFor = this.id;
       this.saveHardState();
     }
-    if (hasMajority(this.configuration.peers, this.election.votes)) {
+    if (hasMajority(this.configuration, this.election.votes)) {
       return this.winElection();
     }
     const {lastIndex, lastTerm} = this.log;
@@ -223,7 +222,7 @@
     };
     const term = pre ? this.term + 1 : this.term;
     for (const peer of peersExcept(this.configuration.peers, this.id)) {
-      if (peer.voter) this.send(peer.id, body, term);
+      if (isVoter(this.configuration, peer.id)) this.send(peer.id, body, term);
     }
   }
 
@@ -286,7 +285,7 @@
     const expected = reply.pre ? this.term + 1 : this.term;
     if (message.term !== expected) return;
     this.election.addVote(message.from);
-    if (hasMajority(this.configuration.peers, this.election.votes)) {
+    if (hasMajority(this.configuration, this.election.votes)) {
       this.winElection();
     }
   }
@@ -439,10 +438,10 @@
 
   private onChangeConfiguration(request: RequestId, next: Configuration): void {
     if (!this.isLeaderReady) return this.effects.refuse(request, 'not leader');
-    // A second uncommitted change, or a change of two voters, could result in
-    // two majorities that do not overlap.
-    const isSingle = isSingleChange(this.configuration.peers, next.peers);
-    if (!this.isConfigurationCommitted || !isSingle) {
+    // A second uncommitted change could result in two majorities that do not
+    // overlap.
+    const isSafe = isSafeChange(this.configuration, next);
+    if (!this.isConfigurationCommitted || !isSafe) {
       return this.effects.refuse(request, 'change in progress');
     }
     this.onPropose(request, {$case: 'configuration', value: next});
@@ -472,7 +471,7 @@
 
   private completeConfirmations(): void {
     if (!this.pending.hasConfirmations) return;
-    const confirmedRound = majorityValue(this.configuration.peers, id => {
+    const confirmedRound = majorityValue(this.configuration, id => {
       return id === this.id ? this.round : (this.peers.get(id)?.round ?? 0);
     });
     const due = this.pending.takeConfirmations(confirmedRound);
@@ -519,7 +518,7 @@
   }
 
   private commitByMajority(): void {
-    const index = majorityValue(this.configuration.peers, id => {
+    const index = majorityValue(this.configuration, id => {
       return this.matchIndexOf(id);
     });
     if (this.log.termAt(index) === this.term) this.advanceCommit(index);
@@ -550,8 +549,7 @@
 
   private stepDownIfRemoved(): void {
     const isRemoved =
-      this.isConfigurationCommitted &&
-      !isVoter(this.configuration.peers, this.id);
+      this.isConfigurationCommitted && !isVoter(this.configuration, this.id);
     if (isRemoved) this.becomeFollower(this.term, '');
   }
 
--- a/src/services/consensus/common/entry_log.ts
+++ b/src/services/consensus/common/entry_log.ts
@@ -3,6 +3,7 @@
   LogEntry,
   Snapshot,
 } from '../../../schema/generated/consensus';
+import {makeConfiguration} from './configuration';
 
 /** The log in memory: a snapshot and the entries after it. */
 export class EntryLog {
@@ -74,7 +75,7 @@
         return {index, value: payload.value};
       }
     }
-    const value = this.base.configuration ?? {peers: []};
+    const value = this.base.configuration ?? makeConfiguration([]);
     return {index: this.base.index, value};
   }
 }
--- a/src/services/consensus/common/initial_state.ts
+++ b/src/services/consensus/common/initial_state.ts
@@ -1,9 +1,10 @@
 import type {Peer, Snapshot} from '../../../schema/generated/consensus';
 import type {PersistedState} from './consensus_types';
+import {makeConfiguration} from './configuration';
 
 /** State of an instance that bootstraps a group with itself as only voter. */
 export function singlePeerState(peer: Peer): PersistedState {
-  const configuration = {peers: [{...peer, voter: true}]};
+  const configuration = makeConfiguration([{...peer, voter: true}]);
   const snapshot: Snapshot = {
     index: 1,
     term: 1,
@@ -18,7 +19,7 @@
   const snapshot: Snapshot = {
     index: 0,
     term: 0,
-    configuration: {peers: []},
+    configuration: makeConfiguration([]),
     state: Buffer.alloc(0),
   };
   return {hardState: {term: 0, votedFor: ''}, snapshot, entries: []};
@@ -40,7 +41,7 @@
   return {
     index: 1,
     term: 1,
-    configuration: {peers},
+    configuration: makeConfiguration(peers),
     state: Buffer.alloc(0),
   };
 }
--- a/src/services/membership/common/elastic_membership_plan.ts
+++ b/src/services/membership/common/elastic_membership_plan.ts
@@ -1,8 +1,15 @@
 import type {Configuration, Peer} from '../../../schema/generated/consensus';
 import {
-  isCaughtUp,
+  completeReplacement,
+  isJoint,
+  makeConfiguration,
+  replaceVoter,
+} from '../../consensus/common/configuration';
+import {
+  addLearners,
   instanceOf,
-  addLearner,
+  isCaughtUp,
+  promote,
   type Joiner,
 } from './membership_plan';
 
@@ -22,46 +29,43 @@
 }
 
 /**
- * The next single change of a control group without a fixed list of members;
+ * The next change of a control group without a fixed list of members;
  * undefined if there is none.
  *
  * Every instance that joins becomes a learner. A learner that has caught up
  * becomes a voter if one is missing, or replaces a voter that lost its data
- * folder (a new incarnation at the same address) or is silent for long. An
- * instance without its log thus never votes.
+ * folder (a new incarnation at the same address) or is silent. An instance
+ * without its log thus never votes.
  */
 export function planElasticMembership(
   view: ElasticMembershipView,
 ): Configuration | undefined {
-  const {peers} = view.configuration;
-  for (const joiner of view.joiners) {
-    const next = addLearner(peers, joiner);
-    if (next) return {peers: next};
-  }
+  const {configuration, joiners, desiredVoterCount} = view;
+  if (isJoint(configuration)) return completeReplacement(configuration);
+  const {peers} = configuration;
+  const joined = addLearners(peers, joiners);
+  if (joined) return makeConfiguration(joined);
   const learners = peers.filter(peer => isCaughtUp(view, peer));
-  const voters = peers.filter(peer => peer.voter);
   const [learner] = learners;
   if (!learner) return undefined;
-  if (voters.length < view.desiredVoterCount) return promote(peers, learner);
-  const replaced = voters.find(voter => isReplaceable(view, voter, learners));
-  return replaced && {peers: peers.filter(peer => peer !== replaced)};
-}
-
-function promote(peers: readonly Peer[], learner: Peer): Configuration {
-  return {
-    peers: peers.map(peer => {
-      return peer === learner ? {...peer, voter: true} : peer;
-    }),
-  };
+  const voters = peers.filter(peer => peer.voter);
+  if (voters.length < desiredVoterCount) return promote(peers, learner);
+  return replaceLostVoter(view, voters, learners);
 }
 
-function isReplaceable(
+function replaceLostVoter(
   view: ElasticMembershipView,
-  voter: Peer,
+  voters: readonly Peer[],
   learners: readonly Peer[],
-): boolean {
-  const isSuperseded = learners.some(learner => {
-    return instanceOf(learner.id) === instanceOf(voter.id);
+): Configuration | undefined {
+  for (const voter of voters) {
+    const successor = learners.find(learner => {
+      return instanceOf(learner.id) === instanceOf(voter.id);
+    });
+    if (successor) return replaceVoter(view.configuration, voter, successor);
+  }
+  const silent = voters.find(({id}) => {
+    return view.silentMsOf(id) >= REPLACE_SILENT_AFTER_MS;
   });
-  return isSuperseded || view.silentMsOf(voter.id) >= REPLACE_SILENT_AFTER_MS;
+  return silent && replaceVoter(view.configuration, silent, learners[0]!);
 }
--- a/src/services/membership/common/membership_plan.ts
+++ b/src/services/membership/common/membership_plan.ts
@@ -1,4 +1,10 @@
 import type {Configuration, Peer} from '../../../schema/generated/consensus';
+import {
+  completeReplacement,
+  isJoint,
+  makeConfiguration,
+  replaceVoter,
+} from '../../consensus/common/configuration';
 
 /** Maximum lag behind the commit index at which a learner becomes a voter. */
 const MAX_LEARNER_LAG_ENTRIES = 16;
@@ -20,7 +26,7 @@
 }
 
 /**
- * The next single change of the control group; undefined if there is none.
+ * The next change of the control group; undefined if there is none.
  *
  * A joining instance becomes a learner. Once it has caught up, it replaces the
  * voter of the same instance, whose data folder was lost. An empty log thus
@@ -30,21 +36,27 @@
 export function planMembership(
   view: MembershipView,
 ): Configuration | undefined {
-  const {peers} = view.configuration;
-  for (const joiner of view.joiners) {
-    if (!view.allowedInstances.has(instanceOf(joiner.id))) continue;
-    const next = addLearner(peers, joiner);
-    if (next) return {peers: next};
-  }
+  const {configuration, allowedInstances} = view;
+  if (isJoint(configuration)) return completeReplacement(configuration);
+  const {peers} = configuration;
+  const joiners = view.joiners.filter(({id}) => {
+    return allowedInstances.has(instanceOf(id));
+  });
+  const joined = addLearners(peers, joiners);
+  if (joined) return makeConfiguration(joined);
   const learner = peers.find(peer => isCaughtUp(view, peer));
   if (!learner) return undefined;
   const replaced = peers.find(peer => isReplacedBy(peer, learner));
-  if (replaced) return {peers: peers.filter(peer => peer !== replaced)};
-  return {
-    peers: peers.map(peer => {
-      return peer === learner ? {...peer, voter: true} : peer;
-    }),
-  };
+  if (replaced) return replaceVoter(configuration, replaced, learner);
+  return promote(peers, learner);
+}
+
+/** Makes a learner a voter. */
+export function promote(peers: readonly Peer[], learner: Peer): Configuration {
+  const promoted = peers.map(peer => {
+    return peer === learner ? {...peer, voter: true} : peer;
+  });
+  return makeConfiguration(promoted);
 }
 
 /** The instance of a peer id; the part behind `#` is its incarnation. */
@@ -52,11 +64,26 @@
   return id.split('#')[0]!;
 }
 
+/**
+ * Returns the peers with all joining instances as learners; undefined if each
+ * is a peer already.
+ */
+export function addLearners(
+  peers: readonly Peer[],
+  joiners: readonly Joiner[],
+): Peer[] | undefined {
+  let joined: Peer[] | undefined;
+  for (const joiner of joiners) {
+    joined = addLearner(joined ?? peers, joiner) ?? joined;
+  }
+  return joined;
+}
+
 /**
  * Returns the peers with the joining instance as a learner; undefined if it is
  * a peer already.
  */
-export function addLearner(
+function addLearner(
   peers: readonly Peer[],
   {id, address}: Joiner,
 ): Peer[] | undefined {
--- a/src/services/membership/test/common/control_group.test.ts
+++ b/src/services/membership/test/common/control_group.test.ts
@@ -1,10 +1,13 @@
 import {describe, expect, it} from 'vitest';
+import {SeededRandom} from '../../../../base/common/random';
 import {ControlGroup} from './control_group';
 
 /** After this time a successor counts as a full replacement. */
 const CATCH_UP_MS = 4_000;
 const RECOVERY_MS = 12_000;
 const SEED_COUNT = 5;
+const FAULT_SEED_COUNT = 40;
+const FAULT_COUNT = 25;
 
 /** A moment at which a group was left without a leader, and how. */
 interface Failure {
@@ -86,6 +89,45 @@
   return fatal;
 }
 
+/**
+ * Runs random faults that overlap. A disk is lost only once all instances have
+ * been up for the time that a successor has.
+ */
+function runFaults(seed: number): ControlGroup {
+  const random = new SeededRandom(seed);
+  const group = startGroup(seed);
+  let calmAt = 0;
+  const disturb = (downMs: number) => {
+    calmAt = Math.max(calmAt, group.now + downMs + CATCH_UP_MS);
+  };
+  for (let step = 0; step < FAULT_COUNT; step++) {
+    const address = random.pick(group.addresses);
+    const downMs = random.integer(100, 2_000);
+    const isCalm = group.now >= calmAt;
+    switch (random.integer(0, isCalm ? 4 : 2)) {
+      case 0:
+        group.kill(address, downMs);
+        break;
+      case 1:
+        group.cut(address, downMs);
+        break;
+      case 2:
+        group.commitEntry(downMs);
+        break;
+      case 3:
+        group.wipe(address, downMs);
+        break;
+      default:
+        group.remove(address);
+        group.after(downMs, () => group.add(`s${step}`));
+    }
+    disturb(downMs);
+    group.run(random.integer(0, isCalm ? 3_000 : 6_000));
+  }
+  group.run(RECOVERY_MS);
+  return group;
+}
+
 describe('a control group whose instances are replaced', () => {
   // Guards against a successor that stays a learner while the voter it replaces
   // still counts: the loss of another disk then leaves no majority for good.
@@ -125,4 +167,12 @@
     expect(findFatalMoments({from: 500, to: 2_500}, survives)).toEqual([]);
     expect(findFatalMoments({from: 7_500, to: 9_500}, survives)).toEqual([]);
   });
+
+  // Guards against two majorities that do not overlap while voters change.
+  it('never has two leaders of a term or two contents of an entry', () => {
+    for (let seed = 1; seed <= FAULT_SEED_COUNT; seed++) {
+      const group = runFaults(seed);
+      expect([seed, ...group.violations]).toEqual([seed]);
+    }
+  });
 });
--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -50,6 +50,10 @@
   private readonly instances = new Map<string, ControlInstance>();
   private readonly joiners = new Map<string, Joiner>();
   private readonly committed = new Set<number>();
+  private readonly applied = new Map<number, string>();
+  private readonly leaders = new Map<number, string>();
+  /** Entries that differ between instances, and terms with two leaders. */
+  readonly violations: string[] = [];
   private readonly events: {at: number; run(): void}[] = [];
   private readonly random: SeededRandom;
   private lastRequestId = 0;
@@ -293,6 +297,27 @@
   private runEffect(instance: ControlInstance, effect: Effect): void {
     if (effect.kind === 'send') this.send(instance, effect.message);
     if (effect.kind === 'committed') this.committed.add(effect.requestId);
+    if (effect.kind === 'apply') this.recordApplied(effect.entry);
+    const {core} = instance;
+    if (effect.kind === 'roleChanged' && core!.role === 'leader') {
+      this.recordOnce(this.leaders, core!.currentTerm, core!.id);
+    }
+  }
+
+  private recordApplied({index, term, payload}: LogEntry): void {
+    this.recordOnce(this.applied, index, `${term} ${payload?.$case}`);
+  }
+
+  private recordOnce(
+    known: Map<number, string>,
+    key: number,
+    value: string,
+  ): void {
+    const earlier = known.get(key) ?? value;
+    if (earlier !== value) {
+      this.violations.push(`${key}: ${earlier} and ${value}`);
+    }
+    known.set(key, value);
   }
 
   private send(from: ControlInstance, message: ConsensusMessage): void {
