Control: replace a silent voter within the time that a successor has

Cause: another machine may be lost once the successor of a replaced one had catch-up-s since its start (4 s on this deployment). The leader kept a silent voter for 8 s, a constant that knew nothing of that bound, and the successor stayed a learner for so long. A second voter that lost its disk in between left one voter of three.

Fix: the silence is a quarter of the configured catch-up time (new setting catch_up_s of an instance; 8 s without it, as before), but never shorter than the time after which a leader without a majority steps down. The early replacement is safe: a voter that comes back joins again, and a leader that has not heard a majority, as after a suspension, replaces nobody.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -45,6 +45,8 @@
   readonly holder: string;
   /** Number of voters that the control group should have. */
   readonly desiredVoterCount: number;
+  /** Silence after which a voter is replaced, in milliseconds. */
+  readonly replaceSilentAfterMs: number;
   readonly limitPrecision: LimitPrecision;
   /**
    * How long shares of account limits stay valid without contact to control, in
@@ -432,7 +434,8 @@
   }
 
   private reconcileVoters(): void {
-    const {node, desiredVoterCount, clock} = this.dependencies;
+    const {node, desiredVoterCount, replaceSilentAfterMs, clock} =
+      this.dependencies;
     const {core} = node;
     if (this.proposals.isRunning('voters')) return;
     if (!core.isConfigurationCommitted) return;
@@ -442,6 +445,7 @@
       configuration: core.configuration,
       joiners,
       desiredVoterCount,
+      replaceSilentAfterMs,
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
       silentMsOf: id => core.silenceMsOf(id, clock.now()),
--- a/src/services/instance/common/instance_settings.ts
+++ b/src/services/instance/common/instance_settings.ts
@@ -25,6 +25,11 @@
   readonly isBootstrap: boolean;
   /** Number of control instances that may be lost at the same time. */
   readonly toleratedControlLosses: number;
+  /**
+   * Time after its start at which a new control instance must be able to
+   * replace a lost one, in milliseconds; 0 if there is no bound.
+   */
+  readonly controlCatchUpMs: number;
   /** Time from the signal to stop to the kill, in milliseconds. */
   readonly shutdownGraceMs: number;
   /** Address of the service that carries promotions out; '' without one. */
@@ -91,6 +96,7 @@
       .filter(seed => seed !== ''),
     isBootstrap: textOf(texts, 'bootstrap') === 'true',
     toleratedControlLosses: numberOf('losses', 0),
+    controlCatchUpMs: numberOr('catch_up_s', 0) * 1_000,
     shutdownGraceMs: numberOf('grace_s', 1) * 1_000,
     promotionAuthorityAddress: textOf(texts, 'promotions'),
     isPromotionFenced: textOf(texts, 'promotions_fenced') === 'true',
--- a/src/services/membership/common/elastic_membership_plan.ts
+++ b/src/services/membership/common/elastic_membership_plan.ts
@@ -1,6 +1,7 @@
 import type {Configuration, Peer} from '../../../schema/generated/consensus';
 import {
   completeReplacement,
+  hasMajority,
   isJoint,
   makeConfiguration,
   replaceVoter,
@@ -13,15 +14,14 @@
   type Joiner,
 } from './membership_plan';
 
-/** Silence after which a voter is replaced. */
-const REPLACE_SILENT_AFTER_MS = 8_000;
-
 /** The state of a control group without a fixed list of members. */
 export interface ElasticMembershipView {
   readonly configuration: Configuration;
   readonly joiners: readonly Joiner[];
   /** Number of voters that the group should have. */
   readonly desiredVoterCount: number;
+  /** Silence after which a voter is replaced, in milliseconds. */
+  readonly replaceSilentAfterMs: number;
   readonly commitIndex: number;
   matchIndexOf(id: string): number;
   /** Time since the leader last heard from a peer, in milliseconds. */
@@ -50,6 +50,8 @@
   if (!learner) return undefined;
   const voters = peers.filter(peer => peer.voter);
   if (voters.length < desiredVoterCount) return promote(peers, learner);
+  // A leader that was suspended has not heard from anybody.
+  if (!hasMajority(configuration, responsiveIds(view))) return undefined;
   return replaceLostVoter(view, voters, learners);
 }
 
@@ -64,8 +66,17 @@
     });
     if (successor) return replaceVoter(view.configuration, voter, successor);
   }
-  const silent = voters.find(({id}) => {
-    return view.silentMsOf(id) >= REPLACE_SILENT_AFTER_MS;
-  });
+  const silent = voters.find(voter => !isResponsive(view, voter));
   return silent && replaceVoter(view.configuration, silent, learners[0]!);
 }
+
+function responsiveIds(view: ElasticMembershipView): Set<string> {
+  const peers = view.configuration.peers.filter(peer => {
+    return isResponsive(view, peer);
+  });
+  return new Set(peers.map(({id}) => id));
+}
+
+function isResponsive(view: ElasticMembershipView, {id}: Peer): boolean {
+  return view.silentMsOf(id) < view.replaceSilentAfterMs;
+}
--- a/src/services/membership/test/common/control_group.test.ts
+++ b/src/services/membership/test/common/control_group.test.ts
@@ -1,9 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {SeededRandom} from '../../../../base/common/random';
-import {ControlGroup} from './control_group';
+import {CATCH_UP_MS, ControlGroup} from './control_group';
 
-/** After this time a successor counts as a full replacement. */
-const CATCH_UP_MS = 4_000;
 const RECOVERY_MS = 12_000;
 const SEED_COUNT = 5;
 const FAULT_SEED_COUNT = 40;
@@ -173,6 +171,7 @@
     for (let seed = 1; seed <= FAULT_SEED_COUNT; seed++) {
       const group = runFaults(seed);
       expect([seed, ...group.violations]).toEqual([seed]);
+      expect([seed, group.commitEntry(RECOVERY_MS)]).not.toContain(undefined);
     }
   });
 });
--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -17,12 +17,20 @@
 } from '../../../consensus/common/initial_state';
 import {planElasticMembership} from '../../common/elastic_membership_plan';
 import type {Joiner} from '../../common/membership_plan';
+import {replacementSilenceMs} from '../../common/replacement_silence';
+
+/** After this time a successor counts as a full replacement. */
+export const CATCH_UP_MS = 4_000;
 
 const OPTIONS = {electionMs: 350, heartbeatMs: 100};
 const TICK_INTERVAL_MS = 20;
 const PLAN_INTERVAL_MS = 200;
 const JOIN_INTERVAL_MS = 500;
 const LATENCY_MS = 20;
+const REPLACE_SILENT_AFTER_MS = replacementSilenceMs({
+  catchUpMs: CATCH_UP_MS,
+  minSilenceMs: 2 * OPTIONS.electionMs,
+});
 
 /** Content of an instance's disk. */
 interface Disk {
@@ -249,6 +257,7 @@
       configuration: core.configuration,
       joiners,
       desiredVoterCount: this.desiredVoterCount,
+      replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
       silentMsOf: id => core.silenceMsOf(id, this.now),
--- a/src/services/membership/test/common/elastic_membership_plan.test.ts
+++ b/src/services/membership/test/common/elastic_membership_plan.test.ts
@@ -19,6 +19,7 @@
   configuration: makeConfiguration(peers),
   joiners: [],
   desiredVoterCount: 3,
+  replaceSilentAfterMs: 1_000,
   commitIndex: 100,
   matchIndexOf: () => 100,
   silentMsOf: () => 0,
@@ -47,7 +48,7 @@
   it('replaces a voter that is silent for long', () => {
     // A machine is lost and an empty one joins at another address. The group
     // must have three voters again before the next loss.
-    const silenceOf = (id: string) => (id === 'b#1' ? 9_000 : 0);
+    const silenceOf = (id: string) => (id === 'b#1' ? 1_000 : 0);
     const peers = [...FULL, peer('d#1', false)];
     const first = planElasticMembership(view(peers, {silentMsOf: silenceOf}))!;
     expect(idsOf(first)).toEqual(['a#1', 'b#1 learns', 'c#1', 'd#1']);
@@ -67,4 +68,14 @@
     const plan = planElasticMembership(view(peers));
     expect(idsOf(plan)).toEqual(['a#1', 'b#1 learns', 'c#1', 'b#2']);
   });
+
+  // Guards against a leader that was suspended, heard nobody meanwhile and
+  // replaces a voter that is up.
+  it('replaces nobody while the leader has heard no majority', () => {
+    const peers = [...FULL, peer('d#1', false)];
+    const silentMsOf = (id: string) => {
+      return id === 'b#1' || id === 'c#1' ? 5_000 : 0;
+    };
+    expect(planElasticMembership(view(peers, {silentMsOf}))).toBeUndefined();
+  });
 });
