Control: treat a silent learner as down

What callers would see: a voter is replaced by an instance that is down as well, while one that is up stands by; the next loss leaves no majority.

Cause: a learner counts as caught up by the index that it once reached, which stays when it goes down, and it stays a learner for good, with a connection attempt at each heartbeat.

Evidence: 'promotes no learner that is silent' failed with d#1 promoted, which was silent, in place of e#1; 'drops a learner that is silent for long' failed with no change.

Fix: only a responsive learner is promoted, by the measure for voters, and one that is silent for 30 s is dropped; it asks to join when it is back.

--- a/src/services/membership/common/elastic_membership_plan.ts
+++ b/src/services/membership/common/elastic_membership_plan.ts
@@ -14,6 +14,9 @@
   type Joiner,
 } from './membership_plan';
 
+/** Silence after which a learner is dropped; it joins again if it returns. */
+const DROP_SILENT_LEARNER_AFTER_MS = 30_000;
+
 /** The state of a control group without a fixed list of members. */
 export interface ElasticMembershipView {
   readonly configuration: Configuration;
@@ -45,7 +48,11 @@
   const {peers} = configuration;
   const joined = addLearners(peers, joiners);
   if (joined) return makeConfiguration(joined);
-  const learners = peers.filter(peer => isCaughtUp(view, peer));
+  const lost = peers.find(peer => isLostLearner(view, peer));
+  if (lost) return makeConfiguration(peers.filter(peer => peer !== lost));
+  const learners = peers.filter(peer => {
+    return isResponsive(view, peer) && isCaughtUp(view, peer);
+  });
   const [learner] = learners;
   if (!learner) return undefined;
   const voters = peers.filter(peer => peer.voter);
@@ -80,3 +87,7 @@
 function isResponsive(view: ElasticMembershipView, {id}: Peer): boolean {
   return view.silentMsOf(id) < view.replaceSilentAfterMs;
 }
+
+function isLostLearner(view: ElasticMembershipView, {id, voter}: Peer) {
+  return !voter && view.silentMsOf(id) >= DROP_SILENT_LEARNER_AFTER_MS;
+}
--- a/src/services/membership/test/common/elastic_membership_plan.test.ts
+++ b/src/services/membership/test/common/elastic_membership_plan.test.ts
@@ -78,4 +78,33 @@
     };
     expect(planElasticMembership(view(peers, {silentMsOf}))).toBeUndefined();
   });
+
+  // Guards against a voter that is replaced by an instance that is down too.
+  it('promotes no learner that is silent', () => {
+    const silentMsOf = (id: string) => (id === 'd#1' ? 2_000 : 0);
+    const learners = [peer('d#1', false), peer('e#1', false)];
+    const missing = [peer('a#1'), peer('b#1'), ...learners];
+    const plan = planElasticMembership(view(missing, {silentMsOf}));
+    expect(idsOf(plan)).toEqual(['a#1', 'b#1', 'd#1 learns', 'e#1']);
+    const silent = (id: string) => (/[bd]/.test(id) ? 2_000 : 0);
+    const replaced = planElasticMembership(
+      view([...FULL, ...learners], {silentMsOf: silent}),
+    );
+    expect(idsOf(replaced)).toEqual([
+      'a#1',
+      'b#1 learns',
+      'c#1',
+      'd#1 learns',
+      'e#1',
+    ]);
+  });
+
+  // Guards against a group that sends heartbeats to ever more addresses where
+  // nobody is.
+  it('drops a learner that is silent for long', () => {
+    const silentMsOf = (id: string) => (id === 'd#1' ? 60_000 : 0);
+    const peers = [...FULL, peer('d#1', false), peer('e#1', false)];
+    const plan = planElasticMembership(view(peers, {silentMsOf}));
+    expect(idsOf(plan)).toEqual(['a#1', 'b#1', 'c#1', 'e#1 learns']);
+  });
 });
