Membership: logs and metrics know joint configurations

The logs of the control group came before joint changes and made configurations without outgoing voters. An instance that is being replaced counts as voting until the change is complete. No behaviour besides.

--- a/src/services/consensus/test/node/consensus_node.test.ts
+++ b/src/services/consensus/test/node/consensus_node.test.ts
@@ -10,6 +10,7 @@
   ConsensusMessage,
   LogEntry,
 } from '../../../../schema/generated/consensus';
+import {makeConfiguration} from '../../common/configuration';
 import {Consensus} from '../../common/consensus';
 import {emptyState} from '../../common/initial_state';
 import {ConsensusNode} from '../../node/consensus_node';
@@ -80,14 +81,14 @@
   return {$case: 'appendRequest', value};
 }
 
-function makeConfiguration(...ids: string[]): Configuration {
-  return {peers: ids.map(id => makePeer(id))};
+function makeVoters(...ids: string[]): Configuration {
+  return makeConfiguration(ids.map(id => makePeer(id)));
 }
 
 it('reports configurations that are added, truncated and in a snapshot', async () => {
   const {reported, receive, end} = await startFollower();
   await vi.waitFor(() => expect(reported).toEqual(['m0 m1 m2']));
-  const value = makeConfiguration('m0', LEADER, 'm2', 'm3');
+  const value = makeVoters('m0', LEADER, 'm2', 'm3');
   const configuration = {$case: 'configuration', value} as const;
   receive(2, makeAppend({index: 2, term: 2, payload: configuration}));
   await vi.waitFor(() => expect(reported.at(-1)).toBe('m0 m1 m2 m3'));
@@ -97,7 +98,7 @@
   const snapshot = {
     index: 9,
     term: 3,
-    configuration: makeConfiguration('m0', LEADER),
+    configuration: makeVoters('m0', LEADER),
     state: Buffer.alloc(0),
   };
   const request = {snapshot, round: 1};
--- a/src/services/membership/node/control_metrics.ts
+++ b/src/services/membership/node/control_metrics.ts
@@ -1,3 +1,4 @@
+import {isVoter} from '../../consensus/common/configuration';
 import type {Consensus} from '../../consensus/common/consensus';
 import {learnerIds, voterIds} from '../common/configuration_change';
 
@@ -25,7 +26,7 @@
     leading: isLeader ? 1 : 0,
     term: core.currentTerm,
     commit_index: core.commitIndex,
-    voting: voters.includes(core.id) ? 1 : 0,
+    voting: isVoter(core.configuration, core.id) ? 1 : 0,
     voters: voters.length,
     learners: learnerIds(core.configuration).length,
     silent_voters: silent.length,
--- a/src/services/membership/node/membership_log.ts
+++ b/src/services/membership/node/membership_log.ts
@@ -1,6 +1,7 @@
 import type {Log} from '../../../base/node/log';
 import type {Configuration} from '../../../schema/generated/consensus';
 import type {Consensus} from '../../consensus/common/consensus';
+import {makeConfiguration} from '../../consensus/common/configuration';
 import {
   changeFields,
   describeChange,
@@ -26,7 +27,10 @@
   /** Logs the newest configuration unless it equals the last logged one. */
   onDidChangeConfiguration(): void {
     const {id, configuration} = this.source;
-    const change = describeChange(this.logged ?? NO_PEERS, configuration);
+    const change = describeChange(
+      this.logged ?? makeConfiguration([]),
+      configuration,
+    );
     if (this.logged && !change) return;
     this.logged = configuration;
     const voters = voterIds(configuration);
@@ -41,5 +45,3 @@
     });
   }
 }
-
-const NO_PEERS: Configuration = {peers: []};
--- a/src/services/membership/test/common/configuration_change.test.ts
+++ b/src/services/membership/test/common/configuration_change.test.ts
@@ -1,11 +1,16 @@
 import {expect, it} from 'vitest';
+import {makeConfiguration} from '../../../consensus/common/configuration';
 import {changeFields, describeChange} from '../../common/configuration_change';
 
 function makePeer(id: string, voter = true, address = id) {
   return {id, address, voter};
 }
 
-const BEFORE = {peers: [makePeer('a'), makePeer('b'), makePeer('c', false)]};
+const BEFORE = makeConfiguration([
+  makePeer('a'),
+  makePeer('b'),
+  makePeer('c', false),
+]);
 
 it('finds no change between equal configurations', () => {
   const copy = structuredClone(BEFORE);
@@ -13,9 +18,11 @@
 });
 
 it('names added, removed, promoted and altered peers', () => {
-  const after = {
-    peers: [makePeer('a', true, 'x'), makePeer('c'), makePeer('d', false)],
-  };
+  const after = makeConfiguration([
+    makePeer('a', true, 'x'),
+    makePeer('c'),
+    makePeer('d', false),
+  ]);
   const change = describeChange(BEFORE, after);
   expect(changeFields(change!)).toEqual({
     added: 'd',
@@ -26,9 +33,11 @@
 });
 
 it('names a voter that lost its vote', () => {
-  const after = {
-    peers: [makePeer('a'), makePeer('b', false), makePeer('c', false)],
-  };
+  const after = makeConfiguration([
+    makePeer('a'),
+    makePeer('b', false),
+    makePeer('c', false),
+  ]);
   const change = describeChange(BEFORE, after);
   expect(changeFields(change!)).toEqual({demoted: 'b'});
 });
--- a/src/services/membership/test/node/control_metrics.test.ts
+++ b/src/services/membership/test/node/control_metrics.test.ts
@@ -1,5 +1,6 @@
 import {expect, it} from 'vitest';
 import type {ConsensusRole} from '../../../consensus/common/consensus_types';
+import {makeConfiguration} from '../../../consensus/common/configuration';
 import {renderControlMetrics} from '../../node/control_metrics';
 
 function makeCore(role: ConsensusRole) {
@@ -11,7 +12,7 @@
     role,
     currentTerm: 3,
     commitIndex: 40,
-    configuration: {peers},
+    configuration: makeConfiguration(peers),
     silenceMsOf: (id: string) => (id === 'b' ? 1_001 : 0),
   };
 }
--- a/src/services/membership/test/node/group_change_log.test.ts
+++ b/src/services/membership/test/node/group_change_log.test.ts
@@ -2,6 +2,7 @@
 import {ManualClock} from '../../../../base/common/clock';
 import {err, ok} from '../../../../base/common/result';
 import {makeLog} from '../../../gateway/test/node/session_fixture';
+import {makeConfiguration} from '../../../consensus/common/configuration';
 import {GroupChangeLog} from '../../node/group_change_log';
 
 function makePeer(id: string, voter = true) {
@@ -9,8 +10,12 @@
 }
 
 const CHANGE = {
-  before: {peers: [makePeer('a'), makePeer('b'), makePeer('c', false)]},
-  after: {peers: [makePeer('a'), makePeer('c', false)]},
+  before: makeConfiguration([
+    makePeer('a'),
+    makePeer('b'),
+    makePeer('c', false),
+  ]),
+  after: makeConfiguration([makePeer('a'), makePeer('c', false)]),
   term: 3,
   silenceMsOf: (id: string) => (id === 'b' ? 8_100.4 : 0),
 };
--- a/src/services/membership/test/node/leader_watch.test.ts
+++ b/src/services/membership/test/node/leader_watch.test.ts
@@ -4,6 +4,7 @@
 import type {ConsensusRole} from '../../../consensus/common/consensus_types';
 import {makeLog} from '../../../gateway/test/node/session_fixture';
 import {LeaderWatch} from '../../node/leader_watch';
+import {makeConfiguration} from '../../../consensus/common/configuration';
 import {PeerContacts} from '../../node/peer_contacts';
 
 function makePeer(id: string, voter = true) {
@@ -18,7 +19,7 @@
     id: 'a',
     role: 'candidate' as ConsensusRole,
     currentTerm: 3,
-    configuration: {peers},
+    configuration: makeConfiguration(peers),
   };
   const contacts = new PeerContacts(core, clock);
   const watch = new LeaderWatch(core, contacts, clock, log);
--- a/src/services/membership/test/node/membership_log.test.ts
+++ b/src/services/membership/test/node/membership_log.test.ts
@@ -1,5 +1,6 @@
 import {expect, it} from 'vitest';
 import {makeLog} from '../../../gateway/test/node/session_fixture';
+import {makeConfiguration} from '../../../consensus/common/configuration';
 import {MembershipLog} from '../../node/membership_log';
 
 function makePeer(id: string, voter = true) {
@@ -10,7 +11,7 @@
   const {lines, log} = makeLog();
   const source = {
     id: 'c',
-    configuration: {peers: [makePeer('a'), makePeer('c', false)]},
+    configuration: makeConfiguration([makePeer('a'), makePeer('c', false)]),
     lastIndex: 4,
     commitIndex: 3,
     currentTerm: 2,
@@ -25,7 +26,7 @@
     '"voters":"a","learners":"c","lastIndex":4,"commitIndex":3,"term":2',
   );
   expect(lines[0]).toContain('"isVoter":false');
-  source.configuration = {peers: [makePeer('a'), makePeer('c')]};
+  source.configuration = makeConfiguration([makePeer('a'), makePeer('c')]);
   membershipLog.onDidChangeConfiguration();
   expect(lines[1]).toContain('"isVoter":true,"promoted":"c"');
 });
@@ -41,7 +42,7 @@
 
 it('logs that an instance knows no group yet', () => {
   const {lines, source, membershipLog} = setUp();
-  source.configuration = {peers: []};
+  source.configuration = makeConfiguration([]);
   membershipLog.onDidChangeConfiguration();
   expect(lines).toHaveLength(1);
 });
