Forget a leader that is no longer heard on instances without a vote

Callers saw: an instance that is no voter (a learner, or one that was removed) answered operators and members with a redirect to a leader that was gone, for as long as it heard no other one. The target may be a machine that does not exist any more, so callers wait there for a connection.

Cause: only a voter resets its current leader when the election timeout passes, as part of starting an election. Other instances only set the timer again.

Evidence: the new test on the code before: AssertionError: expected 'm0' to be '' // Object.is equality

Change: the leader is forgotten whenever the election timeout passes without a message from it.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -184,6 +184,8 @@
     if (this.currentRole === 'leader') return this.leaderTick();
     if (!this.election.isDue(this.now)) return;
     this.election.resetTimer(this.now);
+    // Whoever is redirected to a silent leader would find nobody there.
+    this.currentLeader = '';
     if (isVoter(this.configuration.peers, this.id)) this.startElection(true);
   }
 
--- a/src/services/consensus/test/common/consensus.test.ts
+++ b/src/services/consensus/test/common/consensus.test.ts
@@ -133,6 +133,30 @@
   });
 });
 
+describe('an instance without a vote', () => {
+  // Guards against redirects to a leader that is gone for good: only voters
+  // started an election and so forgot it.
+  it('forgets a leader that it no longer hears', () => {
+    const group = new ConsensusSimulation(3, new SeededRandom(13));
+    group.run(1_000);
+    const leader = group.leader!;
+    const learner = group.members.find(member => member !== leader)!;
+    const peers = leader.core!.configuration.peers.map(peer => {
+      return peer.id === learner.id ? {...peer, voter: false} : peer;
+    });
+    group.changeConfiguration(leader, {peers});
+    group.run(500);
+    expect(learner.core!.configuration.peers).toEqual(peers);
+    expect(learner.core!.leader).toBe(leader.id);
+    group.crash(leader);
+    group.run(1_000);
+    expect(learner.core!.leader).toBe('');
+    group.restart(leader);
+    group.run(1_000);
+    expect(learner.core!.leader).toBe(group.leader!.id);
+  });
+});
+
 describe('a single change of voters', () => {
   // Guards against two majorities that do not overlap, and thus two leaders.
   it('is refused while another is uncommitted, or for two voters', () => {
--- a/src/services/consensus/test/common/consensus_simulation.ts
+++ b/src/services/consensus/test/common/consensus_simulation.ts
@@ -1,5 +1,6 @@
 import {SeededRandom} from '../../../../base/common/random';
 import type {
+  Configuration,
   ConsensusMessage,
   HardState,
   LogEntry,
@@ -93,6 +94,15 @@
     return requestId;
   }
 
+  changeConfiguration(
+    member: SimulatedMember,
+    configuration: Configuration,
+  ): number {
+    const requestId = ++this.lastRequestId;
+    this.step(member, {kind: 'changeConfiguration', configuration, requestId});
+    return requestId;
+  }
+
   /** Requests confirmation, which has to cover all that is committed now. */
   confirm(member: SimulatedMember): number {
     const requestId = ++this.lastRequestId;
