Ask to join while no leader is heard, not by the instance's own log

Callers would see: a group that has a voter less than it seems to have, until the next loss leaves it without a majority: 503 from every instance for good.

Cause: an instance stopped asking to join once its own newest configuration listed it. That does not tell whether it is in the group: - A learner whose entry was truncated by a change of leader keeps that entry, because the new leader, which does not know it, sends it nothing. - A voter that was replaced while it was cut off never gets the entry that removed it, and believes for good that it is a voter.

A leader sends to the peers of its configuration only, so an instance that hears one is in the group and has nothing to ask for.

A learner of src/control no longer asks until it is a voter; it asks again when it hears no leader.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -21,8 +21,9 @@
   singlePeerState,
   emptyState,
 } from '../../services/consensus/common/initial_state';
+import {MembershipWatch} from '../../services/consensus/common/membership_watch';
 import {ConsensusNode} from '../../services/consensus/node/consensus_node';
-import {requestJoinUntilVoter} from '../../services/consensus/node/join_requests';
+import {requestJoinWhileOutside} from '../../services/consensus/node/join_requests';
 import {LogStorage} from '../../services/consensus/node/log_storage';
 import {
   formatSettingsError,
@@ -145,8 +146,9 @@
   const joinRequest = {id: core.id, address: self.address};
   const otherInstances = fileSettings.control.filter(other => other !== self);
   const addresses = otherInstances.map(({address}) => address);
-  const isVoter = () => isVoterAt(core, self.address);
-  requestJoinUntilVoter(joinRequest, addresses, isVoter, transport, signal);
+  const membership = new MembershipWatch(core, self.address);
+  const isOutside = () => membership.isOutside(clock.now());
+  requestJoinWhileOutside(joinRequest, addresses, isOutside, transport, signal);
   log.info('Ready.', {id: core.id, address: self.address});
   await node.start(signal);
 }
@@ -189,12 +191,6 @@
   return {core, storage};
 }
 
-function isVoterAt(core: Consensus, address: string): boolean {
-  return core.configuration.peers.some(peer => {
-    return peer.id === core.id && peer.voter && peer.address === address;
-  });
-}
-
 function leaderAddressOf(core: Consensus): string {
   const {peers} = core.configuration;
   return peers.find(({id}) => id === core.leader)?.address ?? '';
--- a/src/control/test/node/join_requests.test.ts
+++ b/src/control/test/node/join_requests.test.ts
@@ -8,7 +8,7 @@
   type ConsensusServer,
 } from '../../../schema/generated/consensus_service';
 import {
-  requestJoinUntilVoter,
+  requestJoinWhileOutside,
   type JoinTransport,
 } from '../../../services/consensus/node/join_requests';
 import {PeerLinks} from '../../../services/consensus/node/peer_links';
@@ -79,10 +79,10 @@
     const leader = await startInstance('');
     const listed = await startInstance(leader.address);
     const transport = fixture.connect(stop.signal);
-    requestJoinUntilVoter(
+    requestJoinWhileOutside(
       SELF,
       [listed.address],
-      () => false,
+      () => true,
       transport,
       stop.signal,
     );
--- a/src/services/consensus/node/join_requests.ts
+++ b/src/services/consensus/node/join_requests.ts
@@ -14,17 +14,17 @@
 const REQUEST_INTERVAL_MS = 500;
 
 /**
- * Sends join requests to all configured control instances until this instance
- * is a voter.
+ * Sends join requests to all configured control instances while this instance
+ * is outside the group.
  *
  * Guard: only the leader accepts a request, and its address may not be
  * configured. Replies name it, and it gets a request too; an instance that lost
  * its disk could otherwise not rejoin before the leader changes.
  */
-export function requestJoinUntilVoter(
+export function requestJoinWhileOutside(
   self: JoinRequest,
   addresses: readonly string[],
-  isVoter: () => boolean,
+  isOutside: () => boolean,
   transport: JoinTransport,
   signal: AbortSignal,
 ): void {
@@ -37,7 +37,7 @@
     transport.join(leader, self, () => {});
   };
   every(signal, REQUEST_INTERVAL_MS, () => {
-    if (isVoter()) return;
+    if (!isOutside()) return;
     for (const address of addresses) transport.join(address, self, onReply);
     if (leader !== '') transport.join(leader, self, onReply);
   });
