Ask to join at the start instead of after the first interval

Callers would see: a successor that becomes a voter half a second later than it could. A loss that falls into that time leaves the group without a majority.

Cause: requests were sent by the interval only.

Evidence: the new test on the code before: asks at once AssertionError: expected [] to deeply equal [ '127.0.0.1:2', … ]

Change: the first requests are sent at the call, later ones by the interval as before. An instance that is in its group still sends none.

--- a/src/services/consensus/node/join_requests.ts
+++ b/src/services/consensus/node/join_requests.ts
@@ -36,9 +36,11 @@
     leader = leaderAddress;
     transport.join(leader, self, () => {});
   };
-  every(signal, REQUEST_INTERVAL_MS, () => {
+  const askAll = () => {
     if (!isOutside()) return;
     for (const address of addresses) transport.join(address, self, onReply);
     if (leader !== '') transport.join(leader, self, onReply);
-  });
+  };
+  askAll();
+  every(signal, REQUEST_INTERVAL_MS, askAll);
 }
