Send join requests to the addresses that the settings name now

Callers would see: an instance that stays outside the group for as long as it runs, so that the next loss finds a voter less.

Cause: the addresses were computed from the settings at the start. The platform rewrites the settings while a process runs, and machines that they named at first may be gone; the process kept asking these.

Change: the addresses are a function that each round of requests calls. Each address is asked once in a round, also if it is the leader's that replies made known, so requests stay bounded by the addresses and one leader. In src/control the addresses come from the settings at the start as before: its system settings are read when a process starts.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -145,7 +145,7 @@
   every(signal, RECONCILE_INTERVAL_MS, () => leadership?.reconcile());
   const joinRequest = {id: core.id, address: self.address};
   const otherInstances = fileSettings.control.filter(other => other !== self);
-  const addresses = otherInstances.map(({address}) => address);
+  const addresses = () => otherInstances.map(({address}) => address);
   const membership = new MembershipWatch(core, self.address);
   const isOutside = () => membership.isOutside(clock.now());
   requestJoinWhileOutside(joinRequest, addresses, isOutside, transport, signal);
--- a/src/control/test/node/join_requests.test.ts
+++ b/src/control/test/node/join_requests.test.ts
@@ -81,7 +81,7 @@
     const transport = fixture.connect(stop.signal);
     requestJoinWhileOutside(
       SELF,
-      [listed.address],
+      () => [listed.address],
       () => true,
       transport,
       stop.signal,
--- a/src/services/consensus/node/join_requests.ts
+++ b/src/services/consensus/node/join_requests.ts
@@ -15,7 +15,8 @@
 
 /**
  * Sends join requests to all configured control instances while this instance
- * is outside the group.
+ * is outside the group. The addresses are read at each request, because the
+ * settings may change.
  *
  * Guard: only the leader accepts a request, and its address may not be
  * configured. Replies name it, and it gets a request too; an instance that lost
@@ -23,7 +24,7 @@
  */
 export function requestJoinWhileOutside(
   self: JoinRequest,
-  addresses: readonly string[],
+  addresses: () => readonly string[],
   isOutside: () => boolean,
   transport: JoinTransport,
   signal: AbortSignal,
@@ -31,15 +32,16 @@
   let leader = '';
   const onReply = ({accepted, leaderAddress}: JoinReply) => {
     if (signal.aborted || accepted || leaderAddress === '') return;
-    if (leaderAddress === leader || addresses.includes(leaderAddress)) return;
-    if (leaderAddress === self.address) return;
+    if (leaderAddress === leader || leaderAddress === self.address) return;
     leader = leaderAddress;
+    if (addresses().includes(leader)) return;
     transport.join(leader, self, () => {});
   };
   const askAll = () => {
     if (!isOutside()) return;
-    for (const address of addresses) transport.join(address, self, onReply);
-    if (leader !== '') transport.join(leader, self, onReply);
+    const asked = new Set(addresses());
+    if (leader !== '') asked.add(leader);
+    for (const address of asked) transport.join(address, self, onReply);
   };
   askAll();
   every(signal, REQUEST_INTERVAL_MS, askAll);
