Refuse requests that a leader with a hanging disk cannot confirm

Callers saw: GET and PUT of the configuration at a leader whose disk hangs got no answer before they gave up, although others had elected a new leader; and members kept their heartbeats at it, since it answered these.

Cause: the node waits in `save` and gives its core no event, no tick either, so the core keeps the role `leader` and completes or refuses nothing. Reads also had no bound of their own: they wait for one slow write after another.

Change: once a write takes as long as a leader without a majority may lead, the node refuses all open requests, refuses new ones at once and counts as not leading, so that the operator gets 503 and members try another instance. Reads are refused after the same time in any case. A refused change has no known outcome, as when leadership is lost: the operator repeats it and gets the outcome in force. When the disk writes again, the node leads on, or hears of its successor. FleetControl and the leadership in src/control ask the node now whether it leads. The open requests are a module of their own.

--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -65,14 +65,14 @@
 
   /** Makes failover decisions and sends changes; on a timer and on updates. */
   drive(): void {
-    if (!this.dependencies.node.core.isLeaderReady) return;
+    if (!this.dependencies.node.isLeading) return;
     this.driver.drive();
     this.attachments.pushChanges();
   }
 
   /** Reconciles registered members, voters and proxies; less urgent. */
   reconcile(): void {
-    if (!this.dependencies.node.core.isLeaderReady) return;
+    if (!this.dependencies.node.isLeading) return;
     // Includes targets that announced themselves before this term.
     for (const {status} of this.dependencies.directory.all()) {
       this.onTargetStatus(status);
--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -123,7 +123,7 @@
     machine,
     node,
     settings,
-    leadership: () => (core.isLeaderReady ? leadership : undefined),
+    leadership: () => (node.isLeading ? leadership : undefined),
     leaderAddress: () => leaderAddressOf(core),
     now: () => clock.now(),
   });
--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -35,7 +35,7 @@
 } from './progress';
 
 /** A leader without a majority for this many election times steps down. */
-const LEADER_TIMEOUT_FACTOR = 2;
+export const LEADER_TIMEOUT_FACTOR = 2;
 
 type Body = NonNullable<ConsensusMessage['body']>;
 
@@ -69,7 +69,7 @@
   constructor(
     readonly id: string,
     persisted: PersistedState,
-    private readonly options: ConsensusOptions,
+    readonly options: ConsensusOptions,
     random: SeededRandom,
   ) {
     this.effects = new EffectList(id);
--- a/src/services/consensus/common/consensus_types.ts
+++ b/src/services/consensus/common/consensus_types.ts
@@ -63,7 +63,13 @@
 
 /** Why a request was refused. */
 export type RefusalReason =
-  'not leader' | 'leadership lost' | 'change in progress';
+  | 'not leader'
+  | 'leadership lost'
+  | 'change in progress'
+  /** No majority confirmed a read in time. */
+  | 'unconfirmed'
+  /** The disk does not finish a write. */
+  | 'storage stalled';
 
 /** Role of an instance in its consensus term. */
 export type ConsensusRole = 'follower' | 'candidate' | 'leader';
--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -7,15 +7,22 @@
   ConsensusMessage,
   LogRecord,
 } from '../../../schema/generated/consensus';
-import type {Consensus} from '../common/consensus';
+import {LEADER_TIMEOUT_FACTOR, type Consensus} from '../common/consensus';
 import type {
   ConsensusEvent,
   ConsensusRole,
   Effect,
-  RefusalReason,
   RequestId,
 } from '../common/consensus_types';
 import type {LogStorage, StorageFailure} from './log_storage';
+import {
+  OpenRequests,
+  type RequestKind,
+  type RequestOutcome,
+} from './open_requests';
+
+/** The part of the storage that a node uses. */
+type NodeStorage = Pick<LogStorage, 'write' | 'install' | 'close'>;
 
 const MAX_EVENTS_PER_SYNC = 512;
 const TICK_INTERVAL_MS = 20;
@@ -40,17 +47,15 @@
   onDidFail(failure: StorageFailure): void;
 }
 
-type Callback = (outcome: Result<number, RefusalReason>) => void;
-
 /** Runs the consensus core of one instance with its disk and transport. */
 export class ConsensusNode {
   private readonly mailbox = new Mailbox<ConsensusEvent>();
-  private readonly callbacks = new Map<RequestId, Callback>();
-  private lastRequestId = 0;
+  private readonly requests = new OpenRequests();
+  private savingSince = Infinity;
 
   constructor(
     readonly core: Consensus,
-    private readonly storage: LogStorage,
+    private readonly storage: NodeStorage,
     private readonly machine: StateMachine,
     private readonly transport: ConsensusTransport,
     private readonly listener: ConsensusListener,
@@ -61,19 +66,29 @@
   /** Runs until the signal aborts. */
   start(signal: AbortSignal): Promise<void> {
     this.mailbox.post({kind: 'tick'});
-    every(signal, TICK_INTERVAL_MS, () => this.mailbox.post({kind: 'tick'}));
+    every(signal, TICK_INTERVAL_MS, () => {
+      this.mailbox.post({kind: 'tick'});
+      this.refuseOverdue();
+    });
     signal.addEventListener('abort', () => this.mailbox.close(), {once: true});
     return startTask('consensus', () => this.run());
   }
 
+  /** Whether this instance leads and can confirm requests. */
+  get isLeading(): boolean {
+    return this.core.isLeaderReady && !this.isStalled;
+  }
+
   /** Proposes a command; resolves with its index once it is committed. */
-  propose(command: Buffer): Promise<Result<number, RefusalReason>> {
-    return this.request(requestId => ({kind: 'propose', command, requestId}));
+  propose(command: Buffer): Promise<RequestOutcome> {
+    return this.request('change', requestId => {
+      return {kind: 'propose', command, requestId};
+    });
   }
 
   /** Confirms by a majority that this instance led after the call. */
-  confirmLeadership(): Promise<Result<number, RefusalReason>> {
-    return this.request(requestId => ({kind: 'confirm', requestId}));
+  confirmLeadership(): Promise<RequestOutcome> {
+    return this.request('read', requestId => ({kind: 'confirm', requestId}));
   }
 
   /** Like `confirmLeadership`, as a boolean. */
@@ -81,10 +96,8 @@
     return (await this.confirmLeadership()).isOk;
   }
 
-  changeConfiguration(
-    configuration: Configuration,
-  ): Promise<Result<number, RefusalReason>> {
-    return this.request(requestId => {
+  changeConfiguration(configuration: Configuration): Promise<RequestOutcome> {
+    return this.request('change', requestId => {
       return {kind: 'changeConfiguration', configuration, requestId};
     });
   }
@@ -95,17 +108,38 @@
   }
 
   private request(
+    kind: RequestKind,
     makeEvent: (requestId: RequestId) => ConsensusEvent,
-  ): Promise<Result<number, RefusalReason>> {
+  ): Promise<RequestOutcome> {
+    if (this.isStalled) return Promise.resolve(err('storage stalled'));
     return new Promise(resolve => {
-      const requestId = ++this.lastRequestId;
-      this.callbacks.set(requestId, resolve);
+      const startedAt = this.clock.now();
+      const requestId = this.requests.add({kind, startedAt, resolve});
       if (!this.mailbox.post(makeEvent(requestId))) {
-        this.complete(requestId, err('not leader'));
+        this.requests.complete(requestId, err('not leader'));
       }
     });
   }
 
+  /** How long a leader that nobody confirms keeps callers waiting. */
+  private get patienceMs(): number {
+    return this.core.options.electionMs * LEADER_TIMEOUT_FACTOR;
+  }
+
+  private get isStalled(): boolean {
+    return this.clock.now() - this.savingSince >= this.patienceMs;
+  }
+
+  /**
+   * Guard: while the disk hangs, the core handles no event and cannot refuse
+   * requests itself, not even after others elected a leader.
+   */
+  private refuseOverdue(): void {
+    if (this.isStalled) return this.requests.refuseAll('storage stalled');
+    const startedAt = this.clock.now() - this.patienceMs;
+    this.requests.refuseReadsUntil(startedAt, 'unconfirmed');
+  }
+
   private *run(): Task<void> {
     for (;;) {
       const first = yield* this.mailbox.receive();
@@ -140,8 +174,8 @@
         if (!(yield* this.write(records))) return false;
         records = [];
         const {snapshot, remaining} = effect;
-        const done = yield* settled(this.storage.install(snapshot, remaining));
-        if (!this.checkSaved(done)) return false;
+        const installed = this.storage.install(snapshot, remaining);
+        if (!(yield* this.untilSaved(installed))) return false;
       }
       records.push(...recordsOf(effect));
     }
@@ -150,12 +184,15 @@
 
   private *write(records: readonly LogRecord[]): Task<boolean> {
     if (records.length === 0) return true;
-    return this.checkSaved(yield* settled(this.storage.write(records)));
+    return yield* this.untilSaved(this.storage.write(records));
   }
 
-  private checkSaved(
-    done: {value: Result<void, StorageFailure>} | {error: Error},
-  ): boolean {
+  private *untilSaved(
+    saving: Promise<Result<void, StorageFailure>>,
+  ): Task<boolean> {
+    this.savingSince = this.clock.now();
+    const done = yield* settled(saving);
+    this.savingSince = Infinity;
     if ('error' in done) throw done.error;
     if (done.value.isOk) return true;
     this.listener.onDidFail(done.value.error);
@@ -199,10 +236,10 @@
         return;
       case 'committed':
       case 'confirmed':
-        this.complete(effect.requestId, ok(effect.index));
+        this.requests.complete(effect.requestId, ok(effect.index));
         return;
       case 'refused':
-        this.complete(effect.requestId, err(effect.reason));
+        this.requests.complete(effect.requestId, err(effect.reason));
         return;
       case 'roleChanged':
         this.listener.onDidChangeRole(effect.role);
@@ -220,14 +257,6 @@
     const effects = core.step({kind: 'compacted', snapshot}, this.clock.now());
     return yield* this.save(effects);
   }
-
-  private complete(
-    requestId: RequestId,
-    outcome: Result<number, RefusalReason>,
-  ): void {
-    this.callbacks.get(requestId)?.(outcome);
-    this.callbacks.delete(requestId);
-  }
 }
 
 function recordsOf(effect: Effect): LogRecord[] {
--- /dev/null
+++ b/src/services/consensus/test/node/consensus_node.test.ts
@@ -0,0 +1,146 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {ManualClock} from '../../../../base/common/clock';
+import {SeededRandom} from '../../../../base/common/random';
+import {ok, type Result} from '../../../../base/common/result';
+import {createAbortController} from '../../../../base/node/timers';
+import {Consensus} from '../../common/consensus';
+import {singlePeerState} from '../../common/initial_state';
+import {ConsensusNode} from '../../node/consensus_node';
+import type {StorageFailure} from '../../node/log_storage';
+
+const OPTIONS = {electionMs: 100, heartbeatMs: 20};
+const LEADER_TIMEOUT_MS = 200;
+const SELF = {id: 'm0', address: 'm0:1', voter: true};
+
+/** A disk in memory whose writes may hang. */
+class SimulatedStorage {
+  isHanging = false;
+  private readonly waiting: (() => void)[] = [];
+
+  write(): Promise<Result<void, StorageFailure>> {
+    if (!this.isHanging) return Promise.resolve(ok(undefined));
+    return new Promise(resolve => {
+      this.waiting.push(() => resolve(ok(undefined)));
+    });
+  }
+
+  install(): Promise<Result<void, StorageFailure>> {
+    return this.write();
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  release(): void {
+    this.isHanging = false;
+    for (const resume of this.waiting.splice(0)) resume();
+  }
+}
+
+let stop = createAbortController();
+afterEach(() => {
+  stop.abort();
+  stop = createAbortController();
+});
+
+/** Waits until real timers had time to run. */
+function settleTimers(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 150));
+}
+
+/** A leader that is the only voter of its group. */
+async function startLeader() {
+  const core = new Consensus(
+    SELF.id,
+    singlePeerState(SELF),
+    OPTIONS,
+    new SeededRandom(1),
+  );
+  const storage = new SimulatedStorage();
+  const clock = new ManualClock();
+  const applied: string[] = [];
+  const node = new ConsensusNode(
+    core,
+    storage,
+    {
+      apply: (...[, command]) => applied.push(command.toString()),
+      snapshot: () => Buffer.alloc(0),
+      restore: () => {},
+    },
+    {send: () => {}},
+    {onDidChangeRole: () => {}, onDidApply: () => {}, onDidFail: () => {}},
+    clock,
+    1_000,
+  );
+  void node.start(stop.signal);
+  await settleTimers();
+  return {node, storage, clock, applied};
+}
+
+/** The outcome of a request so far: 'pending', 'ok' or the refusal. */
+function track(request: Promise<Result<number, string>>) {
+  const tracked = {outcome: 'pending'};
+  void request.then(result => {
+    tracked.outcome = result.isOk ? 'ok' : result.error;
+  });
+  return tracked;
+}
+
+describe('a leader whose disk hangs', () => {
+  // Guards against requests that wait until their caller gives up, although a
+  // leader that cannot write cannot confirm anything.
+  it('refuses all requests and counts as not leading until it writes', async () => {
+    const {node, storage, clock, applied} = await startLeader();
+    expect(node.isLeading).toBe(true);
+    storage.isHanging = true;
+    const proposal = track(node.propose(Buffer.from('under way')));
+    await settleTimers();
+    const read = track(node.confirmLeadership());
+    const queued = track(node.propose(Buffer.from('queued')));
+    clock.advance(LEADER_TIMEOUT_MS - 1);
+    await settleTimers();
+    expect(node.isLeading).toBe(true);
+    const early = [proposal, read, queued].map(({outcome}) => outcome);
+    expect(early).toEqual(['pending', 'pending', 'pending']);
+    clock.advance(1);
+    await settleTimers();
+    const refused = [proposal, read, queued].map(({outcome}) => outcome);
+    const stalled = 'storage stalled';
+    expect(refused).toEqual([stalled, stalled, stalled]);
+    expect(node.isLeading).toBe(false);
+    const late = await node.propose(Buffer.from('too late'));
+    expect(late.isErr && late.error).toBe(stalled);
+    storage.release();
+    await settleTimers();
+    expect(node.isLeading).toBe(true);
+    expect(await node.confirmLeadership()).toMatchObject({isOk: true});
+    // What it had accepted is applied, what it refused at once is not.
+    expect(applied).toEqual(['under way', 'queued']);
+    expect(proposal.outcome).toBe(stalled);
+  });
+});
+
+describe('a leader whose disk is slow', () => {
+  // Guards against reads that wait for one slow write after the other.
+  it('bounds the time of a read, and commits what it writes', async () => {
+    const {node, storage, clock} = await startLeader();
+    storage.isHanging = true;
+    const first = track(node.propose(Buffer.from('first')));
+    await settleTimers();
+    const read = track(node.confirmLeadership());
+    const second = track(node.propose(Buffer.from('second')));
+    clock.advance(LEADER_TIMEOUT_MS - 50);
+    storage.release();
+    storage.isHanging = true;
+    await settleTimers();
+    expect(first.outcome).toBe('ok');
+    clock.advance(50);
+    await settleTimers();
+    expect(node.isLeading).toBe(true);
+    expect(read.outcome).toBe('unconfirmed');
+    storage.release();
+    await settleTimers();
+    expect(second.outcome).toBe('ok');
+  });
+});
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -103,7 +103,7 @@
   }
 
   get isLeading(): boolean {
-    return this.dependencies.node.core.isLeaderReady;
+    return this.dependencies.node.isLeading;
   }
 
   get members(): readonly Member[] {
