Name no leader on an instance whose disk hangs

Callers would see: redirects to a leader that is gone, for as long as the disk of the instance that sends them hangs. Proxies of src/control that ask a leader with a hanging disk would be sent back to itself.

Cause: while the disk hangs the core handles no event, so its leader stays what it was.

Evidence: the test with the core's leader instead: a leader whose disk hangs > refuses all requests and counts as not leading until it writes AssertionError: expected 'm0' to be '' // Object.is equality

Change: the node names no leader once a write takes as long as a leader without a majority may lead. Both programs of control ask the node.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -124,7 +124,7 @@
     node,
     settings,
     leadership: () => (node.isLeading ? leadership : undefined),
-    leaderAddress: () => leaderAddressOf(core),
+    leaderAddress: () => leaderAddressOf(node),
     now: () => clock.now(),
   });
   const server = createServer();
@@ -191,9 +191,9 @@
   return {core, storage};
 }
 
-function leaderAddressOf(core: Consensus): string {
+function leaderAddressOf({core, leader}: ConsensusNode): string {
   const {peers} = core.configuration;
-  return peers.find(({id}) => id === core.leader)?.address ?? '';
+  return peers.find(({id}) => id === leader)?.address ?? '';
 }
 
 function consensusHandlers(
@@ -211,7 +211,7 @@
       const {core} = node;
       const accepted = core.role === 'leader';
       if (accepted) leadership()?.onJoinRequest(call.request);
-      respond(null, {accepted, leaderAddress: leaderAddressOf(core)});
+      respond(null, {accepted, leaderAddress: leaderAddressOf(node)});
     },
   };
 }
--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -79,6 +79,11 @@
     return this.core.isLeaderReady && !this.isStalled;
   }
 
+  /** Id of the current leader; '' if it is unknown, as while the disk hangs. */
+  get leader(): string {
+    return this.isStalled ? '' : this.core.leader;
+  }
+
   /** Proposes a command; resolves with its index once it is committed. */
   propose(command: Buffer): Promise<RequestOutcome> {
     return this.request('change', requestId => {
--- a/src/services/consensus/test/node/consensus_node.test.ts
+++ b/src/services/consensus/test/node/consensus_node.test.ts
@@ -109,11 +109,14 @@
     const stalled = 'storage stalled';
     expect(refused).toEqual([stalled, stalled, stalled]);
     expect(node.isLeading).toBe(false);
+    // It hears nothing, so callers are not sent to the leader it knew last.
+    expect(node.leader).toBe('');
     const late = await node.propose(Buffer.from('too late'));
     expect(late.isErr && late.error).toBe(stalled);
     storage.release();
     await settleTimers();
     expect(node.isLeading).toBe(true);
+    expect(node.leader).toBe(SELF.id);
     expect(await node.confirmLeadership()).toMatchObject({isOk: true});
     // What it had accepted is applied, what it refused at once is not.
     expect(applied).toEqual(['under way', 'queued']);
