--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -21,8 +21,9 @@
   singlePeerState,
   emptyState,
 } from '../../services/consensus/common/initial_state';
+import {MembershipWatch} from '../../services/consensus/common/membership_watch';
 import {ConsensusNode} from '../../services/consensus/node/consensus_node';
-import {requestJoinUntilVoter} from '../../services/consensus/node/join_requests';
+import {requestJoinWhileOutside} from '../../services/consensus/node/join_requests';
 import {LogStorage} from '../../services/consensus/node/log_storage';
 import {MembershipLog} from '../../services/membership/node/membership_log';
 import {
@@ -125,8 +126,8 @@
     machine,
     node,
     settings,
-    leadership: () => (core.isLeaderReady ? leadership : undefined),
-    leaderAddress: () => leaderAddressOf(core),
+    leadership: () => (node.isLeading ? leadership : undefined),
+    leaderAddress: () => leaderAddressOf(node),
     now: () => clock.now(),
   });
   const server = createServer();
@@ -147,9 +148,10 @@
   every(signal, RECONCILE_INTERVAL_MS, () => leadership?.reconcile());
   const joinRequest = {id: core.id, address: self.address};
   const otherInstances = fileSettings.control.filter(other => other !== self);
-  const addresses = otherInstances.map(({address}) => address);
-  const isVoter = () => isVoterAt(core, self.address);
-  requestJoinUntilVoter(joinRequest, addresses, isVoter, transport, signal);
+  const addresses = () => otherInstances.map(({address}) => address);
+  const membership = new MembershipWatch(core, self.address);
+  const isOutside = () => membership.isOutside(clock.now());
+  requestJoinWhileOutside(joinRequest, addresses, isOutside, transport, signal);
   log.info('Ready.', {id: core.id, address: self.address});
   await node.start(signal);
 }
@@ -192,15 +194,9 @@
   return {core, storage};
 }
 
-function isVoterAt(core: Consensus, address: string): boolean {
-  return core.configuration.peers.some(peer => {
-    return peer.id === core.id && peer.voter && peer.address === address;
-  });
-}
-
-function leaderAddressOf(core: Consensus): string {
+function leaderAddressOf({core, leader}: ConsensusNode): string {
   const {peers} = core.configuration;
-  return peers.find(({id}) => id === core.leader)?.address ?? '';
+  return peers.find(({id}) => id === leader)?.address ?? '';
 }
 
 function consensusHandlers(
@@ -218,7 +214,7 @@
       const {core} = node;
       const accepted = core.role === 'leader';
       if (accepted) leadership()?.onJoinRequest(call.request);
-      respond(null, {accepted, leaderAddress: leaderAddressOf(core)});
+      respond(null, {accepted, leaderAddress: leaderAddressOf(node)});
     },
   };
 }
--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -34,7 +34,7 @@
 import {PeerTable, type PeerProgress} from './progress';
 
 /** A leader without a majority for this many election times steps down. */
-const LEADER_TIMEOUT_FACTOR = 2;
+export const LEADER_TIMEOUT_FACTOR = 2;
 
 type Body = NonNullable<ConsensusMessage['body']>;
 
@@ -68,7 +68,7 @@
   constructor(
     readonly id: string,
     persisted: PersistedState,
-    private readonly options: ConsensusOptions,
+    readonly options: ConsensusOptions,
     random: SeededRandom,
   ) {
     this.effects = new EffectList(id);
@@ -183,6 +183,8 @@
     if (this.currentRole === 'leader') return this.leaderTick();
     if (!this.election.isDue(this.now)) return;
     this.election.resetTimer(this.now);
+    // Whoever is redirected to a silent leader would find nobody there.
+    this.currentLeader = '';
     if (isVoter(this.configuration, this.id)) this.startElection(true);
   }
 
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -109,7 +109,7 @@
   }
 
   get isLeading(): boolean {
-    return this.dependencies.node.core.isLeaderReady;
+    return this.dependencies.node.isLeading;
   }
 
   get members(): readonly Member[] {
