Control: hand over the vote of an instance that stops

What callers would see: no configuration can be read back, for good, when a disk is lost within a second after a machine was taken out of service in good order, although its successor has been up for long.

Cause: the group learned that a voter stopped from its silence alone. A planned replacement whose successor had its time stops counting at once, so another loss may come right then.

Fix: an instance that gets SIGTERM asks the leader to give its vote to a learner that has caught up, and exits when that change is complete and committed, after 2 s at the latest; at once if there is no learner. It stays a learner until then, so that it hears of it.

The leader's changes of the group move from FleetControl to GroupMembership; the steps of one replacement follow each other without waiting for the next reconciliation.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -146,7 +146,7 @@
   observer.start(fileSettings.system.pingMs, signal);
   every(signal, DRIVE_INTERVAL_MS, () => leadership?.drive());
   every(signal, RECONCILE_INTERVAL_MS, () => leadership?.reconcile());
-  const joinRequest = {id: core.id, address: self.address};
+  const joinRequest = {id: core.id, address: self.address, leaving: false};
   const otherInstances = fileSettings.control.filter(other => other !== self);
   const addresses = () => otherInstances.map(({address}) => address);
   const membership = new MembershipWatch(core, self.address);
--- a/src/control/test/node/join_requests.test.ts
+++ b/src/control/test/node/join_requests.test.ts
@@ -15,7 +15,7 @@
 import {makeLog} from '../../../services/gateway/test/node/session_fixture';
 import {PeerTransport} from '../../node/peer_transport';
 
-const SELF = {id: 'new', address: '127.0.0.1:1'};
+const SELF = {id: 'new', address: '127.0.0.1:1', leaving: false};
 
 /** One transport between control instances. */
 interface JoinFixture {
--- a/src/services/consensus/common/configuration.ts
+++ b/src/services/consensus/common/configuration.ts
@@ -30,13 +30,16 @@
   };
 }
 
-/** Completes a replacement and drops the peers that lost their vote by it. */
-export function completeReplacement({
-  peers,
-  outgoingVoters,
-}: Configuration): Configuration {
+/**
+ * Completes a replacement. Peers that lost their vote by it are dropped, except
+ * those that are to hear that it is complete.
+ */
+export function completeReplacement(
+  {peers, outgoingVoters}: Configuration,
+  isKept: (id: string) => boolean = () => false,
+): Configuration {
   const kept = peers.filter(({id, voter}) => {
-    return voter || !outgoingVoters.includes(id);
+    return voter || !outgoingVoters.includes(id) || isKept(id);
   });
   return makeConfiguration(kept);
 }
--- a/src/services/consensus/test/node/join_requests.test.ts
+++ b/src/services/consensus/test/node/join_requests.test.ts
@@ -5,7 +5,7 @@
   type JoinTransport,
 } from '../../node/join_requests';
 
-const SELF = {id: 'new', address: '127.0.0.1:1'};
+const SELF = {id: 'new', address: '127.0.0.1:1', leaving: false};
 
 let stop = createAbortController();
 afterEach(() => {
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -14,9 +14,7 @@
   FleetStateMachine,
   PublishOutcome,
 } from '../../fleet_state/common/fleet_state_machine';
-import {planElasticMembership} from '../../membership/common/elastic_membership_plan';
-import type {Joiner} from '../../membership/common/membership_plan';
-import {GroupChangeLog} from '../../membership/node/group_change_log';
+import type {GroupMembership} from '../../membership/node/group_membership';
 import {PoolerPlanner} from '../../pooler/common/pooler_planner';
 import {PublishedPrimaries} from '../../lease/common/published_primaries';
 import {LeaseHolders} from '../../lease/common/lease_holders';
@@ -43,10 +41,7 @@
 /** The dependencies of `FleetControl`. */
 export interface FleetControlDependencies {
   readonly holder: string;
-  /** Number of voters that the control group should have. */
-  readonly desiredVoterCount: number;
-  /** Silence after which a voter is replaced, in milliseconds. */
-  readonly replaceSilentAfterMs: number;
+  readonly membership: GroupMembership;
   readonly limitPrecision: LimitPrecision;
   /**
    * How long shares of account limits stay valid without contact to control, in
@@ -74,7 +69,6 @@
   private roster = new Roster();
   private leadership = createAbortController();
   private promotions: ServicePromotions | undefined;
-  private readonly joiners = new Map<string, Joiner>();
   private readonly proposals = new SingleFlight();
   private poolerPlanner = new PoolerPlanner(0);
   private stableProxyCount = new StableCount();
@@ -84,12 +78,9 @@
   private limitCoordinator: LimitCoordinator;
   private parsedCatalog: {version: number; catalog: Catalog} | undefined;
   private readonly connectionAllocation: ConnectionAllocation;
-  private readonly groupChanges: GroupChangeLog;
   leader: FleetLeader | undefined;
 
   constructor(private readonly dependencies: FleetControlDependencies) {
-    const {clock, log} = dependencies;
-    this.groupChanges = new GroupChangeLog(clock, log);
     this.limitCoordinator = this.makeLimitCoordinator();
     this.connectionAllocation = new ConnectionAllocation({
       catalog: () => this.catalog(),
@@ -156,6 +147,7 @@
   /** Resets the state of a leadership when it begins or ends. */
   onDidChangeRole(isLeader: boolean): void {
     const wasLeader = this.leadingSince !== Infinity;
+    this.dependencies.membership.onDidChangeRole();
     this.leadership.abort();
     this.leadership = createAbortController();
     this.promotions = undefined;
@@ -182,10 +174,6 @@
     }
   }
 
-  onJoin(joiner: Joiner): void {
-    this.joiners.set(joiner.id, joiner);
-  }
-
   /**
    * Proposes a complete catalog to the log. The outcome is known once the entry
    * is committed.
@@ -193,14 +181,14 @@
   async submitCatalog(
     source: string,
   ): Promise<Result<SubmitOutcome, UnavailableReason>> {
-    const {reader, node, machine, log} = this.dependencies;
+    const {reader, node, machine, membership, log} = this.dependencies;
     const read = reader.read(source);
     if (read.isErr) {
       log.info('Rejected an invalid catalog.', {reason: read.error.reason});
       return ok({kind: 'invalid', reason: read.error.reason});
     }
     if (!this.isLeading) return err('not leading');
-    if (!this.hasEnoughVoters) return err('too few voters');
+    if (!membership.hasEnoughVoters) return err('too few voters');
     const {catalog, canonicalText} = read.value;
     const {version} = catalog;
     const compressed = deflateRawSync(Buffer.from(canonicalText));
@@ -290,12 +278,6 @@
     return new LimitCoordinator(dependencies, this.proposals);
   }
 
-  private get hasEnoughVoters(): boolean {
-    const {peers} = this.dependencies.node.core.configuration;
-    const voters = peers.filter(({voter}) => voter).length;
-    return voters >= this.dependencies.desiredVoterCount;
-  }
-
   private restoreMembers(): void {
     for (const member of this.dependencies.machine.members) {
       this.roster.restore(member);
@@ -305,7 +287,7 @@
   private reconcile(): void {
     if (!this.isLeading) return;
     this.restoreMembers();
-    this.reconcileVoters();
+    this.dependencies.membership.reconcile();
     this.removeSilentMembers();
     this.promotions?.checkRecovering();
     this.reconcilePoolers();
@@ -432,35 +414,6 @@
       });
     });
   }
-
-  private reconcileVoters(): void {
-    const {node, desiredVoterCount, replaceSilentAfterMs, clock} =
-      this.dependencies;
-    const {core} = node;
-    if (this.proposals.isRunning('voters')) return;
-    if (!core.isConfigurationCommitted) return;
-    const joiners = [...this.joiners.values()];
-    this.joiners.clear();
-    const next = planElasticMembership({
-      configuration: core.configuration,
-      joiners,
-      desiredVoterCount,
-      replaceSilentAfterMs,
-      commitIndex: core.commitIndex,
-      matchIndexOf: id => core.matchIndexOf(id),
-      silentMsOf: id => core.silenceMsOf(id, clock.now()),
-    });
-    if (!next) return;
-    const end = this.groupChanges.begin({
-      before: core.configuration,
-      after: next,
-      term: core.currentTerm,
-      silenceMsOf: id => core.silenceMsOf(id, clock.now()),
-    });
-    this.proposals.start('voters', async () => {
-      end(await node.changeConfiguration(next));
-    });
-  }
 }
 
 function inflate(source: Buffer): string {
--- a/src/services/membership/common/elastic_membership_plan.ts
+++ b/src/services/membership/common/elastic_membership_plan.ts
@@ -29,6 +29,8 @@
   matchIndexOf(id: string): number;
   /** Time since the leader last heard from a peer, in milliseconds. */
   silentMsOf(id: string): number;
+  /** Whether a peer asked to hand over its vote because it stops. */
+  isLeaving(id: string): boolean;
 }
 
 /**
@@ -37,22 +39,22 @@
  *
  * Every instance that joins becomes a learner. A learner that has caught up
  * becomes a voter if one is missing, or replaces a voter that lost its data
- * folder (a new incarnation at the same address) or is silent. An instance
- * without its log thus never votes.
+ * folder (a new incarnation at the same address), is silent or stops. An
+ * instance without its log thus never votes.
  */
 export function planElasticMembership(
   view: ElasticMembershipView,
 ): Configuration | undefined {
   const {configuration, joiners, desiredVoterCount} = view;
-  if (isJoint(configuration)) return completeReplacement(configuration);
+  if (isJoint(configuration)) {
+    return completeReplacement(configuration, id => view.isLeaving(id));
+  }
   const {peers} = configuration;
   const joined = addLearners(peers, joiners);
   if (joined) return makeConfiguration(joined);
   const lost = peers.find(peer => isLostLearner(view, peer));
   if (lost) return makeConfiguration(peers.filter(peer => peer !== lost));
-  const learners = peers.filter(peer => {
-    return isResponsive(view, peer) && isCaughtUp(view, peer);
-  });
+  const learners = peers.filter(peer => canTakeVote(view, peer));
   const [learner] = learners;
   if (!learner) return undefined;
   const voters = peers.filter(peer => peer.voter);
@@ -73,8 +75,15 @@
     });
     if (successor) return replaceVoter(view.configuration, voter, successor);
   }
-  const silent = voters.find(voter => !isResponsive(view, voter));
-  return silent && replaceVoter(view.configuration, silent, learners[0]!);
+  const replaced =
+    voters.find(voter => !isResponsive(view, voter)) ??
+    voters.find(({id}) => view.isLeaving(id));
+  return replaced && replaceVoter(view.configuration, replaced, learners[0]!);
+}
+
+function canTakeVote(view: ElasticMembershipView, peer: Peer): boolean {
+  const isStaying = isResponsive(view, peer) && !view.isLeaving(peer.id);
+  return isStaying && isCaughtUp(view, peer);
 }
 
 function responsiveIds(view: ElasticMembershipView): Set<string> {
--- a/src/services/membership/test/common/control_group.test.ts
+++ b/src/services/membership/test/common/control_group.test.ts
@@ -136,6 +136,29 @@
     },
   );
 
+  // Guards against a voter that stops in good order and still counts, although
+  // its successor had its time long before.
+  it.each(['leader', 'follower'])(
+    'keeps a majority when a disk is lost after a %s was stopped',
+    role => {
+      const survives = (group: ControlGroup, momentMs: number) => {
+        const {leader} = group;
+        const follower = leader === 'b' ? 'c' : 'b';
+        const stopped = role === 'leader' ? leader! : follower;
+        group.add('d');
+        group.run(CATCH_UP_MS);
+        group.leave(stopped);
+        while (group.addresses.includes(stopped)) group.run(10);
+        group.run(momentMs);
+        const lost = group.leader ?? group.addresses[0]!;
+        group.wipe(lost, 1_000);
+        group.run(1_000);
+        return group.commitEntry(RECOVERY_MS) !== undefined;
+      };
+      expect(findFatalMoments({from: 0, to: 1_500}, survives)).toEqual([]);
+    },
+  );
+
   // Guards against a change that needs the vote of the empty instance: it is
   // one lost instance all the while, so the others have to go on.
   it('keeps a majority when an instance loses its disk twice', () => {
--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -18,6 +18,7 @@
 import {planElasticMembership} from '../../common/elastic_membership_plan';
 import type {Joiner} from '../../common/membership_plan';
 import {replacementSilenceMs} from '../../common/replacement_silence';
+import {hasVoteToHandOver} from '../../common/vote_handover';
 
 /** After this time a successor counts as a full replacement. */
 export const CATCH_UP_MS = 4_000;
@@ -27,6 +28,8 @@
 const PLAN_INTERVAL_MS = 200;
 const JOIN_INTERVAL_MS = 500;
 const LATENCY_MS = 20;
+const MAX_HANDOVER_MS = 2_000;
+const LEAVE_INTERVAL_MS = 100;
 const REPLACE_SILENT_AFTER_MS = replacementSilenceMs({
   catchUpMs: CATCH_UP_MS,
   minSilenceMs: 2 * OPTIONS.electionMs,
@@ -57,6 +60,7 @@
 export class ControlGroup {
   private readonly instances = new Map<string, ControlInstance>();
   private readonly joiners = new Map<string, Joiner>();
+  private readonly leaving = new Set<string>();
   private readonly committed = new Set<number>();
   private readonly applied = new Map<number, string>();
   private readonly leaders = new Map<number, string>();
@@ -96,6 +100,16 @@
     this.instances.delete(address);
   }
 
+  /** Ends an instance in good order, for good. */
+  leave(address: string, deadline = this.now + MAX_HANDOVER_MS): void {
+    const {core} = this.instances.get(address)!;
+    if (!core || !hasVoteToHandOver(core) || this.now >= deadline) {
+      return this.remove(address);
+    }
+    this.after(LATENCY_MS, () => this.leaving.add(core.id));
+    this.after(LEAVE_INTERVAL_MS, () => this.leave(address, deadline));
+  }
+
   /** Stops an instance for a time; its disk is kept. */
   kill(address: string, downMs: number): void {
     const instance = this.stop(address);
@@ -261,6 +275,7 @@
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
       silentMsOf: id => core.silenceMsOf(id, this.now),
+      isLeaving: id => this.leaving.has(id),
     });
     if (!configuration) return;
     const requestId = ++this.lastRequestId;
--- a/src/services/membership/test/common/elastic_membership_plan.test.ts
+++ b/src/services/membership/test/common/elastic_membership_plan.test.ts
@@ -23,6 +23,7 @@
   commitIndex: 100,
   matchIndexOf: () => 100,
   silentMsOf: () => 0,
+  isLeaving: () => false,
   ...over,
 });
 
--- a/src/services/membership/test/node/join_answer_log.test.ts
+++ b/src/services/membership/test/node/join_answer_log.test.ts
@@ -45,7 +45,7 @@
   };
   const received: JoinReply[] = [];
   const logged = new LoggedJoinTransport(transport, clock, log);
-  logged.join('b:1', {id: 'c#1', address: 'c:1'}, reply => {
+  logged.join('b:1', {id: 'c#1', address: 'c:1', leaving: false}, reply => {
     received.push(reply);
   });
   expect(received).toEqual([REFERRED]);
