Refuse requests of a consensus node that ended

Callers would see: no answer to a request that was open when the disk of a node failed, or that came after it. Both programs of control exit at that moment, so their callers see the connection end; nobody else was told.

Cause: the task of the node returned without completing its requests, and its mailbox went on accepting others that nobody reads.

Evidence: the new test on the code before: a node that ends > refuses open and later requests when its disk failed AssertionError: expected [ 'pending', 'pending', 'pending' ] to deeply equal [ 'stopped', 'stopped', 'stopped' ]

Change: a node that ends refuses open and later requests and counts as not leading. Also checked, and not wrong: a request that finds the mailbox full is refused at once; its test passes on the code before too.

--- a/src/services/consensus/common/consensus_types.ts
+++ b/src/services/consensus/common/consensus_types.ts
@@ -69,7 +69,9 @@
   /** No majority confirmed a read in time. */
   | 'unconfirmed'
   /** The disk does not finish a write. */
-  | 'storage stalled';
+  | 'storage stalled'
+  /** The node ended, because of its disk or its signal. */
+  | 'stopped';
 
 /** Role of an instance in its consensus term. */
 export type ConsensusRole = 'follower' | 'candidate' | 'leader';
--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -12,6 +12,7 @@
   ConsensusEvent,
   ConsensusRole,
   Effect,
+  RefusalReason,
   RequestId,
 } from '../common/consensus_types';
 import type {LogStorage, StorageFailure} from './log_storage';
@@ -52,6 +53,7 @@
   private readonly mailbox = new Mailbox<ConsensusEvent>();
   private readonly requests = new OpenRequests();
   private savingSince = Infinity;
+  private hasEnded = false;
 
   constructor(
     readonly core: Consensus,
@@ -76,12 +78,12 @@
 
   /** Whether this instance leads and can confirm requests. */
   get isLeading(): boolean {
-    return this.core.isLeaderReady && !this.isStalled;
+    return this.core.isLeaderReady && !this.refusal;
   }
 
-  /** Id of the current leader; '' if it is unknown, as while the disk hangs. */
+  /** Id of the current leader; '' if unknown, also while the disk hangs. */
   get leader(): string {
-    return this.isStalled ? '' : this.core.leader;
+    return this.refusal ? '' : this.core.leader;
   }
 
   /** Proposes a command; resolves with its index once it is committed. */
@@ -116,7 +118,7 @@
     kind: RequestKind,
     makeEvent: (requestId: RequestId) => ConsensusEvent,
   ): Promise<RequestOutcome> {
-    if (this.isStalled) return Promise.resolve(err('storage stalled'));
+    if (this.refusal) return Promise.resolve(err(this.refusal));
     return new Promise(resolve => {
       const startedAt = this.clock.now();
       const requestId = this.requests.add({kind, startedAt, resolve});
@@ -131,8 +133,11 @@
     return this.core.options.electionMs * LEADER_TIMEOUT_FACTOR;
   }
 
-  private get isStalled(): boolean {
-    return this.clock.now() - this.savingSince >= this.patienceMs;
+  /** Why the node can confirm nothing now, whatever its core says. */
+  private get refusal(): RefusalReason | undefined {
+    if (this.hasEnded) return 'stopped';
+    const savingMs = this.clock.now() - this.savingSince;
+    return savingMs >= this.patienceMs ? 'storage stalled' : undefined;
   }
 
   /**
@@ -140,25 +145,32 @@
    * requests itself, not even after others elected a leader.
    */
   private refuseOverdue(): void {
-    if (this.isStalled) return this.requests.refuseAll('storage stalled');
+    if (this.refusal) return this.requests.refuseAll(this.refusal);
     const startedAt = this.clock.now() - this.patienceMs;
     this.requests.refuseReadsUntil(startedAt, 'unconfirmed');
   }
 
   private *run(): Task<void> {
+    const isSaved = yield* this.handleEvents();
+    this.hasEnded = true;
+    this.requests.refuseAll('stopped');
+    if (isSaved) yield* settled(this.storage.close());
+  }
+
+  /** Returns whether all was saved when it ends. */
+  private *handleEvents(): Task<boolean> {
     for (;;) {
       const first = yield* this.mailbox.receive();
-      if (!first) break;
+      if (!first) return true;
       let effects = this.stepAll(first);
       while (effects.length > 0) {
         const isSaved = yield* this.save(effects);
-        if (!isSaved) return;
+        if (!isSaved) return false;
         this.runEffects(effects);
         effects = this.reportSynced(effects);
       }
-      if (!(yield* this.compactIfDue())) return;
+      if (!(yield* this.compactIfDue())) return false;
     }
-    yield* settled(this.storage.close());
   }
 
   private stepAll(first: ConsensusEvent): Effect[] {
--- a/src/services/consensus/test/node/consensus_node.test.ts
+++ b/src/services/consensus/test/node/consensus_node.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {ManualClock} from '../../../../base/common/clock';
 import {SeededRandom} from '../../../../base/common/random';
-import {ok, type Result} from '../../../../base/common/result';
+import {err, ok, type Result} from '../../../../base/common/result';
 import {createAbortController} from '../../../../base/node/timers';
 import {Consensus} from '../../common/consensus';
 import {singlePeerState} from '../../common/initial_state';
@@ -15,9 +15,11 @@
 /** A disk in memory whose writes may hang. */
 class SimulatedStorage {
   isHanging = false;
+  failure: StorageFailure | undefined;
   private readonly waiting: (() => void)[] = [];
 
   write(): Promise<Result<void, StorageFailure>> {
+    if (this.failure) return Promise.resolve(err(this.failure));
     if (!this.isHanging) return Promise.resolve(ok(undefined));
     return new Promise(resolve => {
       this.waiting.push(() => resolve(ok(undefined)));
@@ -78,6 +80,15 @@
   return {node, storage, clock, applied};
 }
 
+/** A message that the core ignores. */
+const UNRELATED_MESSAGE = {
+  from: 'm1',
+  to: 'other',
+  term: 0,
+  fromAddress: '',
+  body: undefined,
+};
+
 /** The outcome of a request so far: 'pending', 'ok' or the refusal. */
 function track(request: Promise<Result<number, string>>) {
   const tracked = {outcome: 'pending'};
@@ -147,3 +158,37 @@
     expect(second.outcome).toBe('ok');
   });
 });
+
+describe('a node that ends', () => {
+  // Guards against callers of a failed disk that never get an answer.
+  it('refuses open and later requests when its disk failed', async () => {
+    const {node, storage} = await startLeader();
+    storage.failure = {kind: 'unwritable', detail: 'disk full'};
+    const proposal = track(node.propose(Buffer.from('unwritten')));
+    const read = track(node.confirmLeadership());
+    await settleTimers();
+    const late = track(node.confirmLeadership());
+    await settleTimers();
+    const outcomes = [proposal, read, late].map(({outcome}) => outcome);
+    expect(outcomes).toEqual(['stopped', 'stopped', 'stopped']);
+    expect(node.isLeading).toBe(false);
+  });
+});
+
+describe('a node with a full mailbox', () => {
+  // Guards against a request that is dropped like a message, without an answer.
+  it('refuses a request at once', async () => {
+    const {node, storage} = await startLeader();
+    storage.isHanging = true;
+    const proposal = track(node.propose(Buffer.from('under way')));
+    await settleTimers();
+    for (let count = 0; count < 20_000; count++) {
+      node.receive(UNRELATED_MESSAGE);
+    }
+    const refused = await node.confirmLeadership();
+    expect(refused.isErr && refused.error).toBe('not leader');
+    storage.release();
+    await settleTimers();
+    expect(proposal.outcome).toBe('ok');
+  });
+});
