Name a leader that is heard before the configuration lists it

Callers would see: 503 instead of a redirect, and join replies without the leader, from an instance whose log does not have the entry yet that added the leader (it catches up over a slow link, or its log is empty). An instance that lost its disk may be able to ask that one only.

Cause: the address of a leader was looked up in the newest configuration in the log alone, although its messages carry its address and replies go there.

Change: both transports tell the address of a peer as they use it: that of the configuration, otherwise the one learned from its messages.

Looked into, and left alone: two instances that name each other. Each forgets its leader when its election timeout passes without a message, so this ends within that time; no test showed more. A leader at another address than its configuration says is not heard of either: replies to it go to the old address.

--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -118,13 +118,16 @@
     settings: () => settings.get(),
   };
 
+  const leaderAddress = () => {
+    return transport.addressOf(node.leader, core.configuration);
+  };
   const operators = new OperatorService({
     instance: args.instance,
     machine,
     node,
     settings,
     leadership: () => (node.isLeading ? leadership : undefined),
-    leaderAddress: () => leaderAddressOf(node),
+    leaderAddress,
     now: () => clock.now(),
   });
   const server = createServer();
@@ -132,7 +135,7 @@
   server.addService(AnnouncementService, observer.handlers);
   server.addService(
     ConsensusService,
-    consensusHandlers(node, transport, () => leadership),
+    consensusHandlers(node, transport, leaderAddress, () => leadership),
   );
   await listenOrExit(
     log,
@@ -191,14 +194,10 @@
   return {core, storage};
 }
 
-function leaderAddressOf({core, leader}: ConsensusNode): string {
-  const {peers} = core.configuration;
-  return peers.find(({id}) => id === leader)?.address ?? '';
-}
-
 function consensusHandlers(
   node: ConsensusNode,
   transport: PeerTransport,
+  leaderAddress: () => string,
   leadership: () => Leadership | undefined,
 ): ConsensusServer {
   return {
@@ -208,10 +207,9 @@
       respond(null, {});
     },
     join(call, respond) {
-      const {core} = node;
-      const accepted = core.role === 'leader';
+      const accepted = node.core.role === 'leader';
       if (accepted) leadership()?.onJoinRequest(call.request);
-      respond(null, {accepted, leaderAddress: leaderAddressOf(node)});
+      respond(null, {accepted, leaderAddress: leaderAddress()});
     },
   };
 }
--- a/src/control/node/peer_transport.ts
+++ b/src/control/node/peer_transport.ts
@@ -45,6 +45,11 @@
     this.addresses.add(message);
   }
 
+  /** The address of a peer; '' if it is unknown. */
+  addressOf(id: string, configuration: Configuration): string {
+    return this.addresses.of(id, configuration) ?? '';
+  }
+
   send(message: ConsensusMessage, configuration: Configuration): void {
     const address = this.addresses.of(message.to, configuration);
     if (address === undefined) return;
--- a/src/services/consensus/node/peer_links.ts
+++ b/src/services/consensus/node/peer_links.ts
@@ -72,6 +72,11 @@
     });
   }
 
+  /** The address of a peer; '' if it is unknown. */
+  addressOf(id: string, configuration: Configuration): string {
+    return this.addresses.of(id, configuration) ?? '';
+  }
+
   send(message: ConsensusMessage, configuration: Configuration): void {
     const address = this.addresses.of(message.to, configuration);
     if (address === undefined) return;
