--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -25,6 +25,7 @@
 import {ConsensusNode} from '../../services/consensus/node/consensus_node';
 import {requestJoinWhileOutside} from '../../services/consensus/node/join_requests';
 import {LogStorage} from '../../services/consensus/node/log_storage';
+import {MembershipLog} from '../../services/membership/node/membership_log';
 import {
   formatSettingsError,
   type Settings,
@@ -76,6 +77,7 @@
   const {machine} = stateMachine;
 
   let leadership: Leadership | undefined;
+  const membershipLog = new MembershipLog(core, log);
   const settings = new SettingsInForce(machine, fileSettings);
   const transport = new PeerTransport(self.address, signal);
   const node: ConsensusNode = new ConsensusNode(
@@ -93,6 +95,7 @@
             : undefined;
       },
       onDidApply: () => leadership?.drive(),
+      onDidChangeConfiguration: () => membershipLog.onDidChangeConfiguration(),
       onDidFail: ({kind, detail}) => {
         exit(EXIT_IO_ERROR, [`control: data folder ${kind}: ${detail}`]);
       },
--- a/src/control/test/node/peer_address.test.ts
+++ b/src/control/test/node/peer_address.test.ts
@@ -5,6 +5,7 @@
   Configuration,
   ConsensusMessage,
 } from '../../../schema/generated/consensus';
+import {makeConfiguration} from '../../../services/consensus/common/configuration';
 import {PeerLinks} from '../../../services/consensus/node/peer_links';
 import {makeLog} from '../../../services/gateway/test/node/session_fixture';
 import {PeerTransport} from '../../node/peer_transport';
@@ -53,7 +54,7 @@
       const port = (await server.listen('127.0.0.1:0', signal)).unwrapOr(0);
       const address = `127.0.0.1:${port}`;
       const sender = new PeerLinks(message.fromAddress, log, signal);
-      sender.send(message, {peers: [{...SELF, address}]});
+      sender.send(message, makeConfiguration([{...SELF, address}]));
       await received;
       return (...peer) => receiver.addressOf(...peer);
     },
@@ -69,10 +70,11 @@
   // is, because the entry that added the leader has not arrived yet: one that
   // lost its disk may be able to ask this instance only.
   it('has an address before the configuration names it', async () => {
+    const configuration = makeConfiguration([SELF]);
     const addressOf = await receive(HEARTBEAT, stop.signal);
-    expect(addressOf(LEADER.id, {peers: [SELF]})).toBe(LEADER.address);
-    expect(addressOf('unknown', {peers: [SELF]})).toBe('');
-    expect(addressOf('', {peers: [SELF]})).toBe('');
-    expect(addressOf(SELF.id, {peers: [SELF]})).toBe(SELF.address);
+    expect(addressOf(LEADER.id, configuration)).toBe(LEADER.address);
+    expect(addressOf('unknown', configuration)).toBe('');
+    expect(addressOf('', configuration)).toBe('');
+    expect(addressOf(SELF.id, configuration)).toBe(SELF.address);
   });
 });
--- a/src/services/consensus/common/membership_watch.ts
+++ b/src/services/consensus/common/membership_watch.ts
@@ -1,4 +1,4 @@
-import {isVoter} from './progress';
+import {isVoter} from './configuration';
 import type {Consensus} from './consensus';
 
 /** Longer than an election usually takes. */
@@ -32,10 +32,7 @@
 
   private get isVoter(): boolean {
     const {core, address} = this;
-    const {peers} = core.configuration;
-    return isVoter(
-      peers.filter(peer => peer.address === address),
-      core.id,
-    );
+    const self = core.configuration.peers.find(({id}) => id === core.id);
+    return self?.address === address && isVoter(core.configuration, core.id);
   }
 }
--- a/src/services/consensus/test/common/membership_watch.test.ts
+++ b/src/services/consensus/test/common/membership_watch.test.ts
@@ -1,7 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {SeededRandom} from '../../../../base/common/random';
 import type {Peer} from '../../../../schema/generated/consensus';
-import {addLearner} from '../../../membership/common/membership_plan';
+import {addLearners} from '../../../membership/common/membership_plan';
+import {makeConfiguration} from '../../common/configuration';
 import {MembershipWatch} from '../../common/membership_watch';
 import {
   ConsensusSimulation,
@@ -49,7 +50,7 @@
 ): void {
   removed.isOffline = true;
   const peers = peersOf(leader).filter(({id}) => id !== removed.id);
-  group.changeConfiguration(leader, {peers});
+  group.changeConfiguration(leader, makeConfiguration(peers));
   group.run(500);
   removed.isOffline = false;
 }
@@ -62,14 +63,14 @@
     removeWhileCutOff(group, leader, watched);
     expect(watch(group, watched, 4_000).at(-1)).toBe(true);
     const joiner = {id: watched.id, address: `${watched.id}:1`};
-    const peers = addLearner(peersOf(leader), joiner)!;
+    const peers = addLearners(peersOf(leader), [joiner])!;
     expect(peers).toContainEqual({...joiner, voter: false});
-    group.changeConfiguration(leader, {peers});
+    group.changeConfiguration(leader, makeConfiguration(peers));
     group.run(500);
     expect(peersOf(watched)).toEqual(peers);
     expect(watch(group, watched, 1_000)).toEqual([false, false]);
     const allVoters = peers.map(peer => ({...peer, voter: true}));
-    group.changeConfiguration(leader, {peers: allVoters});
+    group.changeConfiguration(leader, makeConfiguration(allVoters));
     group.run(500);
     expect(peersOf(watched)).toEqual(allVoters);
     expect(group.leader).toBe(leader);
@@ -84,8 +85,8 @@
     removeWhileCutOff(group, leader, watched);
     for (const other of others) other.isOffline = true;
     const joiner = {id: watched.id, address: `${watched.id}:1`};
-    const peers = addLearner(peersOf(leader), joiner)!;
-    group.changeConfiguration(leader, {peers});
+    const peers = addLearners(peersOf(leader), [joiner])!;
+    group.changeConfiguration(leader, makeConfiguration(peers));
     group.run(50);
     expect(peersOf(watched)).toEqual(peers);
     group.crash(leader);
@@ -107,7 +108,7 @@
 
   // Guards against a successor that loses time before it becomes a voter.
   it('is outside at once if its log is empty', () => {
-    const core = {id: 'new', leader: '', configuration: {peers: []}};
+    const core = {id: 'new', leader: '', configuration: makeConfiguration([])};
     expect(new MembershipWatch(core, 'new:1').isOutside(0)).toBe(true);
   });
 });
--- a/src/services/consensus/test/node/consensus_node.test.ts
+++ b/src/services/consensus/test/node/consensus_node.test.ts
@@ -1,194 +1,109 @@
-import {afterEach, describe, expect, it} from 'vitest';
-import {ManualClock} from '../../../../base/common/clock';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 import {SeededRandom} from '../../../../base/common/random';
-import {err, ok, type Result} from '../../../../base/common/result';
+import {MonotonicClock} from '../../../../base/node/monotonic_clock';
 import {createAbortController} from '../../../../base/node/timers';
+import type {
+  Configuration,
+  ConsensusMessage,
+  LogEntry,
+} from '../../../../schema/generated/consensus';
+import {makeConfiguration} from '../../common/configuration';
 import {Consensus} from '../../common/consensus';
-import {singlePeerState} from '../../common/initial_state';
+import {emptyState} from '../../common/initial_state';
 import {ConsensusNode} from '../../node/consensus_node';
-import type {StorageFailure} from '../../node/log_storage';
+import {LogStorage} from '../../node/log_storage';
+import {makeInitialSnapshot, makePeer} from '../common/consensus_simulation';
 
-const OPTIONS = {electionMs: 100, heartbeatMs: 20};
-const LEADER_TIMEOUT_MS = 200;
-const SELF = {id: 'm0', address: 'm0:1', voter: true};
-
-/** A disk in memory whose writes may hang. */
-class SimulatedStorage {
-  isHanging = false;
-  failure: StorageFailure | undefined;
-  private readonly waiting: (() => void)[] = [];
-
-  write(): Promise<Result<void, StorageFailure>> {
-    if (this.failure) return Promise.resolve(err(this.failure));
-    if (!this.isHanging) return Promise.resolve(ok(undefined));
-    return new Promise(resolve => {
-      this.waiting.push(() => resolve(ok(undefined)));
-    });
-  }
-
-  install(): Promise<Result<void, StorageFailure>> {
-    return this.write();
-  }
-
-  close(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  release(): void {
-    this.isHanging = false;
-    for (const resume of this.waiting.splice(0)) resume();
-  }
-}
-
-let stop = createAbortController();
-afterEach(() => {
-  stop.abort();
-  stop = createAbortController();
-});
+const OPTIONS = {electionMs: 60_000, heartbeatMs: 20};
+const LEADER = 'm1';
+const MACHINE = {
+  apply: () => {},
+  snapshot: () => Buffer.alloc(0),
+  restore: () => {},
+};
 
-/** Waits until real timers had time to run. */
-function settleTimers(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, 150));
-}
+let directory = '';
+beforeEach(() => (directory = mkdtempSync(join(tmpdir(), 'consensus-node-'))));
+afterEach(() => rmSync(directory, {recursive: true}));
 
-/** A leader that is the only voter of its group. */
-async function startLeader() {
-  const core = new Consensus(
-    SELF.id,
-    singlePeerState(SELF),
-    OPTIONS,
-    new SeededRandom(1),
+/** A follower that records the voters of each configuration it reports. */
+async function startFollower() {
+  const snapshot = makeInitialSnapshot(
+    ['m0', LEADER, 'm2'].map(id => makePeer(id)),
   );
-  const storage = new SimulatedStorage();
-  const clock = new ManualClock();
-  const applied: string[] = [];
+  const opened = await LogStorage.open(directory, 'm0', snapshot);
+  if (opened.isErr) throw new Error(opened.error.detail);
+  const {storage, id} = opened.value;
+  const persisted = {...emptyState(), snapshot};
+  const core = new Consensus(id, persisted, OPTIONS, new SeededRandom(1));
+  const reported: string[] = [];
+  const listener = {
+    onDidChangeRole: () => {},
+    onDidApply: () => {},
+    onDidFail: () => {},
+    onDidChangeConfiguration: () => {
+      const {peers} = core.configuration;
+      reported.push(peers.map(peer => peer.id).join(' '));
+    },
+  };
+  const stop = createAbortController();
   const node = new ConsensusNode(
     core,
     storage,
-    {
-      apply: (...[, command]) => applied.push(command.toString()),
-      snapshot: () => Buffer.alloc(0),
-      restore: () => {},
-    },
+    MACHINE,
     {send: () => {}},
-    {onDidChangeRole: () => {}, onDidApply: () => {}, onDidFail: () => {}},
-    clock,
-    1_000,
+    listener,
+    new MonotonicClock(),
+    200,
   );
-  void node.start(stop.signal);
-  await settleTimers();
-  return {node, storage, clock, applied};
+  const ended = node.start(stop.signal);
+  const end = () => {
+    stop.abort();
+    return ended;
+  };
+  const receive = (term: number, body: ConsensusMessage['body']) => {
+    node.receive({from: LEADER, to: id, term, fromAddress: '', body});
+  };
+  return {reported, receive, end};
 }
 
-/** A message that the core ignores. */
-const UNRELATED_MESSAGE = {
-  from: 'm1',
-  to: 'other',
-  term: 0,
-  fromAddress: '',
-  body: undefined,
-};
-
-/** The outcome of a request so far: 'pending', 'ok' or the refusal. */
-function track(request: Promise<Result<number, string>>) {
-  const tracked = {outcome: 'pending'};
-  void request.then(result => {
-    tracked.outcome = result.isOk ? 'ok' : result.error;
-  });
-  return tracked;
+function makeAppend(entry: LogEntry): ConsensusMessage['body'] {
+  const value = {
+    previousIndex: 1,
+    previousTerm: 1,
+    entries: [entry],
+    commitIndex: 1,
+    round: 1,
+  };
+  return {$case: 'appendRequest', value};
 }
 
-describe('a leader whose disk hangs', () => {
-  // Guards against requests that wait until their caller gives up, although a
-  // leader that cannot write cannot confirm anything.
-  it('refuses all requests and counts as not leading until it writes', async () => {
-    const {node, storage, clock, applied} = await startLeader();
-    expect(node.isLeading).toBe(true);
-    storage.isHanging = true;
-    const proposal = track(node.propose(Buffer.from('under way')));
-    await settleTimers();
-    const read = track(node.confirmLeadership());
-    const queued = track(node.propose(Buffer.from('queued')));
-    clock.advance(LEADER_TIMEOUT_MS - 1);
-    await settleTimers();
-    expect(node.isLeading).toBe(true);
-    const early = [proposal, read, queued].map(({outcome}) => outcome);
-    expect(early).toEqual(['pending', 'pending', 'pending']);
-    clock.advance(1);
-    await settleTimers();
-    const refused = [proposal, read, queued].map(({outcome}) => outcome);
-    const stalled = 'storage stalled';
-    expect(refused).toEqual([stalled, stalled, stalled]);
-    expect(node.isLeading).toBe(false);
-    // It hears nothing, so callers are not sent to the leader it knew last.
-    expect(node.leader).toBe('');
-    const late = await node.propose(Buffer.from('too late'));
-    expect(late.isErr && late.error).toBe(stalled);
-    storage.release();
-    await settleTimers();
-    expect(node.isLeading).toBe(true);
-    expect(node.leader).toBe(SELF.id);
-    expect(await node.confirmLeadership()).toMatchObject({isOk: true});
-    // What it had accepted is applied, what it refused at once is not.
-    expect(applied).toEqual(['under way', 'queued']);
-    expect(proposal.outcome).toBe(stalled);
-  });
-});
-
-describe('a leader whose disk is slow', () => {
-  // Guards against reads that wait for one slow write after the other.
-  it('bounds the time of a read, and commits what it writes', async () => {
-    const {node, storage, clock} = await startLeader();
-    storage.isHanging = true;
-    const first = track(node.propose(Buffer.from('first')));
-    await settleTimers();
-    const read = track(node.confirmLeadership());
-    const second = track(node.propose(Buffer.from('second')));
-    clock.advance(LEADER_TIMEOUT_MS - 50);
-    storage.release();
-    storage.isHanging = true;
-    await settleTimers();
-    expect(first.outcome).toBe('ok');
-    clock.advance(50);
-    await settleTimers();
-    expect(node.isLeading).toBe(true);
-    expect(read.outcome).toBe('unconfirmed');
-    storage.release();
-    await settleTimers();
-    expect(second.outcome).toBe('ok');
-  });
-});
-
-describe('a node that ends', () => {
-  // Guards against callers of a failed disk that never get an answer.
-  it('refuses open and later requests when its disk failed', async () => {
-    const {node, storage} = await startLeader();
-    storage.failure = {kind: 'unwritable', detail: 'disk full'};
-    const proposal = track(node.propose(Buffer.from('unwritten')));
-    const read = track(node.confirmLeadership());
-    await settleTimers();
-    const late = track(node.confirmLeadership());
-    await settleTimers();
-    const outcomes = [proposal, read, late].map(({outcome}) => outcome);
-    expect(outcomes).toEqual(['stopped', 'stopped', 'stopped']);
-    expect(node.isLeading).toBe(false);
-  });
-});
+function makeVoters(...ids: string[]): Configuration {
+  return makeConfiguration(ids.map(id => makePeer(id)));
+}
 
-describe('a node with a full mailbox', () => {
-  // Guards against a request that is dropped like a message, without an answer.
-  it('refuses a request at once', async () => {
-    const {node, storage} = await startLeader();
-    storage.isHanging = true;
-    const proposal = track(node.propose(Buffer.from('under way')));
-    await settleTimers();
-    for (let count = 0; count < 20_000; count++) {
-      node.receive(UNRELATED_MESSAGE);
-    }
-    const refused = await node.confirmLeadership();
-    expect(refused.isErr && refused.error).toBe('not leader');
-    storage.release();
-    await settleTimers();
-    expect(proposal.outcome).toBe('ok');
-  });
+it('reports configurations that are added, truncated and in a snapshot', async () => {
+  const {reported, receive, end} = await startFollower();
+  await vi.waitFor(() => expect(reported).toEqual(['m0 m1 m2']));
+  const value = makeVoters('m0', LEADER, 'm2', 'm3');
+  const configuration = {$case: 'configuration', value} as const;
+  receive(2, makeAppend({index: 2, term: 2, payload: configuration}));
+  await vi.waitFor(() => expect(reported.at(-1)).toBe('m0 m1 m2 m3'));
+  const noop = {$case: 'noop', value: true} as const;
+  receive(3, makeAppend({index: 2, term: 3, payload: noop}));
+  await vi.waitFor(() => expect(reported.at(-1)).toBe('m0 m1 m2'));
+  const snapshot = {
+    index: 9,
+    term: 3,
+    configuration: makeVoters('m0', LEADER),
+    state: Buffer.alloc(0),
+  };
+  const request = {snapshot, round: 1};
+  receive(3, {$case: 'snapshotRequest', value: request});
+  await vi.waitFor(() => expect(reported.at(-1)).toBe('m0 m1'));
+  expect(reported).toHaveLength(4);
+  await end();
 });
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -16,6 +16,7 @@
 } from '../../fleet_state/common/fleet_state_machine';
 import {planElasticMembership} from '../../membership/common/elastic_membership_plan';
 import type {Joiner} from '../../membership/common/membership_plan';
+import {GroupChangeLog} from '../../membership/node/group_change_log';
 import {PoolerPlanner} from '../../pooler/common/pooler_planner';
 import {PublishedPrimaries} from '../../lease/common/published_primaries';
 import {LeaseHolders} from '../../lease/common/lease_holders';
@@ -44,6 +45,8 @@
   readonly holder: string;
   /** Number of voters that the control group should have. */
   readonly desiredVoterCount: number;
+  /** Silence after which a voter is replaced, in milliseconds. */
+  readonly replaceSilentAfterMs: number;
   readonly limitPrecision: LimitPrecision;
   /**
    * How long shares of account limits stay valid without contact to control, in
@@ -81,9 +84,12 @@
   private limitCoordinator: LimitCoordinator;
   private parsedCatalog: {version: number; catalog: Catalog} | undefined;
   private readonly connectionAllocation: ConnectionAllocation;
+  private readonly groupChanges: GroupChangeLog;
   leader: FleetLeader | undefined;
 
   constructor(private readonly dependencies: FleetControlDependencies) {
+    const {clock, log} = dependencies;
+    this.groupChanges = new GroupChangeLog(clock, log);
     this.limitCoordinator = this.makeLimitCoordinator();
     this.connectionAllocation = new ConnectionAllocation({
       catalog: () => this.catalog(),
@@ -428,7 +434,8 @@
   }
 
   private reconcileVoters(): void {
-    const {node, desiredVoterCount, clock} = this.dependencies;
+    const {node, desiredVoterCount, replaceSilentAfterMs, clock} =
+      this.dependencies;
     const {core} = node;
     if (this.proposals.isRunning('voters')) return;
     if (!core.isConfigurationCommitted) return;
@@ -438,13 +445,20 @@
       configuration: core.configuration,
       joiners,
       desiredVoterCount,
+      replaceSilentAfterMs,
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
       silentMsOf: id => core.silenceMsOf(id, clock.now()),
     });
     if (!next) return;
+    const end = this.groupChanges.begin({
+      before: core.configuration,
+      after: next,
+      term: core.currentTerm,
+      silenceMsOf: id => core.silenceMsOf(id, clock.now()),
+    });
     this.proposals.start('voters', async () => {
-      await node.changeConfiguration(next);
+      end(await node.changeConfiguration(next));
     });
   }
 }
--- a/src/services/membership/common/elastic_membership_plan.ts
+++ b/src/services/membership/common/elastic_membership_plan.ts
@@ -1,13 +1,21 @@
 import type {Configuration, Peer} from '../../../schema/generated/consensus';
 import {
-  isCaughtUp,
+  completeReplacement,
+  hasMajority,
+  isJoint,
+  makeConfiguration,
+  replaceVoter,
+} from '../../consensus/common/configuration';
+import {
+  addLearners,
   instanceOf,
-  addLearner,
+  isCaughtUp,
+  promote,
   type Joiner,
 } from './membership_plan';
 
-/** Silence after which a voter is replaced. */
-const REPLACE_SILENT_AFTER_MS = 8_000;
+/** Silence after which a learner is dropped; it joins again if it returns. */
+const DROP_SILENT_LEARNER_AFTER_MS = 30_000;
 
 /** The state of a control group without a fixed list of members. */
 export interface ElasticMembershipView {
@@ -15,6 +23,8 @@
   readonly joiners: readonly Joiner[];
   /** Number of voters that the group should have. */
   readonly desiredVoterCount: number;
+  /** Silence after which a voter is replaced, in milliseconds. */
+  readonly replaceSilentAfterMs: number;
   readonly commitIndex: number;
   matchIndexOf(id: string): number;
   /** Time since the leader last heard from a peer, in milliseconds. */
@@ -22,46 +32,62 @@
 }
 
 /**
- * The next single change of a control group without a fixed list of members;
+ * The next change of a control group without a fixed list of members;
  * undefined if there is none.
  *
  * Every instance that joins becomes a learner. A learner that has caught up
  * becomes a voter if one is missing, or replaces a voter that lost its data
- * folder (a new incarnation at the same address) or is silent for long. An
- * instance without its log thus never votes.
+ * folder (a new incarnation at the same address) or is silent. An instance
+ * without its log thus never votes.
  */
 export function planElasticMembership(
   view: ElasticMembershipView,
 ): Configuration | undefined {
-  const {peers} = view.configuration;
-  for (const joiner of view.joiners) {
-    const next = addLearner(peers, joiner);
-    if (next) return {peers: next};
-  }
-  const learners = peers.filter(peer => isCaughtUp(view, peer));
-  const voters = peers.filter(peer => peer.voter);
+  const {configuration, joiners, desiredVoterCount} = view;
+  if (isJoint(configuration)) return completeReplacement(configuration);
+  const {peers} = configuration;
+  const joined = addLearners(peers, joiners);
+  if (joined) return makeConfiguration(joined);
+  const lost = peers.find(peer => isLostLearner(view, peer));
+  if (lost) return makeConfiguration(peers.filter(peer => peer !== lost));
+  const learners = peers.filter(peer => {
+    return isResponsive(view, peer) && isCaughtUp(view, peer);
+  });
   const [learner] = learners;
   if (!learner) return undefined;
-  if (voters.length < view.desiredVoterCount) return promote(peers, learner);
-  const replaced = voters.find(voter => isReplaceable(view, voter, learners));
-  return replaced && {peers: peers.filter(peer => peer !== replaced)};
-}
-
-function promote(peers: readonly Peer[], learner: Peer): Configuration {
-  return {
-    peers: peers.map(peer => {
-      return peer === learner ? {...peer, voter: true} : peer;
-    }),
-  };
+  const voters = peers.filter(peer => peer.voter);
+  if (voters.length < desiredVoterCount) return promote(peers, learner);
+  // A leader that was suspended has not heard from anybody.
+  if (!hasMajority(configuration, responsiveIds(view))) return undefined;
+  return replaceLostVoter(view, voters, learners);
 }
 
-function isReplaceable(
+function replaceLostVoter(
   view: ElasticMembershipView,
-  voter: Peer,
+  voters: readonly Peer[],
   learners: readonly Peer[],
-): boolean {
-  const isSuperseded = learners.some(learner => {
-    return instanceOf(learner.id) === instanceOf(voter.id);
+): Configuration | undefined {
+  for (const voter of voters) {
+    const successor = learners.find(learner => {
+      return instanceOf(learner.id) === instanceOf(voter.id);
+    });
+    if (successor) return replaceVoter(view.configuration, voter, successor);
+  }
+  const silent = voters.find(voter => !isResponsive(view, voter));
+  return silent && replaceVoter(view.configuration, silent, learners[0]!);
+}
+
+function responsiveIds(view: ElasticMembershipView): Set<string> {
+  const peers = view.configuration.peers.filter(peer => {
+    return isResponsive(view, peer);
   });
-  return isSuperseded || view.silentMsOf(voter.id) >= REPLACE_SILENT_AFTER_MS;
+  return new Set(peers.map(({id}) => id));
+}
+
+function isResponsive(view: ElasticMembershipView, {id}: Peer): boolean {
+  return view.silentMsOf(id) < view.replaceSilentAfterMs;
+}
+
+function isLostLearner(view: ElasticMembershipView, {id, voter}: Peer) {
+  return !voter && view.silentMsOf(id) >= DROP_SILENT_LEARNER_AFTER_MS;
 }
