--- a/src/base/node/message_link.ts
+++ b/src/base/node/message_link.ts
@@ -43,7 +43,10 @@
 const MAX_SILENT_CHECKS = 3;
 /** On average half an interval passes between a byte and the next check. */
 const CHECKS_PER_SILENCE = MAX_SILENT_CHECKS + 0.5;
-/** Bounds memory: with more queued bytes, the peer is not reading. */
+/**
+ * Bounds memory: this takes a slow link seconds to send, so with more queued
+ * bytes, the peer is not reading.
+ */
 const MAX_QUEUED_BYTES = 4 * 1024 * 1024;
 /** Sent when there is no message, so that the peer does not time out. */
 const HEARTBEAT_FRAME = encodeBytes(new Uint8Array(0));
--- a/src/services/account/common/catalog_lease.ts
+++ b/src/services/account/common/catalog_lease.ts
@@ -12,7 +12,9 @@
  *
  * Guard: a frozen or disconnected proxy, or one that follows a deposed leader,
  * would serve withdrawn keys. The lease runs from the request that a majority
- * confirmed, so one from before a withdrawal has expired by the bound.
+ * confirmed, so one from before a withdrawal has expired by the bound. It is
+ * extended only while this proxy holds the newest catalog, and its clock counts
+ * suspensions.
  */
 export class CatalogLease {
   private expiresAt = -Infinity;
--- a/src/services/admission/common/work_times.ts
+++ b/src/services/admission/common/work_times.ts
@@ -1,6 +1,7 @@
 const SAMPLE_WEIGHT = 0.1;
 /** Mean deviations above the mean that cover most of the work. */
 const DEVIATION_COUNT = 2;
+/** With fewer samples nothing is known of a kind of work. */
 const MIN_SAMPLE_COUNT = 10;
 const MAX_KIND_COUNT = 512;
 
--- a/src/services/dispatch/common/choose_member.ts
+++ b/src/services/dispatch/common/choose_member.ts
@@ -35,6 +35,7 @@
 const OTHER_REGION_PENALTY_MS = 25;
 /** Leaves the primary's slots to writes while a replica is as fast. */
 const PRIMARY_PENALTY_MS = 15;
+/** A new connection takes part of a slot and two round trips. */
 const CONNECT_PENALTY_MS = 20;
 
 /**
--- a/src/services/dispatch/common/connection_share.ts
+++ b/src/services/dispatch/common/connection_share.ts
@@ -45,7 +45,8 @@
 const SHARE_FACTOR = 3;
 /**
  * An ample share may be exceeded by less. Otherwise poolers near a primary
- * could take all its connections and leave no slots to other regions.
+ * could take all its connections and leave no slots to other regions. It is
+ * more than the statements need, because idle transactions hold some of it.
  */
 const AMPLE_SHARE = 5;
 const AMPLE_FACTOR = 1.5;
@@ -82,7 +83,8 @@
 /**
  * Whether to keep one idle connection to a member. Any request may need the
  * primary, and reads prefer replicas in the same region; other replicas are
- * connected on demand.
+ * connected on demand. After a common restart, idle connections of the crashed
+ * processes would leave little room at the members.
  */
 export function keepsIdleConnection(view: IdleView): boolean {
   if (view.servesAccounts || view.equalShare < 1) return false;
--- a/src/services/dispatch/common/drain_rate.ts
+++ b/src/services/dispatch/common/drain_rate.ts
@@ -1,8 +1,13 @@
 const INTERVAL_WEIGHT = 0.2;
 /** A longer interval is a stall, such as an outage of the primary. */
 const MAX_INTERVAL_MS = 150;
-/** The first intervals after a start are too long to refuse requests by. */
+/**
+ * The first intervals after a start are too long to refuse requests by: code is
+ * not compiled and connections are not open yet, and callers would use up their
+ * retries meanwhile.
+ */
 const MIN_INTERVAL_COUNT = 30;
+/** Assumed before an interval was seen. */
 const INITIAL_INTERVAL_MS = 10;
 
 /**
--- a/src/services/dispatch/node/member_pool.ts
+++ b/src/services/dispatch/node/member_pool.ts
@@ -15,6 +15,7 @@
   type TargetLink,
 } from '../../target_link/common/target_link';
 
+/** A connect that takes longer has failed. */
 const CONNECT_TIMEOUT_MS = 1_000;
 const IDLE_TIMEOUT_MS = 4_000;
 /** For members that mostly other instances use. */
@@ -54,6 +55,7 @@
 /** A member that does not reply is failing unless a connect succeeds soon. */
 const SUSPECT_TIMEOUT_MS = 200;
 const LATENCY_WEIGHT = 0.15;
+/** Assumed before a reply was measured. */
 const INITIAL_LATENCY_MS = 20;
 
 /** A connection, with the state that earlier sessions left on it. */
--- a/src/services/failover/common/failover.ts
+++ b/src/services/failover/common/failover.ts
@@ -259,7 +259,8 @@
 /**
  * Guard: no acknowledged write may be lost. It is on the primary and on the
  * required number of replicas, so at most that many members may be missing or
- * without data, unless a member holds all that the proxies acknowledged.
+ * without data, unless a member holds all that the proxies acknowledged. Any
+ * set that leaves out no more members includes one that has the write.
  */
 function checkSafety(
   view: FailoverView,
--- a/src/services/pooler/common/pooler_plan.ts
+++ b/src/services/pooler/common/pooler_plan.ts
@@ -25,12 +25,14 @@
 const PREFERRED_CONNECTIONS_PER_POOLER = 5;
 /**
  * Absolute minimum, which applies where the preferred one would leave sites
- * without a pooler.
+ * without a pooler. Their requests would fail for want of a connection to a
+ * primary.
  */
 const MIN_CONNECTIONS_PER_POOLER = 3;
 /**
  * With fewer proxies per pooler, the extra hop costs more than separate
- * connections per proxy.
+ * connections per proxy. With more, their connects would keep the members busy
+ * after a common restart, since none knows of the others' queues.
  */
 const MIN_PROXIES_PER_POOLER = 4;
 
--- a/src/services/pooler/common/pooler_planner.ts
+++ b/src/services/pooler/common/pooler_planner.ts
@@ -13,7 +13,8 @@
 /**
  * How long a disconnected pooler keeps its assignment: longer than proxies take
  * to reconnect after a change of leader. Reassigning poolers would reopen
- * nearly all connections.
+ * nearly all connections, and proxies find out by themselves whether they still
+ * reach a pooler.
  */
 const RECONNECT_GRACE_MS = 3_000;
 
