Forget the progress of a peer that left the control group

Callers would see: an instance that comes back stays out of the group for one more round of joining, so that the next loss may find a learner less.

Cause: PeerTable keeps a peer that left the configuration. When it joins again under the same leader, its silence counts from before it left. A learner that was dropped after 30 s of silence is silent for over 30 s by that measure, and GroupMembership plans the next step as soon as the one that added it is committed: it drops it again, unless its first reply came sooner.

It ends at the second attempt, as the late reply updates the progress.

Change: a change of the configuration forgets the peers that it removes.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -446,6 +446,7 @@
     if (!this.isConfigurationCommitted || !isSafe) {
       return this.effects.refuse(request, 'change in progress');
     }
+    this.peers.retain(new Set(next.peers.map(({id}) => id)));
     this.onPropose(request, {$case: 'configuration', value: next});
     for (const {id} of peersExcept(this.configuration.peers, this.id)) {
       this.peers.track(id, this.log.lastIndex + 1, this.now);
--- a/src/services/consensus/common/progress.ts
+++ b/src/services/consensus/common/progress.ts
@@ -30,6 +30,16 @@
     });
   }
 
+  /**
+   * Forgets peers that left the configuration. One that joins again would
+   * otherwise count as silent since before it left.
+   */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.peers.keys()) {
+      if (!ids.has(id)) this.peers.delete(id);
+    }
+  }
+
   clear(): void {
     this.peers.clear();
   }
