Give no vote to a control instance that has just stopped

Callers would see: no configuration can be read back, although two instances were taken out of service in good order one after the other, each with a successor that had its time, and one disk was lost later.

Cause: an instance that hands over its vote stays a learner that caught up. The leader remembers for 1 s that it stops, but takes it for up until it was silent for a quarter of the catch-up time, or 8 s without one. In between, the vote of the next instance that stops goes to it, as the first learner in the list, although others stand by. The group then has a voter that is gone, until its silence tells.

Change: a request to leave counts for as long as the silence of its sender does not tell, and a second more.

--- a/src/services/membership/node/group_membership.ts
+++ b/src/services/membership/node/group_membership.ts
@@ -17,8 +17,8 @@
   readonly log: Log;
 }
 
-/** Instances that stop repeat their request more often than this. */
-const LEAVE_REQUEST_VALID_MS = 1_000;
+/** Covers the time from the last request of an instance to its last reply. */
+const LEAVE_REQUEST_MARGIN_MS = 1_000;
 
 /** Changes the members of the control group while this instance leads. */
 export class GroupMembership {
@@ -88,7 +88,11 @@
 
   private isLeaving(id: string, now: number): boolean {
     const requestedAt = this.leaveRequestedAt.get(id) ?? -Infinity;
-    if (now - requestedAt < LEAVE_REQUEST_VALID_MS) return true;
+    // Guard: until its silence tells, an instance that stopped seems to be up,
+    // and would get the vote of the next one that stops.
+    const validMs =
+      this.dependencies.replaceSilentAfterMs + LEAVE_REQUEST_MARGIN_MS;
+    if (now - requestedAt < validMs) return true;
     this.leaveRequestedAt.delete(id);
     return false;
   }
