Forget the progress of a peer that is removed

Callers would see: a group that counts a voter which it does not reach, or a learner that is dropped as soon as it is added.

Cause: the leader keeps what it knows of a peer when the peer leaves the configuration. One that comes back with its disk, under the same id, is a learner that counts as caught up by the index it replied with before, so the plan of src/control makes it a voter without a word from it; and it counts as silent since then, so the elastic plan drops it as a lost learner unless its first reply comes before the next plan.

Evidence: the new test on the code before: a peer that is added again > has no progress and no silence from before its removal AssertionError: expected 2 to be +0 // Object.is equality

Change: a change of the configuration forgets the peers that it leaves out. Their replies are ignored then, as those of any unknown instance.

--- a/src/services/consensus/common/consensus.ts
+++ b/src/services/consensus/common/consensus.ts
@@ -447,6 +447,7 @@
       return this.effects.refuse(request, 'change in progress');
     }
     this.onPropose(request, {$case: 'configuration', value: next});
+    this.peers.retain(new Set(next.peers.map(({id}) => id)));
     for (const {id} of peersExcept(this.configuration.peers, this.id)) {
       this.peers.track(id, this.log.lastIndex + 1, this.now);
     }
--- a/src/services/consensus/common/progress.ts
+++ b/src/services/consensus/common/progress.ts
@@ -30,6 +30,16 @@
     });
   }
 
+  /**
+   * Forgets all other peers. One that is removed and added again would count as
+   * caught up, or as silent, by what was known of it before.
+   */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.peers.keys()) {
+      if (!ids.has(id)) this.peers.delete(id);
+    }
+  }
+
   clear(): void {
     this.peers.clear();
   }
--- a/src/services/consensus/test/common/consensus.test.ts
+++ b/src/services/consensus/test/common/consensus.test.ts
@@ -186,6 +186,34 @@
   });
 });
 
+describe('a peer that is added again', () => {
+  // Guards against a learner that counts as caught up by what it replied before
+  // it was removed, or is dropped at once as one that has long been silent.
+  it('has no progress and no silence from before its removal', () => {
+    const group = new ConsensusSimulation(3, new SeededRandom(3));
+    group.run(1_000);
+    const leader = group.leader!;
+    const core = leader.core!;
+    const removed = group.members.find(member => member !== leader)!;
+    const {peers} = core.configuration;
+    expect(core.matchIndexOf(removed.id)).toBe(core.commitIndex);
+    removed.isOffline = true;
+    const others = peers.filter(({id}) => id !== removed.id);
+    group.changeConfiguration(leader, makeConfiguration(others));
+    group.run(5_000);
+    const learner = {...makePeer(removed.id), voter: false};
+    const again = makeConfiguration([...others, learner]);
+    group.changeConfiguration(leader, again);
+    group.run(10);
+    expect(core.configuration).toEqual(again);
+    expect(core.matchIndexOf(removed.id)).toBe(0);
+    expect(core.silenceMsOf(removed.id, group.now)).toBeLessThan(100);
+    removed.isOffline = false;
+    group.run(200);
+    expect(core.matchIndexOf(removed.id)).toBe(core.commitIndex);
+  });
+});
+
 describe('a candidate with an old log', () => {
   // Guards against a leader that overwrites committed entries.
   it('gets no vote from a voter with a newer log', () => {
