--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -132,7 +132,16 @@
 
   /** Calls back after a virtual time. */
   after(milliseconds: number, callback: () => void): void {
-    this.events.push({at: this.now + milliseconds, run: callback});
+    const at = this.now + milliseconds;
+    // The next event is at the end.
+    let low = 0;
+    let high = this.events.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (this.events[middle]!.at <= at) high = middle;
+      else low = middle + 1;
+    }
+    this.events.splice(low, 0, {at, run: callback});
   }
 
   run(milliseconds: number): void {
@@ -192,10 +201,9 @@
   private runUntil(isDone: () => boolean, maxMs: number): void {
     const end = this.now + maxMs;
     while (!isDone()) {
-      this.events.sort((a, b) => a.at - b.at);
-      const [next] = this.events;
+      const next = this.events.at(-1);
       if (!next || next.at > end) break;
-      this.events.shift();
+      this.events.pop();
       this.now = next.at;
       next.run();
     }
