--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -5,6 +5,7 @@
   LogEntry,
   Snapshot,
 } from '../../../../schema/generated/consensus';
+import {isJoint} from '../../../consensus/common/configuration';
 import {Consensus} from '../../../consensus/common/consensus';
 import type {
   ConsensusEvent,
@@ -35,6 +36,24 @@
   minSilenceMs: 2 * OPTIONS.electionMs,
 });
 
+/** What disturbs the messages and logs of a group. */
+export interface Disturbance {
+  /** Fraction of the messages that are lost. */
+  readonly lossRate: number;
+  /** Up to which delay, in milliseconds, messages are reordered. */
+  readonly maxDelayMs: number;
+  /** Committed entries after which an instance makes a snapshot. */
+  readonly entriesPerSnapshot: number;
+  readonly replaceSilentAfterMs: number;
+}
+
+const CALM: Disturbance = {
+  lossRate: 0,
+  maxDelayMs: 0,
+  entriesPerSnapshot: Infinity,
+  replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
+};
+
 /** Content of an instance's disk. */
 interface Disk {
   id: string;
@@ -49,6 +68,8 @@
   disk: Disk;
   core: Consensus | undefined;
   isCut: boolean;
+  /** Messages pass between instances of the same side only. */
+  side: number;
   /** Counts starts; events of an earlier life are dropped. */
   life: number;
 }
@@ -76,6 +97,7 @@
     addresses: readonly string[],
     private readonly desiredVoterCount: number,
     seed: number,
+    private readonly disturbance = CALM,
   ) {
     this.random = new SeededRandom(seed);
     for (const address of addresses) {
@@ -96,13 +118,14 @@
 
   /** Removes an instance for good. */
   remove(address: string): void {
+    if (!this.instances.has(address)) return;
     this.stop(address);
     this.instances.delete(address);
   }
 
   /** Ends an instance in good order, for good. */
   leave(address: string, deadline = this.now + MAX_HANDOVER_MS): void {
-    const {core} = this.instances.get(address)!;
+    const core = this.instances.get(address)?.core;
     if (!core || !hasVoteToHandOver(core) || this.now >= deadline) {
       return this.remove(address);
     }
@@ -130,6 +153,23 @@
     this.after(milliseconds, () => (instance.isCut = false));
   }
 
+  /** Splits the instances into two halves for a time. */
+  split(isOther: (address: string) => boolean, milliseconds: number): void {
+    for (const instance of this.instances.values()) {
+      instance.side = isOther(instance.address) ? 1 : 0;
+    }
+    this.after(milliseconds, () => {
+      for (const instance of this.instances.values()) instance.side = 0;
+    });
+  }
+
+  /** Whether any instance has an uncompleted change in its log. */
+  get isChanging(): boolean {
+    return [...this.instances.values()].some(({core}) => {
+      return core !== undefined && isJoint(core.configuration);
+    });
+  }
+
   /** Calls back after a virtual time. */
   after(milliseconds: number, callback: () => void): void {
     const at = this.now + milliseconds;
@@ -198,7 +238,8 @@
     return done?.[1];
   }
 
-  private runUntil(isDone: () => boolean, maxMs: number): void {
+  /** Runs until a condition holds, but not longer than a virtual time. */
+  runUntil(isDone: () => boolean, maxMs: number): void {
     const end = this.now + maxMs;
     while (!isDone()) {
       const next = this.events.at(-1);
@@ -221,6 +262,7 @@
       disk,
       core: undefined,
       isCut: false,
+      side: 0,
       life: 0,
     };
     this.instances.set(address, instance);
@@ -279,7 +321,7 @@
       configuration: core.configuration,
       joiners,
       desiredVoterCount: this.desiredVoterCount,
-      replaceSilentAfterMs: REPLACE_SILENT_AFTER_MS,
+      replaceSilentAfterMs: this.disturbance.replaceSilentAfterMs,
       commitIndex: core.commitIndex,
       matchIndexOf: id => core.matchIndexOf(id),
       silentMsOf: id => core.silenceMsOf(id, this.now),
@@ -305,6 +347,17 @@
       const {index, term} = appended;
       effects = core.step({kind: 'synced', index, term}, this.now);
     }
+    this.compactIfDue(instance, core);
+  }
+
+  private compactIfDue(instance: ControlInstance, core: Consensus): void {
+    const entryCount = core.commitIndex - core.snapshotIndex;
+    if (entryCount < this.disturbance.entriesPerSnapshot) return;
+    const snapshot = core.makeSnapshot(Buffer.alloc(0));
+    this.save(
+      instance.disk,
+      core.step({kind: 'compacted', snapshot}, this.now),
+    );
   }
 
   private save(disk: Disk, effects: readonly Effect[]): LogEntry | undefined {
@@ -328,7 +381,13 @@
 
   private runEffect(instance: ControlInstance, effect: Effect): void {
     if (effect.kind === 'send') this.send(instance, effect.message);
-    if (effect.kind === 'committed') this.committed.add(effect.requestId);
+    if (effect.kind === 'committed') {
+      this.committed.add(effect.requestId);
+      const {life} = instance;
+      this.after(0, () => {
+        if (instance.life === life) this.plan(instance);
+      });
+    }
     if (effect.kind === 'apply') this.recordApplied(effect.entry);
     const {core} = instance;
     if (effect.kind === 'roleChanged' && core!.role === 'leader') {
@@ -354,12 +413,17 @@
 
   private send(from: ControlInstance, message: ConsensusMessage): void {
     if (from.isCut) return;
+    const {lossRate, maxDelayMs} = this.disturbance;
+    if (lossRate > 0 && this.random.fraction() < lossRate) return;
     const jitter = 0.7 + 0.6 * this.random.fraction();
-    this.after(LATENCY_MS * jitter, () => {
+    const extraMs = maxDelayMs > 0 ? maxDelayMs * this.random.fraction() : 0;
+    this.after(LATENCY_MS * jitter + extraMs, () => {
       const to = [...this.instances.values()].find(({core}) => {
         return core?.id === message.to;
       });
-      if (to && !to.isCut) this.step(to, {kind: 'message', message});
+      if (to && !to.isCut && to.side === from.side) {
+        this.step(to, {kind: 'message', message});
+      }
     });
   }
 }
