Control: add a joining instance at once

What callers would see: with a bound of 2 s a successor often votes too late for the next loss.

Cause: among the constants that know nothing of the bound, the leader took up join requests on its timer, up to 200 ms later.

Evidence: 'adds an instance as soon as it asks to join' fails without it: the configuration has no d.

--- a/src/services/membership/node/group_membership.ts
+++ b/src/services/membership/node/group_membership.ts
@@ -39,9 +39,11 @@
     return peers.filter(({voter}) => voter).length >= desiredVoterCount;
   }
 
+  /** Handles the request of an instance to join; it repeats the request. */
   onJoin(joiner: Joiner): void {
     this.leaveRequestedAt.delete(joiner.id);
     this.joiners.set(joiner.id, joiner);
+    this.reconcile();
   }
 
   /** Handles the request of a peer that stops. */
--- a/src/services/membership/node/membership_log.ts
+++ b/src/services/membership/node/membership_log.ts
@@ -1,7 +1,7 @@
 import type {Log} from '../../../base/node/log';
 import type {Configuration} from '../../../schema/generated/consensus';
 import type {Consensus} from '../../consensus/common/consensus';
-import {makeConfiguration} from '../../consensus/common/configuration';
+import {isVoter, makeConfiguration} from '../../consensus/common/configuration';
 import {
   changeFields,
   describeChange,
@@ -40,7 +40,7 @@
       lastIndex: this.source.lastIndex,
       commitIndex: this.source.commitIndex,
       term: this.source.currentTerm,
-      isVoter: voters.includes(id),
+      isVoter: isVoter(configuration, id),
       ...(change && changeFields(change)),
     });
   }
--- a/src/services/membership/test/node/group_membership.test.ts
+++ b/src/services/membership/test/node/group_membership.test.ts
@@ -92,3 +92,11 @@
     }
   },
 );
+
+// Guards against a successor that loses part of its bounded time to a timer.
+it('adds an instance as soon as it asks to join', async () => {
+  const group = makeGroup([peer('a'), peer('b'), peer('c')], 2_000);
+  group.membership.onJoin({id: 'd', address: 'd'});
+  await settle();
+  expect(group.core.configuration.peers).toContainEqual(peer('d', false));
+});
