--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -121,13 +121,16 @@
     settings: () => settings.get(),
   };
 
+  const leaderAddress = () => {
+    return transport.addressOf(node.leader, core.configuration);
+  };
   const operators = new OperatorService({
     instance: args.instance,
     machine,
     node,
     settings,
     leadership: () => (node.isLeading ? leadership : undefined),
-    leaderAddress: () => leaderAddressOf(node),
+    leaderAddress,
     now: () => clock.now(),
   });
   const server = createServer();
@@ -135,7 +138,7 @@
   server.addService(AnnouncementService, observer.handlers);
   server.addService(
     ConsensusService,
-    consensusHandlers(node, transport, () => leadership),
+    consensusHandlers(node, transport, leaderAddress, () => leadership),
   );
   await listenOrExit(
     log,
@@ -146,7 +149,7 @@
   observer.start(fileSettings.system.pingMs, signal);
   every(signal, DRIVE_INTERVAL_MS, () => leadership?.drive());
   every(signal, RECONCILE_INTERVAL_MS, () => leadership?.reconcile());
-  const joinRequest = {id: core.id, address: self.address};
+  const joinRequest = {id: core.id, address: self.address, leaving: false};
   const otherInstances = fileSettings.control.filter(other => other !== self);
   const addresses = () => otherInstances.map(({address}) => address);
   const membership = new MembershipWatch(core, self.address);
@@ -194,14 +197,10 @@
   return {core, storage};
 }
 
-function leaderAddressOf({core, leader}: ConsensusNode): string {
-  const {peers} = core.configuration;
-  return peers.find(({id}) => id === leader)?.address ?? '';
-}
-
 function consensusHandlers(
   node: ConsensusNode,
   transport: PeerTransport,
+  leaderAddress: () => string,
   leadership: () => Leadership | undefined,
 ): ConsensusServer {
   return {
@@ -211,10 +210,9 @@
       respond(null, {});
     },
     join(call, respond) {
-      const {core} = node;
-      const accepted = core.role === 'leader';
+      const accepted = node.core.role === 'leader';
       if (accepted) leadership()?.onJoinRequest(call.request);
-      respond(null, {accepted, leaderAddress: leaderAddressOf(node)});
+      respond(null, {accepted, leaderAddress: leaderAddress()});
     },
   };
 }
