Fleet: tell proxies where all control instances are

What callers saw: ERROR BUSY keys cannot be confirmed, for good, at proxies that lost the leader of control after all control instances of their settings had been replaced.

Cause: a proxy looks for a leader at the addresses of its settings, which date from its start, and at redirects from there. Nobody is there any more.

Fix: a leader sends the addresses of the control group to each proxy that attaches and when they change; a proxy without a leader tries them beside those of its settings.

--- a/src/services/connection_quota/test/node/grant_exchange.test.ts
+++ b/src/services/connection_quota/test/node/grant_exchange.test.ts
@@ -52,6 +52,7 @@
       isLeading: () => true,
       leaderAddress: () => '',
       ownAddress: () => 'own',
+      controlAddresses: () => [],
       catalog: () => catalog,
       members: () => [MEMBER],
       membersRevision: () => 1,
--- a/src/services/fleet_link/node/fleet_follower.ts
+++ b/src/services/fleet_link/node/fleet_follower.ts
@@ -96,6 +96,8 @@
   private poolers: readonly PoolerEntry[] = [];
   private proxyCount = 0;
   private readonly failureReports = new Map<string, PrimaryReport>();
+  /** Addresses of control instances by the newest leader. */
+  private controls: readonly string[] = [];
   private attemptCount = 0;
   private redirectCount = 0;
   /** Whether urgent connection reports are being looked for. */
@@ -139,8 +141,11 @@
   /** Tries one more control instance while no leader is known. */
   private tryNext(): void {
     if (this.attached || this.attempts.size >= MAX_ATTEMPTS) return;
-    const addresses = this.options.addresses();
-    const untried = addresses.filter(address => !this.attempts.has(address));
+    // Those of the settings may all be gone by now.
+    const addresses = new Set([...this.options.addresses(), ...this.controls]);
+    const untried = [...addresses].filter(
+      address => !this.attempts.has(address),
+    );
     const address = untried[this.attemptCount++ % Math.max(1, untried.length)];
     if (address !== undefined) this.open(address);
   }
@@ -222,6 +227,10 @@
       case 'shares':
         if (stream !== this.attached) return;
         return this.onShares(body.value);
+      case 'controls':
+        this.attach(stream);
+        this.controls = body.value.addresses;
+        return;
       case 'counters':
         this.attach(stream);
         return this.listener.onDidReceiveCounters(body.value.counters);
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -38,6 +38,8 @@
   address: string;
   capacity: InstanceCapacity;
   poolersRevision: number;
+  /** The control addresses sent last. */
+  sentControls: string;
   /** The proxy count sent last; undefined before the first. */
   sentProxyCount: number | undefined;
   assignmentsRevision: number;
@@ -56,6 +58,8 @@
   leaderAddress(): string;
   /** Address of this instance for proxies. */
   ownAddress(): string;
+  /** Addresses of all control instances for proxies. */
+  controlAddresses(): readonly string[];
   catalog(): Catalog | undefined;
   members(): readonly Member[];
   membersRevision(): number;
@@ -253,6 +257,7 @@
       pendingRenewal: 0,
       catalogVersion: 0,
       membersRevision: 0,
+      sentControls: '',
       sentProxyCount: undefined,
       failureReports: new Map(),
       counterSession: new CounterSession(this.source, this.clock, message => {
@@ -364,6 +369,7 @@
 
   private pushTo(follower: Follower): void {
     if (follower.instance === '') return;
+    this.pushControls(follower);
     this.pushCatalog(follower);
     this.pushPoolers(follower);
     // Before the members, whose connections are divided by this count.
@@ -373,6 +379,14 @@
     follower.counterSession.push();
   }
 
+  private pushControls(follower: Follower): void {
+    const addresses = [...this.source.controlAddresses()];
+    const controls = addresses.join(' ');
+    if (follower.sentControls === controls) return;
+    follower.sentControls = controls;
+    follower.link.write({body: {$case: 'controls', value: {addresses}}});
+  }
+
   private pushCatalog(follower: Follower): void {
     const catalog = this.source.catalog();
     if (!catalog || catalog.version <= follower.catalogVersion) return;
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -37,6 +37,7 @@
   version = 1;
   routes = [makeRoute()];
   address = '';
+  controls: readonly string[] = [];
   poolers: PoolerEntry[] = [];
   members: Member[] = [];
   isConfirmed = true;
@@ -56,6 +57,7 @@
         isLeading: () => this.leads,
         leaderAddress: () => this.knownLeader,
         ownAddress: () => this.address,
+        controlAddresses: () => this.controls,
         catalog: () => makeCatalog(this.routes, {version: this.version}),
         members: () => this.members,
         membersRevision: () => 1,
@@ -116,13 +118,16 @@
 
 afterEach(() => stop.abort());
 
-function follow(instance = 'p1'): FleetFollower {
+function follow(
+  instance = 'p1',
+  addresses = () => [first.address, second.address],
+): FleetFollower {
   const follower = new FleetFollower(
     {
       instance,
       site: 'a',
       address: `${instance}:1`,
-      addresses: () => [first.address, second.address],
+      addresses,
       leases,
       catalogLease,
       counter,
@@ -173,6 +178,21 @@
   expect(condition()).toBe(true);
 }
 
+it('finds a new leader that its settings do not name', async () => {
+  // Guards against a proxy that loses control for good: all control instances
+  // of its settings may have been replaced since.
+  first.leads = true;
+  first.controls = [first.address, second.address];
+  const follower = follow('p1', () => [first.address]);
+  await until(() => follower.isAttached);
+  first.leads = false;
+  second.leads = true;
+  second.version = 2;
+  first.leader.onDidLoseLeadership();
+  first.leader.push();
+  await until(() => catalogs.at(-1)?.version === 2);
+});
+
 it('leaves a former leader that is partitioned', async () => {
   // The control group is partitioned with the leader in the minority, and the
   // proxy reaches both parts. Staying with the former leader, it would miss all
--- a/src/services/fleet_link/test/node/leader_load.test.ts
+++ b/src/services/fleet_link/test/node/leader_load.test.ts
@@ -98,6 +98,7 @@
         isLeading: () => true,
         leaderAddress: () => '',
         ownAddress: () => 'own',
+        controlAddresses: () => [],
         catalog: () => catalog,
         members: () => this.members,
         membersRevision: () => this.revision,
