--- a/src/services/consensus/test/common/consensus_simulation.ts
+++ b/src/services/consensus/test/common/consensus_simulation.ts
@@ -2,7 +2,6 @@
 import type {
   Configuration,
   ConsensusMessage,
-  HardState,
   LogEntry,
   Peer,
   Snapshot,
@@ -10,17 +9,11 @@
 import {makeConfiguration} from '../../common/configuration';
 import {Consensus} from '../../common/consensus';
 import type {ConsensusEvent, Effect} from '../../common/consensus_types';
+import {saveEffects, type SimulatedDisk} from './simulated_disk';
 
 const OPTIONS = {electionMs: 100, heartbeatMs: 20};
 const MAX_ENTRIES = 12;
 
-/** Content of a member's disk. */
-interface Disk {
-  hardState: HardState;
-  snapshot: Snapshot;
-  entries: LogEntry[];
-}
-
 /** One instance of the group; it has no core while it is crashed. */
 export class SimulatedMember {
   core: Consensus | undefined;
@@ -30,7 +23,7 @@
 
   constructor(
     readonly id: string,
-    readonly disk: Disk,
+    readonly disk: SimulatedDisk,
   ) {}
 }
 
@@ -140,7 +133,7 @@
     if (!core) return;
     let effects = core.step(event, this.now);
     while (effects.length > 0) {
-      const last = this.save(member, effects);
+      const last = saveEffects(member.disk, effects);
       for (const effect of effects) this.runEffect(member, effect);
       effects = last
         ? core.step(
@@ -153,28 +146,6 @@
     this.compact(member);
   }
 
-  private save(
-    {disk}: SimulatedMember,
-    effects: readonly Effect[],
-  ): LogEntry | undefined {
-    let last: LogEntry | undefined;
-    for (const effect of effects) {
-      if (effect.kind === 'saveHardState') disk.hardState = effect.state;
-      if (effect.kind === 'truncate') {
-        disk.entries = disk.entries.filter(({index}) => index < effect.from);
-      }
-      if (effect.kind === 'append') {
-        disk.entries.push(...effect.entries);
-        last = effect.entries.at(-1);
-      }
-      if (effect.kind === 'installSnapshot') {
-        disk.snapshot = effect.snapshot;
-        disk.entries = [...effect.remaining];
-      }
-    }
-    return last;
-  }
-
   private runEffect(member: SimulatedMember, effect: Effect): void {
     switch (effect.kind) {
       case 'send':
@@ -236,7 +207,7 @@
     if (!core || core.commitIndex - core.snapshotIndex < MAX_ENTRIES) return;
     const snapshot = core.makeSnapshot(Buffer.from('state'));
     const effects = core.step({kind: 'compacted', snapshot}, this.now);
-    this.save(member, effects);
+    saveEffects(member.disk, effects);
   }
 }
 
--- a/src/services/membership/test/common/control_group.ts
+++ b/src/services/membership/test/common/control_group.ts
@@ -1,9 +1,7 @@
 import {SeededRandom} from '../../../../base/common/random';
 import type {
   ConsensusMessage,
-  HardState,
   LogEntry,
-  Snapshot,
 } from '../../../../schema/generated/consensus';
 import {isJoint} from '../../../consensus/common/configuration';
 import {Consensus} from '../../../consensus/common/consensus';
@@ -16,6 +14,10 @@
   initialPeerId,
   initialSnapshot,
 } from '../../../consensus/common/initial_state';
+import {
+  saveEffects,
+  type SimulatedDisk,
+} from '../../../consensus/test/common/simulated_disk';
 import {planElasticMembership} from '../../common/elastic_membership_plan';
 import type {Joiner} from '../../common/membership_plan';
 import {replacementSilenceMs} from '../../common/replacement_silence';
@@ -55,11 +57,8 @@
 };
 
 /** Content of an instance's disk. */
-interface Disk {
+interface Disk extends SimulatedDisk {
   id: string;
-  hardState: HardState;
-  snapshot: Snapshot;
-  entries: LogEntry[];
 }
 
 /** One control instance; it has no core while it is down. */
@@ -341,7 +340,7 @@
     if (!core) return;
     let effects = core.step(event, this.now);
     while (effects.length > 0) {
-      const appended = this.save(instance.disk, effects);
+      const appended = saveEffects(instance.disk, effects);
       for (const effect of effects) this.runEffect(instance, effect);
       if (!appended) break;
       const {index, term} = appended;
@@ -354,31 +353,12 @@
     const entryCount = core.commitIndex - core.snapshotIndex;
     if (entryCount < this.disturbance.entriesPerSnapshot) return;
     const snapshot = core.makeSnapshot(Buffer.alloc(0));
-    this.save(
+    saveEffects(
       instance.disk,
       core.step({kind: 'compacted', snapshot}, this.now),
     );
   }
 
-  private save(disk: Disk, effects: readonly Effect[]): LogEntry | undefined {
-    let last: LogEntry | undefined;
-    for (const effect of effects) {
-      if (effect.kind === 'saveHardState') disk.hardState = effect.state;
-      if (effect.kind === 'truncate') {
-        disk.entries = disk.entries.filter(({index}) => index < effect.from);
-      }
-      if (effect.kind === 'append') {
-        disk.entries.push(...effect.entries);
-        last = effect.entries.at(-1);
-      }
-      if (effect.kind === 'installSnapshot') {
-        disk.snapshot = effect.snapshot;
-        disk.entries = [...effect.remaining];
-      }
-    }
-    return last;
-  }
-
   private runEffect(instance: ControlInstance, effect: Effect): void {
     if (effect.kind === 'send') this.send(instance, effect.message);
     if (effect.kind === 'committed') {
