Observability: applied index of a node, and which instance leads

The role line had the term only, and followers, whose role stays the same, wrote nothing about a new leader.

Change: no logic. A node tells the index that its state machine has, which is below the commit index of the core until the disk has saved the batch. The leader watch names each new leader or term once ("Another instance leads.", at most one line for each of its checks).

--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -57,6 +57,7 @@
   private savingSince = Infinity;
   private hasEnded = false;
   private reportedConfiguration: Configuration | undefined;
+  private lastAppliedIndex: number;
 
   constructor(
     readonly core: Consensus,
@@ -66,7 +67,17 @@
     private readonly listener: ConsensusListener,
     private readonly clock: Clock,
     private readonly entriesPerSnapshot: number,
-  ) {}
+  ) {
+    this.lastAppliedIndex = core.snapshotIndex;
+  }
+
+  /**
+   * Index of the newest entry that the state machine has. The core counts an
+   * entry as committed earlier, before the disk has saved the same batch.
+   */
+  get appliedIndex(): number {
+    return this.lastAppliedIndex;
+  }
 
   /** Runs until the signal aborts. */
   start(signal: AbortSignal): Promise<void> {
@@ -257,10 +268,12 @@
         if (payload?.$case === 'command') {
           this.machine.apply(index, payload.value);
         }
+        this.lastAppliedIndex = index;
         return;
       }
       case 'installSnapshot':
         this.machine.restore(effect.snapshot.state);
+        this.lastAppliedIndex = effect.snapshot.index;
         return;
       case 'committed':
       case 'confirmed':
--- a/src/services/consensus/test/node/stalled_storage.test.ts
+++ b/src/services/consensus/test/node/stalled_storage.test.ts
@@ -197,3 +197,30 @@
     expect(proposal.outcome).toBe('ok');
   });
 });
+
+describe('the applied index of a node', () => {
+  // Guards against decisions on a state that lacks committed entries, which
+  // nothing shows.
+  it('stays below the commit index until the disk has saved the batch', async () => {
+    const {node, storage} = await startLeader();
+    const {lastIndex, currentTerm: term} = node.core;
+    expect(node.appliedIndex).toBe(lastIndex);
+    storage.isHanging = true;
+    const index = lastIndex + 1;
+    const value = {
+      previousIndex: lastIndex,
+      previousTerm: term,
+      entries: [{index, term: term + 1, payload: undefined}],
+      commitIndex: index,
+      round: 1,
+    };
+    const body = {$case: 'appendRequest', value} as const;
+    node.receive({...UNRELATED_MESSAGE, to: SELF.id, term: term + 1, body});
+    await settleTimers();
+    expect(node.core.commitIndex).toBe(index);
+    expect(node.appliedIndex).toBe(lastIndex);
+    storage.release();
+    await settleTimers();
+    expect(node.appliedIndex).toBe(index);
+  });
+});
--- a/src/services/membership/node/leader_watch.ts
+++ b/src/services/membership/node/leader_watch.ts
@@ -8,19 +8,24 @@
 /** The part of the consensus core that is watched. */
 export type WatchedCore = Pick<
   Consensus,
-  'id' | 'role' | 'currentTerm' | 'configuration'
+  'id' | 'role' | 'leader' | 'currentTerm' | 'configuration'
 >;
 
 const CHECK_INTERVAL_MS = 500;
 /** Time without a leader before a line, and between two of them. */
 const LINE_INTERVAL_MS = 2_000;
 
-/** Logs that this instance is without a leader, and who does not vote. */
+/**
+ * Logs which other instance leads, that this instance is without a leader, and
+ * who does not vote.
+ */
 export class LeaderWatch {
   private knownAt: number;
   private loggedAt = -Infinity;
   /** Whether the present time without a leader was logged. */
   private isLogged = false;
+  /** The term and leader of the last line that names one. */
+  private namedLeader = '';
 
   constructor(
     private readonly core: WatchedCore,
@@ -45,6 +50,7 @@
 
   /** Logs at most one line for each interval without a leader. */
   check(): void {
+    this.logLeader();
     const leaderlessMs = this.leaderlessMs();
     const {role, currentTerm: term} = this.core;
     if (leaderlessMs < LINE_INTERVAL_MS) {
@@ -72,6 +78,17 @@
     }
   }
 
+  /** Logs a new leader, also at instances whose role stays the same. */
+  private logLeader(): void {
+    const {id, leader, currentTerm: term, configuration} = this.core;
+    const name = `${term} ${leader}`;
+    if (leader === '' || leader === id || name === this.namedLeader) return;
+    this.namedLeader = name;
+    const peer = configuration.peers.find(other => other.id === leader);
+    const address = peer?.address ?? '';
+    this.log.info('Another instance leads.', {leader, address, term});
+  }
+
   private votes(voters: readonly string[], minAt: number) {
     const others = voters.filter(id => id !== this.core.id);
     const idsWith = (vote: boolean | undefined) =>
--- a/src/services/membership/test/node/leader_watch.test.ts
+++ b/src/services/membership/test/node/leader_watch.test.ts
@@ -18,6 +18,7 @@
   const core = {
     id: 'a',
     role: 'candidate' as ConsensusRole,
+    leader: '',
     currentTerm: 3,
     configuration: makeConfiguration(peers),
   };
@@ -100,3 +101,24 @@
   }
   expect(lines.length).toBeLessThanOrEqual(20);
 });
+
+it('names each new leader once at instances that do not lead', () => {
+  // Guards against a change of leader that a follower's lines do not show, as
+  // its role stays the same.
+  const {lines, core, watch, hearLeader} = setUp();
+  core.role = 'follower';
+  const follow = (leader: string, term: number) => {
+    Object.assign(core, {leader, currentTerm: term});
+    hearLeader();
+    watch.check();
+    watch.check();
+  };
+  follow('b', 3);
+  follow('', 4);
+  follow('c', 4);
+  follow('a', 5);
+  expect(lines).toEqual([
+    'Another instance leads. {"leader":"b","address":"b","term":3}',
+    'Another instance leads. {"leader":"c","address":"c","term":4}',
+  ]);
+});
