Observability: promotions on both sides of a change of leader

Change: no logic. An authority returns the status of the reply and when the request was written to its socket; "Requested a promotion." has them for each copy, with the age of the confirmation at the check and at the write. A leadership begins with a line of its indices and one for each inherited assignment, with a sentence of their own for pending ones. "Promoting a member." names the assignment that it replaces; new lines say when it was settled, when the member led already, and when the assignment changed before the confirmation. Counts of requests by outcome live as long as the process, so that they outlast a leadership.

--- a/src/services/fleet_control/common/promotion_metrics.ts
+++ b/src/services/fleet_control/common/promotion_metrics.ts
@@ -1,8 +1,14 @@
+import type {PromotionCount} from '../../promotion/common/promotion_count';
+
 /** The state of the promotions of one service. */
 export interface PromotionView {
   readonly service: string;
   /** For how long it has waited for a new primary, in milliseconds. */
   readonly waitingMs: number;
+  /** Whether a promotion request may still take effect. */
+  readonly mayTakeEffect: boolean;
+  /** For how long it has waited for the end of that, in milliseconds. */
+  readonly heldMs: number;
   /** Members that ended, whose confirmed commits no known log accounts for. */
   readonly formerMemberCount: number;
 }
@@ -14,6 +20,11 @@
   const gauges = [
     ['promotion_wait_seconds', (view: PromotionView) => view.waitingMs / 1_000],
     ['unaccounted_members', (view: PromotionView) => view.formerMemberCount],
+    [
+      'promotion_may_take_effect',
+      (view: PromotionView) => (view.mayTakeEffect ? 1 : 0),
+    ],
+    ['promotion_held_seconds', (view: PromotionView) => view.heldMs / 1_000],
   ] as const;
   return gauges
     .map(([name, valueOf]) => {
@@ -25,3 +36,14 @@
     })
     .join('');
 }
+
+/** Renders the promotion requests that this instance sent or held back. */
+export function renderPromotionRequests(
+  counts: readonly PromotionCount[],
+): string {
+  const full = 'bulrushstage_control_promotion_requests_total';
+  const lines = counts.map(({service, outcome, count}) => {
+    return `${full}{service="${service}",outcome="${outcome}"} ${count}\n`;
+  });
+  return `# TYPE ${full} counter\n${lines.join('')}`;
+}
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -136,10 +136,11 @@
 
   /** The state of the promotions of all services, while this instance leads. */
   get promotionViews(): PromotionView[] {
-    const waits = this.promotions?.waitingMsByService ?? new Map();
-    return [...waits].map(([service, waitingMs]) => {
+    const states = [...(this.promotions?.states ?? [])];
+    return states.map(([service, {waitingMs, mayTakeEffect, heldMs}]) => {
       const {former} = this.dependencies.machine.baselineOf(service);
-      return {service, waitingMs, formerMemberCount: former.length};
+      const state = {service, waitingMs, mayTakeEffect, heldMs};
+      return {...state, formerMemberCount: former.length};
     });
   }
 
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -45,6 +45,12 @@
   confirmationsOf(service: string): number;
 }
 
+/** What a driver says of the promotions of its service. */
+export type PromotionState = Pick<
+  PromotionDriver,
+  'waitingMs' | 'mayTakeEffect' | 'heldMs'
+>;
+
 /** Maximum silence of a member that counts as healthy. */
 const MAX_HEALTHY_SILENCE_MS = 1_000;
 
@@ -82,6 +88,22 @@
       node,
       log,
     );
+    this.logStart();
+  }
+
+  /**
+   * Shows whether entries are committed but not applied yet, since decisions
+   * would be based on older assignments.
+   */
+  private logStart(): void {
+    const {node, machine, memberAccess, log} = this.dependencies;
+    log.info('Starting the promotions of a leadership.', {
+      term: node.core.currentTerm,
+      commitIndex: node.core.commitIndex,
+      appliedIndex: node.appliedIndex,
+      assignments: machine.assignments.length,
+      isFenced: memberAccess.promotionAccess.isFenced,
+    });
   }
 
   /** Starts monitors of new members and ends those of removed ones. */
@@ -96,12 +118,9 @@
     this.monitors.keepOnly(new Set(instances));
   }
 
-  /** How long services have waited for new primaries, in milliseconds. */
-  get waitingMsByService(): ReadonlyMap<string, number> {
-    const waits = [...this.drivers].map(([service, {waitingMs}]) => {
-      return [service, waitingMs] as const;
-    });
-    return new Map(waits);
+  /** The drivers of the services that have members. */
+  get states(): ReadonlyMap<string, PromotionState> {
+    return this.drivers;
   }
 
   /** Whether the service works without this silent member. */
--- a/src/services/promotion/node/promotion_authority.ts
+++ b/src/services/promotion/node/promotion_authority.ts
@@ -18,6 +18,18 @@
   /** No reply; the request may still take effect seconds later. */
   | 'unknown';
 
+/** What is known of a promotion request after its reply or without one. */
+export interface PromotionReply {
+  readonly outcome: PromotionOutcome;
+  /** Status code of the reply; undefined without one. */
+  readonly status?: number;
+  /**
+   * When the whole request had been handed to the socket, on the clock of
+   * `PromotionAccess`; undefined if it was not.
+   */
+  readonly writtenAt?: number;
+}
+
 /** The service of the platform that executes promotions. */
 export interface PromotionAuthority {
   /**
@@ -30,5 +42,5 @@
     request: PromotionRequest,
     isFresh: () => boolean,
     signal: AbortSignal,
-  ): Promise<PromotionOutcome>;
+  ): Promise<PromotionReply>;
 }
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -10,6 +10,7 @@
   sendToAll,
   type SuccessorSearchResult,
 } from './successor_search';
+import {PromotionLog} from './promotion_log';
 import {REQUEST_MAX_AGE_MS, PromotionRequests} from './promotion_requests';
 import type {PromotionDependencies} from './promotion_dependencies';
 
@@ -31,6 +32,9 @@
   private warnedSince = -Infinity;
   private readonly startedAt: number;
   private readonly requests: PromotionRequests;
+  private readonly lines: PromotionLog;
+  /** Since when an earlier request has held up a promotion. */
+  private heldSince: number | undefined;
   /** Replicas may have been paused by this leader or an earlier one. */
   private mayBePaused = true;
   /** Epoch of the last promotion that is known to have taken effect. */
@@ -39,6 +43,7 @@
   constructor(private readonly dependencies: PromotionDependencies) {
     this.startedAt = dependencies.clock.now();
     this.requests = new PromotionRequests(dependencies);
+    this.lines = new PromotionLog(dependencies);
   }
 
   /** For how long the service has waited for a new primary, in milliseconds. */
@@ -47,6 +52,18 @@
     return now - (this.waitingSince ?? now);
   }
 
+  /** Whether a request for the assigned member may still take effect. */
+  get mayTakeEffect(): boolean {
+    const isPending = this.dependencies.assignment()?.pending === true;
+    return isPending && !this.requests.hasExpired;
+  }
+
+  /** For how long an earlier request has held up a promotion, in ms. */
+  get heldMs(): number {
+    const now = this.dependencies.clock.now();
+    return now - (this.heldSince ?? now);
+  }
+
   /** Whether it neither replaces the primary nor lets replicas receive again. */
   get isSteady(): boolean {
     return !this.mayBePaused && this.waitingSince === undefined;
@@ -54,6 +71,7 @@
 
   start(signal: AbortSignal): Promise<void> {
     const {service} = this.dependencies;
+    this.lines.logStart(this.requests.mayTakeEffectMs);
     return startTask(`promotion ${service}`, () => this.run(signal));
   }
 
@@ -67,6 +85,7 @@
   private *check(signal: AbortSignal): Task<void> {
     const assignment = this.dependencies.assignment();
     if (!assignment) return yield* this.assignFirstPrimary();
+    this.lines.observe(assignment);
     if (assignment.pending && this.lastEffectiveEpoch !== assignment.epoch) {
       return yield* this.resumePromotion(assignment, signal);
     }
@@ -74,6 +93,7 @@
     const reason = yield* this.findReplaceReason(assignment);
     if (reason) return yield* this.replace(assignment, reason, signal);
     this.waitingSince = undefined;
+    this.heldSince = undefined;
     if (this.dependencies.isRevoked()) yield* this.keepPrimary(assignment);
     else if (this.mayBePaused) yield* this.resumeReplicas(assignment);
   }
@@ -102,6 +122,7 @@
     const {instance, epoch} = assignment;
     if (yield* this.requests.isPrimary(instance)) {
       this.lastEffectiveEpoch = epoch;
+      this.lines.logLeading(assignment);
       return this.dependencies.onDidPromote(instance);
     }
     if (!this.hasCollectedReports) return;
@@ -115,10 +136,15 @@
     else yield* this.replace(assignment, 'the successor failed', signal);
   }
 
-  private *completePromotion({epoch}: PrimaryAssignment): Task<void> {
+  private *completePromotion(assignment: PrimaryAssignment): Task<void> {
     const {access} = this.dependencies;
     if (!access.isFenced && !this.requests.hasExpired) return;
-    yield* settled(this.dependencies.completePromotion(epoch));
+    const {mayTakeEffectMs} = this.requests;
+    const completed = yield* settled(
+      this.dependencies.completePromotion(assignment.epoch),
+    );
+    const done = 'value' in completed && completed.value;
+    this.lines.logSettled(assignment, mayTakeEffectMs, done);
   }
 
   private *findReplaceReason({
@@ -160,7 +186,8 @@
       this.dependencies.assignPrimary(instance, false),
     );
     const done = 'value' in assigned && assigned.value.isOk;
-    log.info('Kept the primary.', {service, instance, done});
+    const token = done ? assigned.value.value : 0;
+    log.info('Kept the primary.', {service, instance, token, done});
     if (done) this.dependencies.onDidPromote(instance);
     this.mayBePaused = true;
   }
@@ -195,6 +222,7 @@
       const why = 'no majority confirms the leadership of this instance';
       return this.warnOnce('Cannot promote safely.', {...fields, why});
     }
+    this.lines.logIfChanged(assignment);
     this.mayBePaused = true;
     dependencies.revokeLeases();
     const found = yield* findSuccessor(
@@ -253,6 +281,7 @@
     const mayTakeEffect = assignment.pending && !requests.hasExpired;
     if (isOtherMember && mayTakeEffect && !dependencies.access.isFenced) {
       const why = 'an earlier request may still take effect';
+      this.heldSince ??= dependencies.clock.now();
       this.warnOnce('Cannot promote safely.', {...fields, why});
       return false;
     }
@@ -284,7 +313,8 @@
     chosen?: ChosenLog,
   ): Task<void> {
     const {dependencies, requests} = this;
-    const {service, log} = dependencies;
+    const {service} = dependencies;
+    this.heldSince = undefined;
     // A request of the previous leader may still be sent for this long.
     const remainingMs =
       this.startedAt + REQUEST_MAX_AGE_MS - dependencies.clock.now();
@@ -298,7 +328,7 @@
       return this.warnOnce('No majority accepted the new primary.', {service});
     }
     const token = assigned.value.value;
-    log.info('Promoting a member.', {service, heir: successor, token});
+    this.lines.logPromotion({heir: successor, token, previous, confirmedAt});
     if (previous?.instance !== successor) requests.startNewAssignment();
     const outcome = yield* requests.promote(
       successor,
--- a/src/services/promotion/node/promotion_requests.ts
+++ b/src/services/promotion/node/promotion_requests.ts
@@ -1,6 +1,10 @@
 import {sleep, settled, type Task} from '../../../base/node/task';
 import {sendToAll} from './successor_search';
-import type {PromotionRequest, PromotionOutcome} from './promotion_authority';
+import type {
+  PromotionOutcome,
+  PromotionReply,
+  PromotionRequest,
+} from './promotion_authority';
 import type {PromotionDependencies} from './promotion_dependencies';
 
 const RETRY_INTERVAL_MS = 250;
@@ -15,6 +19,13 @@
  */
 export const REQUEST_MAX_AGE_MS = 300;
 
+/** When leadership was confirmed, and when that was found to be recent. */
+interface CheckTimes {
+  readonly confirmedAt: number;
+  /** Undefined if the request did not get that far. */
+  readonly checkedAt: number | undefined;
+}
+
 /** Promotion requests of one service, and until when they may take effect. */
 export class PromotionRequests {
   /** Requests for the current assignment may take effect until then. */
@@ -29,6 +40,12 @@
     return this.dependencies.clock.now() >= this.mayTakeEffectUntil;
   }
 
+  /** How much longer a request may take effect, in milliseconds. */
+  get mayTakeEffectMs(): number {
+    const remainingMs = this.mayTakeEffectUntil - this.dependencies.clock.now();
+    return Math.max(0, Math.round(remainingMs));
+  }
+
   /**
    * Repeats a request until it is refused or the member is the primary. All
    * copies have the same token, so a late one promotes the same member.
@@ -48,13 +65,19 @@
     let leadershipConfirmedAt: number | undefined = confirmedAt;
     let outcome: PromotionOutcome = 'not now';
     let nextSendAt = -Infinity;
+    let copy = 0;
     while (clock.now() < retryUntil && !signal.aborted) {
       if (outcome !== 'accepted' && clock.now() >= nextSendAt) {
         leadershipConfirmedAt ??= yield* this.confirmLeadership();
         if (leadershipConfirmedAt === undefined) return 'unclear';
-        outcome = yield* this.send(request, leadershipConfirmedAt, signal);
+        copy++;
+        outcome = yield* this.send(
+          request,
+          copy,
+          leadershipConfirmedAt,
+          signal,
+        );
         leadershipConfirmedAt = undefined;
-        log.info('Requested a promotion.', {service, instance, token, outcome});
         if (outcome === 'refused') return 'refused';
         nextSendAt = clock.now() + RETRY_INTERVAL_MS;
       }
@@ -81,22 +104,51 @@
 
   private *send(
     request: PromotionRequest,
+    copy: number,
     confirmedAt: number,
     signal: AbortSignal,
   ): Task<PromotionOutcome> {
     const {clock, access} = this.dependencies;
-    const isFresh = () => access.clock.now() - confirmedAt < REQUEST_MAX_AGE_MS;
+    let checkedAt: number | undefined;
+    const isFresh = () => {
+      checkedAt = access.clock.now();
+      return checkedAt - confirmedAt < REQUEST_MAX_AGE_MS;
+    };
     const previous = this.mayTakeEffectUntil;
     this.mayTakeEffectUntil = clock.now() + MAX_EFFECT_DELAY_MS;
     const done = yield* settled(
       access.authority.promote(request, isFresh, signal),
     );
-    const outcome = 'value' in done ? done.value : 'unknown';
+    const reply: PromotionReply =
+      'value' in done ? done.value : {outcome: 'unknown'};
+    const {outcome} = reply;
     // A reply rules out this copy only; earlier ones may still take effect.
     if (outcome !== 'unknown') this.mayTakeEffectUntil = previous;
+    this.logCopy(request, copy, reply, {confirmedAt, checkedAt});
     return outcome;
   }
 
+  /** At most one line for each copy, which the retry interval spaces out. */
+  private logCopy(
+    request: PromotionRequest,
+    copy: number,
+    {outcome, status, writtenAt}: PromotionReply,
+    {confirmedAt, checkedAt}: CheckTimes,
+  ): void {
+    const {access, log} = this.dependencies;
+    const sentAt = writtenAt ?? checkedAt;
+    log.info('Requested a promotion.', {
+      ...request,
+      copy,
+      outcome,
+      ...(status !== undefined && {status}),
+      ...elapsed('checkedAgeMs', confirmedAt, checkedAt),
+      ...elapsed('writtenAgeMs', confirmedAt, writtenAt),
+      ...elapsed('replyMs', sentAt, access.clock.now()),
+      mayTakeEffectMs: this.mayTakeEffectMs,
+    });
+  }
+
   private *confirmLeadership(): Task<number | undefined> {
     const {access} = this.dependencies;
     const requestedAt = access.clock.now();
@@ -109,3 +161,13 @@
     this.mayTakeEffectUntil = -Infinity;
   }
 }
+
+/** A field with the time between two moments, if both are known. */
+function elapsed(
+  name: string,
+  from: number | undefined,
+  to: number | undefined,
+): Record<string, number> {
+  if (from === undefined || to === undefined) return {};
+  return {[name]: Math.round(to - from)};
+}
--- a/src/services/promotion/test/node/promotion_driver.test.ts
+++ b/src/services/promotion/test/node/promotion_driver.test.ts
@@ -26,13 +26,16 @@
   };
   baseline = new LogBaselines().of('books');
   isConfirmed = true;
+  isFenced = true;
+  /** Called while a majority confirms leadership. */
+  onConfirm = () => {};
   isRevoked = false;
   reportCount = 0;
   leaseHolders: string[] = [];
   readonly promoted: string[] = [];
   private readonly monitors = new Map<string, MemberMonitor>();
 
-  start(): void {
+  start(): PromotionDriver {
     this.group.member('a').isPrimary = true;
     const driver = new PromotionDriver({
       service: 'books',
@@ -44,10 +47,10 @@
           promote: ({instance}) => {
             this.promoted.push(instance);
             this.group.member(instance).isPrimary = true;
-            return Promise.resolve('accepted');
+            return Promise.resolve({outcome: 'accepted', status: 200});
           },
         },
-        isFenced: true,
+        isFenced: this.isFenced,
         clock: this.clock,
       },
       members: () => this.group.members.map(({record}) => record),
@@ -68,7 +71,10 @@
       },
       isRevoked: () => this.isRevoked,
       leaseHolders: () => this.leaseHolders,
-      confirmLeadership: () => Promise.resolve(this.isConfirmed),
+      confirmLeadership: () => {
+        this.onConfirm();
+        return Promise.resolve(this.isConfirmed);
+      },
       assignPrimary: (instance, ordered) => {
         const epoch = this.assignment.epoch + 1;
         this.assignment = {service: 'books', instance, epoch, pending: ordered};
@@ -80,6 +86,7 @@
       },
     });
     void driver.start(this.stop.signal);
+    return driver;
   }
 
   private monitorOf(member: Member): MemberMonitor {
@@ -158,3 +165,61 @@
     expect(leadership.promoted).toEqual(['d']);
   });
 });
+
+describe('lines and measures of PromotionDriver', () => {
+  const pendingB = {service: 'books', instance: 'b', epoch: 5, pending: true};
+  const linesWith = (sentence: string) => {
+    return leadership.logger.lines.filter(line => line.startsWith(sentence));
+  };
+
+  it('shows an inherited request that holds up a promotion', async () => {
+    // Guards against a service that waits for the request of an earlier leader
+    // and looks like one whose members do not reply.
+    leadership.stop.abort();
+    leadership = new Leadership();
+    leadership.isFenced = false;
+    leadership.assignment = pendingB;
+    leadership.group.member('b').isSilent = true;
+    const driver = leadership.start();
+    expect(driver.mayTakeEffect).toBe(true);
+    expect(linesWith('Inherited a pending promotion.')).toEqual([
+      'Inherited a pending promotion. {"service":"books","instance":"b",' +
+        '"token":5,"pending":true,"isFenced":false,"mayTakeEffectMs":13000}',
+    ]);
+    expect(driver.heldMs).toBe(0);
+    await until(() => driver.heldMs > 0);
+    expect(leadership.promoted).toEqual([]);
+  });
+
+  it('names the assignment that changed during a confirmation', async () => {
+    // Guards against a decision on an old assignment that no line shows.
+    const current = leadership;
+    await pause(800);
+    leadership.onConfirm = () => (current.assignment = pendingB);
+    leadership.reportCount = 4;
+    leadership.group.member('a').isSilent = true;
+    await until(() => linesWith('The assignment changed').length > 0);
+    expect(linesWith('The assignment changed')[0]).toBe(
+      'The assignment changed before it was confirmed. {"service":"books",' +
+        '"before":"a","beforeToken":1,"beforePending":false,' +
+        '"instance":"b","token":5,"pending":true}',
+    );
+  });
+
+  it('names the replaced assignment, the request and its settlement', async () => {
+    // Guards against tokens whose order cannot be told from the lines.
+    await pause(800);
+    leadership.reportCount = 4;
+    leadership.group.member('a').isSilent = true;
+    await until(() => linesWith('Settled a promotion.').length > 0);
+    expect(linesWith('Promoting a member.')[0]).toMatch(
+      /"token":2,"before":"a","beforeToken":1,"beforePending":false,"confirmedAgeMs":\d/,
+    );
+    expect(linesWith('Requested a promotion.')[0]).toMatch(
+      /"holder":"control-1","token":2,"copy":1,"outcome":"accepted","status":200/,
+    );
+    // The fixture never settles it, so that the driver repeats this.
+    await pause(500);
+    expect(linesWith('Settled a promotion.')).toHaveLength(1);
+  });
+});
