Tests: a new leader counts as leading before it applied what was committed

Cause: `ConsensusNode.isLeading` asks the core, whose commit index advances in the step; the entries reach the state machine only after the write of the same batch. With a slow disk a new leader whose batch also holds a write thus leads, for all services at once, on a machine that lacks what earlier leaders committed.

Test: a leader of three with an uncommitted entry of an earlier leader in its log; the reply that commits it is in one batch with a proposal, and the disk hangs.

--- a/src/services/consensus/test/node/stalled_storage.test.ts
+++ b/src/services/consensus/test/node/stalled_storage.test.ts
@@ -3,10 +3,13 @@
 import {SeededRandom} from '../../../../base/common/random';
 import {err, ok, type Result} from '../../../../base/common/result';
 import {createAbortController} from '../../../../base/node/timers';
+import type {ConsensusMessage} from '../../../../schema/generated/consensus';
 import {Consensus} from '../../common/consensus';
+import type {PersistedState} from '../../common/consensus_types';
 import {singlePeerState} from '../../common/initial_state';
 import {ConsensusNode} from '../../node/consensus_node';
 import type {StorageFailure} from '../../node/log_storage';
+import {makeInitialSnapshot, makePeer} from '../common/consensus_simulation';
 
 const OPTIONS = {electionMs: 100, heartbeatMs: 20};
 const LEADER_TIMEOUT_MS = 200;
@@ -51,14 +54,8 @@
   return new Promise(resolve => setTimeout(resolve, 150));
 }
 
-/** A leader that is the only voter of its group. */
-async function startLeader() {
-  const core = new Consensus(
-    SELF.id,
-    singlePeerState(SELF),
-    OPTIONS,
-    new SeededRandom(1),
-  );
+async function startNode(persisted: PersistedState) {
+  const core = new Consensus(SELF.id, persisted, OPTIONS, new SeededRandom(1));
   const storage = new SimulatedStorage();
   const clock = new ManualClock();
   const applied: string[] = [];
@@ -85,6 +82,46 @@
   return {node, storage, clock, applied};
 }
 
+/** A leader that is the only voter of its group. */
+function startLeader() {
+  return startNode(singlePeerState(SELF));
+}
+
+/** Index of the first entry of the new leader. */
+const NOOP_INDEX = 3;
+/** The term of the new leader. */
+const NEW_TERM = 3;
+
+/**
+ * A leader of three that was just elected. Its log has an entry of an earlier
+ * leader that it does not know to be committed.
+ */
+async function startNewLeader() {
+  const peers = ['m0', 'm1', 'm2'].map(id => makePeer(id));
+  const payload = {$case: 'command', value: Buffer.from('earlier')} as const;
+  const started = await startNode({
+    hardState: {term: 2, votedFor: 'm1'},
+    snapshot: makeInitialSnapshot(peers),
+    entries: [{index: 2, term: 2, payload}],
+  });
+  const send = (body: ConsensusMessage['body']) => {
+    const message = {from: 'm1', to: SELF.id, term: NEW_TERM, fromAddress: ''};
+    started.node.receive({...message, body});
+  };
+  for (const pre of [true, false]) {
+    send({$case: 'voteReply', value: {granted: true, pre}});
+    await settleTimers();
+  }
+  expect(started.node.core.role).toBe('leader');
+  expect(started.node.isLeading).toBe(false);
+  return {...started, send};
+}
+
+function makeAppendReply(matchIndex: number): ConsensusMessage['body'] {
+  const value = {success: true, matchIndex, round: 1};
+  return {$case: 'appendReply', value};
+}
+
 /** A message that the core ignores. */
 const UNRELATED_MESSAGE = {
   from: 'm1',
@@ -164,6 +201,30 @@
   });
 });
 
+describe('a new leader whose disk is slow', () => {
+  // Guards against decisions on a state that lacks what earlier leaders
+  // committed: the core commits it before the node has applied it.
+  it('counts as leading only once it applied what was committed before', async () => {
+    const {node, storage, applied, send} = await startNewLeader();
+    storage.isHanging = true;
+    void node.propose(Buffer.from('under way'));
+    await settleTimers();
+    void node.propose(Buffer.from('queued'));
+    send(makeAppendReply(NOOP_INDEX));
+    storage.release();
+    storage.isHanging = true;
+    await settleTimers();
+    expect(node.core.isLeaderReady).toBe(true);
+    expect(applied).toEqual([]);
+    expect(node.isLeading).toBe(false);
+    expect(node.leader).toBe(SELF.id);
+    storage.release();
+    await settleTimers();
+    expect(applied).toEqual(['earlier']);
+    expect(node.isLeading).toBe(true);
+  });
+});
+
 describe('a node that ends', () => {
   // Guards against callers of a failed disk that never get an answer.
   it('refuses open and later requests when its disk failed', async () => {
