Consensus: an instance leads once its state machine holds what was committed

Cause: `isLeading` was `core.isLeaderReady`. The core counts an entry as committed in its step, the node applies it after the write of that step, so a slow write left a leader that decided on an outdated state.

Ruled out: holding back the commit index in the core until the save is over. It would delay replies of followers, and the core's own order of effects is right: confirmations and outcomes already come after the entries they cover.

The first entry of a term comes after all that earlier leaders committed.

--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -5,6 +5,7 @@
 import type {
   Configuration,
   ConsensusMessage,
+  LogEntry,
   LogRecord,
 } from '../../../schema/generated/consensus';
 import {LEADER_TIMEOUT_FACTOR, type Consensus} from '../common/consensus';
@@ -57,7 +58,8 @@
   private savingSince = Infinity;
   private hasEnded = false;
   private reportedConfiguration: Configuration | undefined;
-  private lastAppliedIndex: number;
+  /** The newest entry that the state machine holds. */
+  private applied: Pick<LogEntry, 'index' | 'term'>;
 
   constructor(
     readonly core: Consensus,
@@ -68,7 +70,8 @@
     private readonly clock: Clock,
     private readonly entriesPerSnapshot: number,
   ) {
-    this.lastAppliedIndex = core.snapshotIndex;
+    const {index, term} = core.baseSnapshot;
+    this.applied = {index, term};
   }
 
   /**
@@ -76,7 +79,7 @@
    * entry as committed earlier, before the disk has saved the same batch.
    */
   get appliedIndex(): number {
-    return this.lastAppliedIndex;
+    return this.applied.index;
   }
 
   /** Runs until the signal aborts. */
@@ -90,9 +93,17 @@
     return startTask('consensus', () => this.run());
   }
 
-  /** Whether this instance leads and can confirm requests. */
+  /**
+   * Whether this instance leads, can confirm requests, and its state machine
+   * holds all that earlier leaders committed.
+   *
+   * Guard: entries are applied once the disk has saved the step that commits
+   * them. Until then, a new leader would decide on an outdated state.
+   */
   get isLeading(): boolean {
-    return this.core.isLeaderReady && !this.refusal;
+    const {core} = this;
+    const isCaughtUp = this.applied.term === core.currentTerm;
+    return core.isLeaderReady && isCaughtUp && !this.refusal;
   }
 
   /** Id of the current leader; '' if unknown, also while the disk hangs. */
@@ -264,17 +275,19 @@
         this.transport.send(effect.message, this.core.configuration);
         return;
       case 'apply': {
-        const {index, payload} = effect.entry;
+        const {index, term, payload} = effect.entry;
         if (payload?.$case === 'command') {
           this.machine.apply(index, payload.value);
         }
-        this.lastAppliedIndex = index;
+        this.applied = {index, term};
         return;
       }
-      case 'installSnapshot':
-        this.machine.restore(effect.snapshot.state);
-        this.lastAppliedIndex = effect.snapshot.index;
+      case 'installSnapshot': {
+        const {index, term, state} = effect.snapshot;
+        this.machine.restore(state);
+        this.applied = {index, term};
         return;
+      }
       case 'committed':
       case 'confirmed':
         this.requests.complete(effect.requestId, ok(effect.index));
