Promotions: random orders of requests over the real drivers, in virtual time

Nothing in the tests executed a promotion request later than it was sent, so the order of tokens at an authority without fences was never looked at, nor what a late request does to a member that was published.

Five scripted orders and a seeded search; ORDER_SEEDS plays other seeds. No product code changed.

--- /dev/null
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -0,0 +1,155 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  it,
+  onTestFailed,
+  vi,
+} from 'vitest';
+import {PromotionOrders} from './promotion_orders';
+import {advance, useVirtualTime} from './virtual_time';
+
+/** A range of other seeds: ORDER_SEEDS=100-149 npx vitest run orders */
+const SEEDS = process.env['ORDER_SEEDS'] ?? '1-8';
+const [first, last] = SEEDS.split('-').map(Number);
+/** A request that is executed this much later outlasts its sender. */
+const LATE_MS = 9_000;
+
+beforeEach(useVirtualTime);
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+/** Prints what happened in a run that fails. */
+function report(orders: PromotionOrders): void {
+  onTestFailed(() => console.error(orders.history.join('\n')));
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 2_000 && !condition(); tries++) await advance(10);
+  expect(condition()).toBe(true);
+}
+
+/** A service with a primary that has served for a while. */
+async function startOrders(isFenced: boolean): Promise<PromotionOrders> {
+  const orders = new PromotionOrders(1, isFenced);
+  report(orders);
+  await until(() => orders.isServing);
+  await advance(1_000);
+  return orders;
+}
+
+async function expectKept(orders: PromotionOrders): Promise<void> {
+  await orders.recover();
+  await orders.end();
+  expect(orders.errors).toEqual([]);
+}
+
+describe('PromotionDriver', () => {
+  it('waits until no request of the last leader can arrive', async () => {
+    // Guards against a lower token after a higher one at a change of leader.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    authority.script = (...[, copy]) => (copy === 1 ? LATE_MS : undefined);
+    group.member('a').crash();
+    await until(() => authority.copiesFor('b') === 1);
+    void orders.changeLeader('kill', 500);
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
+  it('repeats a request with the same token until it takes effect', async () => {
+    // Guards against a lower token after a higher one of the same leader.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    authority.script = (...[, copy]) => {
+      if (copy === 1) return LATE_MS;
+      return copy < 6 ? 'dropped' : undefined;
+    };
+    group.member('a').crash();
+    await advance(LATE_MS + 2_000);
+    await expectKept(orders);
+  });
+
+  it('decides on the newest assignment after a change of leader', async () => {
+    // Guards against a successor that is promoted while the last leader's
+    // request for another one may arrive, as its entry was not applied yet.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    const b = group.member('b');
+    authority.script = (...[, copy]) => (copy === 1 ? LATE_MS : undefined);
+    group.member('a').isDraining = true;
+    await until(() => authority.copiesFor('b') === 1);
+    b.isSilent = true;
+    authority.script = undefined;
+    void orders.changeLeader('kill', 300, {applyDelayMs: 900});
+    await advance(4_000);
+    b.isSilent = false;
+    b.isLagging = true;
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
+  it('publishes a primary after its own request was accepted', async () => {
+    // Guards against an earlier request for another member that replaces a
+    // published primary, as no newer token raised the fence.
+    const orders = await startOrders(true);
+    const {authority, group} = orders;
+    const [b, c] = [group.member('b'), group.member('c')];
+    authority.script = (instance, copy) => {
+      if (copy > 1) return 'dropped';
+      return instance === 'b' ? 4_800 : 5_600;
+    };
+    group.member('a').isDraining = true;
+    await until(() => authority.copiesFor('b') === 1);
+    b.isSilent = true;
+    await until(() => authority.copiesFor('c') === 1);
+    c.isSilent = true;
+    await until(() => b.isPrimary);
+    b.isSilent = false;
+    c.isLagging = true;
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
+  it('resumes no replica long after its leadership was confirmed', async () => {
+    // Guards against a suspended leader that resumes replicas whose logs the
+    // next leader has compared, so that they confirm more commits.
+    const orders = await startOrders(true);
+    const {group, proxies} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    orders.afterNextConfirmation = () => {
+      void orders.changeLeader('suspend', 300, {actsOnMs: 1_600});
+    };
+    void orders.changeLeader('kill', 300);
+    await until(() => orders.leaderCount === 3);
+    const [proxy] = proxies;
+    await advance(500);
+    proxy!.isCut = true;
+    a.isSilent = true;
+    a.isHidden = true;
+    await until(() => b.isPaused);
+    b.isSilent = true;
+    await until(() => !group.member('c').isPaused);
+    await advance(50);
+    b.isSilent = false;
+    await advance(LATE_MS);
+    proxy!.isCut = false;
+    await expectKept(orders);
+  });
+});
+
+describe.each([true, false])('PromotionDriver, fenced: %s', isFenced => {
+  const fences = isFenced ? 'with fences' : 'without fences';
+  for (let seed = first!; seed <= (last ?? first!); seed++) {
+    it(`keeps commits and tokens in order ${fences}, seed ${seed}`, async () => {
+      const orders = new PromotionOrders(seed, isFenced);
+      report(orders);
+      await orders.run();
+      if (process.env['ORDER_SEEDS']) console.info(orders.summary);
+      expect(orders.errors).toEqual([]);
+    });
+  }
+});
--- /dev/null
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -0,0 +1,253 @@
+import type {SeededRandom} from '../../../../base/common/random';
+import {err, ok, type Result} from '../../../../base/common/result';
+import {createAbortController} from '../../../../base/node/timers';
+import type {FleetCommand, Member} from '../../../../schema/generated/fleet';
+import {encodeCommand} from '../../../fleet_state/common/fleet_command';
+import {FleetStateMachine} from '../../../fleet_state/common/fleet_state_machine';
+import {LeaseHolders} from '../../../lease/common/lease_holders';
+import {PublishedPrimaries} from '../../../lease/common/published_primaries';
+import type {
+  TargetConnector,
+  TargetLink,
+} from '../../../target_link/common/target_link';
+import {MemberMonitor} from '../../node/member_monitor';
+import type {LoggingGroup} from './logging_group';
+import type {RequestSender} from './simulated_authority';
+import {delay} from './virtual_time';
+
+/** The service whose promotions are simulated. */
+export const SERVICE = 'books';
+/** A leader that is cut off gives up its requests after this time. */
+const GIVE_UP_MS = 700;
+const LINK_DELAY_MS = 5;
+
+const LOST = {kind: 'lost', reason: 'closed'} as const;
+
+interface CommittedEntry {
+  readonly command: Buffer;
+  readonly committedAt: number;
+}
+
+/** A control instance, which may be suspended and may lead several times. */
+export class ControlInstance {
+  readonly machine = new FleetStateMachine();
+  appliedIndex = 0;
+  suspendedUntil = 0;
+
+  constructor(readonly name: string) {}
+
+  get isSuspended(): boolean {
+    return Date.now() < this.suspendedUntil;
+  }
+}
+
+/** One leadership of a control instance. */
+export class Leadership implements RequestSender {
+  readonly stop = createAbortController();
+  readonly published = new PublishedPrimaries();
+  readonly holders = new LeaseHolders(Date.now());
+  isKilled = false;
+  private readonly monitors = new Map<string, MemberMonitor>();
+
+  constructor(
+    readonly instance: ControlInstance,
+    private readonly group: LoggingGroup,
+  ) {}
+
+  get isRunning(): boolean {
+    return !this.stop.signal.aborted && !this.instance.isSuspended;
+  }
+
+  async pass(milliseconds: number): Promise<void> {
+    if (milliseconds > 0) await delay(milliseconds);
+    while (this.instance.isSuspended) {
+      await delay(this.instance.suspendedUntil - Date.now());
+    }
+  }
+
+  suspendFor(milliseconds: number): void {
+    const until = Date.now() + milliseconds;
+    this.instance.suspendedUntil = Math.max(
+      this.instance.suspendedUntil,
+      until,
+    );
+  }
+
+  monitorOf(member: Member): MemberMonitor {
+    const known = this.monitors.get(member.instance);
+    if (known) return known;
+    const clock = {now: () => Date.now()};
+    const {group, stop} = this;
+    const connector = this.makeConnector();
+    const monitor = new MemberMonitor(
+      member,
+      connector,
+      group,
+      clock,
+      stop.signal,
+    );
+    this.monitors.set(member.instance, monitor);
+    return monitor;
+  }
+
+  /** Connections that carry nothing while this instance is suspended. */
+  private makeConnector(): TargetConnector {
+    return {
+      connect: async target => {
+        await this.pass(LINK_DELAY_MS);
+        const connected = await this.group.connect(target);
+        return connected.map(link => this.delayLink(link));
+      },
+    };
+  }
+
+  private delayLink(link: TargetLink): TargetLink {
+    const send: TargetLink['send'] = calls => {
+      return calls.map(async call => {
+        await this.pass(LINK_DELAY_MS);
+        if (this.isKilled || link.isClosed) return LOST;
+        const [reply] = link.send([call]);
+        const received = await reply!;
+        await this.pass(LINK_DELAY_MS);
+        return received;
+      });
+    };
+    return {
+      isClosed: false,
+      positionAtOpen: link.positionAtOpen,
+      send,
+      onDidClose: listener => link.onDidClose(listener),
+      close: () => link.close(),
+    };
+  }
+}
+
+/** Three control instances with one log, of which one leads at a time. */
+export class SimulatedControl {
+  readonly instances = ['c1', 'c2', 'c3'].map(name => {
+    return new ControlInstance(name);
+  });
+  /** The leader that a majority confirms. */
+  current: Leadership | undefined;
+  private readonly log: CommittedEntry[] = [];
+  private lostAt = 0;
+
+  constructor(
+    private readonly group: LoggingGroup,
+    private readonly random: SeededRandom,
+    private readonly onDidElect: (leadership: Leadership) => void,
+  ) {
+    for (const {record: member} of group.all) {
+      this.append(encodeCommand({$case: 'admit', value: {member}}));
+    }
+  }
+
+  /** Ends the leadership; its instance may act on for a time. */
+  lose(kind: 'kill' | 'suspend' | 'isolate', actsOnMs: number): void {
+    const lost = this.current;
+    if (!lost) return;
+    this.current = undefined;
+    this.lostAt = Date.now();
+    lost.isKilled = kind === 'kill';
+    if (kind === 'kill') return lost.stop.abort();
+    if (kind === 'suspend') lost.suspendFor(actsOnMs);
+    // A suspended leader acts on until it hears of the next one.
+    const hearsMs = kind === 'suspend' ? this.random.integer(5, 150) : 0;
+    setTimeout(() => lost.stop.abort(), actsOnMs + hearsMs);
+  }
+
+  /**
+   * Elects an instance.
+   *
+   * @param applyDelayMs For how long it has not applied the newest entries.
+   */
+  elect(instance: ControlInstance, applyDelayMs = 0): void {
+    const unseenMs = applyDelayMs > 0 ? 100 : 0;
+    const seen = this.log.filter(({committedAt}) => {
+      return committedAt <= this.lostAt - unseenMs;
+    });
+    const leadership = new Leadership(instance, this.group);
+    const index = this.append(encodeCommand(NOTHING));
+    this.apply(leadership, applyDelayMs > 0 ? seen.length : index);
+    if (applyDelayMs > 0) this.applyLater(leadership, index, applyDelayMs);
+    this.current = leadership;
+    this.onDidElect(leadership);
+  }
+
+  /** Elects any instance that is running and was not just lost. */
+  electAny(applyDelayMs: number): void {
+    const able = this.instances.filter(({isSuspended}) => !isSuspended);
+    if (able.length > 0) this.elect(this.random.pick(able), applyDelayMs);
+  }
+
+  /** Whether a majority confirms a leader after the call. */
+  async confirm(leadership: Leadership): Promise<boolean> {
+    await leadership.pass(this.random.integer(1, 15));
+    const isConfirmed = await this.isCurrent(leadership);
+    await leadership.pass(this.random.integer(1, 15));
+    return isConfirmed;
+  }
+
+  /** Appends a command if the leader has a majority. */
+  async propose(
+    leadership: Leadership,
+    body: NonNullable<FleetCommand['body']>,
+  ): Promise<Result<number, string>> {
+    await leadership.pass(this.random.integer(1, 15));
+    if (!(await this.isCurrent(leadership))) return err('unconfirmed');
+    const index = this.append(encodeCommand(body));
+    await leadership.pass(this.random.integer(1, 15));
+    if (leadership.isKilled) return err('stopped');
+    this.apply(leadership, index);
+    return ok(index);
+  }
+
+  private async isCurrent(leadership: Leadership): Promise<boolean> {
+    while (this.current === leadership && !this.hasApplied(leadership)) {
+      await delay(LINK_DELAY_MS);
+    }
+    if (this.current === leadership) return true;
+    await delay(this.random.integer(5, GIVE_UP_MS));
+    return false;
+  }
+
+  /** Requests of a new leader complete after the entries before them. */
+  private hasApplied({instance}: Leadership): boolean {
+    return !this.applying.has(instance);
+  }
+
+  private readonly applying = new Set<ControlInstance>();
+
+  private applyLater(
+    leadership: Leadership,
+    index: number,
+    milliseconds: number,
+  ): void {
+    const {instance} = leadership;
+    this.applying.add(instance);
+    setTimeout(() => {
+      this.applying.delete(instance);
+      this.apply(leadership, index);
+    }, milliseconds);
+  }
+
+  private append(command: Buffer): number {
+    return this.log.push({command, committedAt: Date.now()});
+  }
+
+  private apply({instance, published, stop}: Leadership, upTo: number): void {
+    const {machine} = instance;
+    while (instance.appliedIndex < upTo) {
+      const index = ++instance.appliedIndex;
+      machine.apply(index, this.log[index - 1]!.command);
+    }
+    if (stop.signal.aborted) return;
+    for (const assignment of machine.assignments) published.offer(assignment);
+  }
+}
+
+/** The entry that begins a term changes no state. */
+const NOTHING = {
+  $case: 'countProxies',
+  value: {proxies: 0},
+} as const;
--- a/src/services/promotion/test/node/simulated_group.ts
+++ b/src/services/promotion/test/node/simulated_group.ts
@@ -6,6 +6,7 @@
   type StatementResult,
   type TargetCall,
   type TargetReply,
+  type TargetStatement,
 } from '../../../statement/common/statement';
 import type {
   ConnectFailure,
@@ -42,7 +43,7 @@
   }
 
   /** Executes a command or a ping of control. */
-  run(kind: string): StatementResult {
+  run({kind}: TargetStatement): StatementResult {
     if (kind === 'reset') return DONE_LOCALLY;
     if (kind !== 'status') this.commands.push(kind);
     if (kind === 'stepDown') this.isPrimary = false;
@@ -104,7 +105,7 @@
       if (member.isSilent) {
         return new Promise(resolve => this.pending.push(resolve));
       }
-      const result = member.run(statement.kind);
+      const result = member.run(statement);
       const {position} = member;
       return Promise.resolve({kind: 'answer', result, state: 'idle', position});
     });
