Promotion: compare the logs once more after all leases ended

What callers saw: acknowledged commits that are gone after a failover, though a replica that control knows had them.

Cause: the logs are compared while leases on the old primary last. A control leader that is suspended between its confirmation and its commands lets replicas receive again when it wakes up, after the next leader has paused and compared them. A proxy that control cannot reach goes on writing at the old primary until its lease ends, and that replica confirms. A promotion without these commits follows.

Ruled out: an age limit on commands that let replicas receive. It makes the window small; a comparison that nobody can invalidate closes it.

Change: if leases had to be waited for, the replicas are paused and compared again before a member is chosen. It costs a round trip to the members in just that case. The guard for members that joined now names the comparison.

--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -23,6 +23,15 @@
 /** A member that has been silent for longer is not promoted. */
 const MAX_SILENCE_MS = 500;
 
+type Successor = SuccessorSearchResult & {readonly kind: 'successor'};
+
+/** What is to be replaced and why, for log lines. */
+interface ReplacementFields {
+  readonly service: string;
+  readonly primary: string;
+  readonly reason: string;
+}
+
 /** Task that monitors the primary of one service and replaces it if needed. */
 export class PromotionDriver {
   private warned = {text: '', at: -Infinity};
@@ -225,18 +234,9 @@
     this.lines.logIfChanged(assignment);
     this.mayBePaused = true;
     dependencies.revokeLeases();
-    const found = yield* findSuccessor(
-      dependencies,
-      assignment.instance,
-      canPrimaryStay,
-    );
-    const {answers} = found;
-    if (found.kind === 'wait') {
-      const {reason: why, until} = found;
-      const inputs = {...fields, why, until, answers};
-      return this.warnOnce('Cannot promote safely.', inputs);
-    }
-    const {instance: successor, end} = found;
+    const found = yield* this.search(assignment, fields, signal);
+    if (!found || signal.aborted) return;
+    const {instance: successor, end, answers} = found;
     log.info('Chose a successor.', {...fields, answers, heir: successor});
     if (found.isLossPossible) {
       const upTo = formatPosition(end);
@@ -246,10 +246,33 @@
         upTo,
       });
     }
-    if (!(yield* this.canPromote(assignment, found, fields, signal))) return;
     yield* this.promote(successor, signal, found);
   }
 
+  /** Finds the member to promote, once all leases on the old primary ended. */
+  private *search(
+    assignment: PrimaryAssignment,
+    fields: ReplacementFields,
+    signal: AbortSignal,
+  ): Task<Successor | undefined> {
+    const {dependencies} = this;
+    const compareLogs = () => {
+      const canPrimaryStay = fields.reason === REPLICA_REASON;
+      return findSuccessor(dependencies, fields.primary, canPrimaryStay);
+    };
+    const found = yield* compareLogs();
+    if (!this.isPromotable(found, assignment, fields)) return undefined;
+    const mayBeLeased = dependencies.leaseHolders().length > 0;
+    if (found.hasSteppedDown || !mayBeLeased) return found;
+    yield* this.waitForLeases(fields, signal);
+    // Guard: until then the old primary, if control cannot reach it, may have
+    // acknowledged commits which a member confirmed that joined meanwhile, or
+    // that a suspended leader let receive again.
+    const foundAgain = yield* compareLogs();
+    const isSafe = this.isPromotable(foundAgain, assignment, fields);
+    return isSafe ? foundAgain : undefined;
+  }
+
   /**
    * Guard: a control leader that was suspended finds every member silent before
    * it hears of the next leader. It would pause replicas that nobody resumes,
@@ -266,15 +289,19 @@
     });
   }
 
-  /** Waits until all leases on the old primary ended; false if it is unsafe. */
-  private *canPromote(
+  private isPromotable(
+    found: SuccessorSearchResult,
     assignment: PrimaryAssignment,
-    search: SuccessorSearchResult & {kind: 'successor'},
-    fields: Record<string, string>,
-    signal: AbortSignal,
-  ): Task<boolean> {
+    fields: ReplacementFields,
+  ): found is Successor {
     const {dependencies, requests} = this;
-    const isOtherMember = search.instance !== assignment.instance;
+    if (found.kind === 'wait') {
+      const {reason: why, until, answers} = found;
+      const inputs = {...fields, why, until, answers};
+      this.warnOnce('Cannot promote safely.', inputs);
+      return false;
+    }
+    const isOtherMember = found.instance !== assignment.instance;
     // Guard: a request without a reply can take effect seconds later. Unless
     // the authority fences it, it would replace the member that is promoted
     // now, and the commits that this one acknowledged would be lost.
@@ -285,25 +312,20 @@
       this.warnOnce('Cannot promote safely.', {...fields, why});
       return false;
     }
+    return true;
+  }
+
+  private *waitForLeases(
+    fields: ReplacementFields,
+    signal: AbortSignal,
+  ): Task<void> {
+    const {dependencies} = this;
     const waitStartedAt = dependencies.clock.now();
-    if (!search.hasSteppedDown) {
-      while (dependencies.leaseHolders().length > 0 && !signal.aborted) {
-        yield* sleep(LEASE_CHECK_INTERVAL_MS);
-      }
+    while (dependencies.leaseHolders().length > 0 && !signal.aborted) {
+      yield* sleep(LEASE_CHECK_INTERVAL_MS);
     }
     const waitedMs = Math.round(dependencies.clock.now() - waitStartedAt);
     dependencies.log.info('All leases ended.', {...fields, waitedMs});
-    // Guard: a member that joined meanwhile was not stopped, and may have
-    // confirmed commits of an old primary that control cannot reach.
-    const joined = dependencies.members().filter(({instance}) => {
-      return !search.members.includes(instance);
-    });
-    if (joined.length > 0 && !search.hasSteppedDown) {
-      const why = `${joined[0]!.instance} joined during the search`;
-      this.warnOnce('Cannot promote safely.', {...fields, why});
-      return false;
-    }
-    return !signal.aborted;
   }
 
   /** @param chosen Set if the member was chosen for its log just now. */
@@ -353,7 +375,10 @@
       .filter(other => other.instance !== instance);
   }
 
-  private warnOnce(sentence: string, fields: Record<string, string>): void {
+  private warnOnce(
+    sentence: string,
+    fields: Readonly<Record<string, string>>,
+  ): void {
     const text = `${sentence} ${fields['why'] ?? ''}`;
     const now = this.dependencies.clock.now();
     if (text !== this.warned.text) this.warnedSince = now;
--- a/src/services/promotion/node/successor_search.ts
+++ b/src/services/promotion/node/successor_search.ts
@@ -34,8 +34,6 @@
       readonly isLossPossible: boolean;
       /** Whether the old primary confirmed that it stepped down. */
       readonly hasSteppedDown: boolean;
-      /** The instances whose logs were compared. */
-      readonly members: readonly string[];
       /** Log positions of all members, for the log line. */
       readonly answers: string;
     }
@@ -83,14 +81,7 @@
   );
   const answers = describeLogs(logs, baseline);
   if (choice.kind === 'wait') return {...choice, answers};
-  const instances = members.map(({instance}) => instance);
-  return {
-    ...choice,
-    kind: 'successor',
-    hasSteppedDown,
-    members: instances,
-    answers,
-  };
+  return {...choice, kind: 'successor', hasSteppedDown, answers};
 }
 
 /** The logs of all members but the assigned primary. */
