Promotions: two more orders that lose commits, and faults by weights of each seed

Cause: the search rarely left several requests under way, since all runs had the same mix of faults. A repaired member also forgot that it was paused, which only a restart may do; that would have shown losses that are not real.

Change: each seed draws how often copies are held, how often a decision is followed by a fault and how many faults concern the leader. A killed leader restarts with an empty state machine, as its program does. Scripted tests for an old primary that comes back while the request for its successor is held, and for a restarted leader that has not applied the log.

--- a/src/services/promotion/test/node/logging_group.ts
+++ b/src/services/promotion/test/node/logging_group.ts
@@ -70,14 +70,14 @@
     this.isSilent = true;
   }
 
-  /** It comes back with its log; it leads unless another was promoted. */
+  /** It comes back with its log; a restart ends a pause. */
   recover(): void {
+    if (!this.isUp) this.isPaused = false;
     this.isUp = true;
     this.isSilent = false;
     this.isHidden = false;
     this.isDraining = false;
     this.isLagging = false;
-    this.isPaused = false;
   }
 }
 
--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -114,6 +114,41 @@
     await expectKept(orders);
   });
 
+  it('keeps the old primary after the request for its successor is void', async () => {
+    // Guards against a late request that replaces an old primary which came
+    // back and was published again, as no token of its own raised the fence.
+    const orders = await startOrders(true);
+    const {authority, group} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    authority.script = instance => (instance === 'b' ? LATE_MS : 'dropped');
+    a.isSilent = true;
+    a.isHidden = true;
+    await until(() => authority.copiesFor('b') === 1);
+    a.recover();
+    b.isSilent = true;
+    b.isLagging = true;
+    await advance(LATE_MS + 2_000);
+    await expectKept(orders);
+  });
+
+  it('assigns a first primary only after the log was applied', async () => {
+    // Guards against a leader that has just restarted and publishes the old
+    // primary, while a request for its successor may arrive.
+    const orders = await startOrders(true);
+    const {authority, group, control} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    authority.script = instance => (instance === 'b' ? LATE_MS : undefined);
+    a.crash();
+    await until(() => authority.copiesFor('b') === 1);
+    control.lose('kill', 0);
+    a.recover();
+    b.isLagging = true;
+    await advance(300);
+    control.elect(control.instances[0]!, 900);
+    await advance(LATE_MS + 2_000);
+    await expectKept(orders);
+  });
+
   it('resumes no replica long after its leadership was confirmed', async () => {
     // Guards against a suspended leader that resumes replicas whose logs the
     // next leader has compared, so that they confirm more commits.
--- a/src/services/promotion/test/node/promotion_orders.ts
+++ b/src/services/promotion/test/node/promotion_orders.ts
@@ -46,10 +46,16 @@
   private lastServedAt = Date.now();
   private isHealed = false;
   private unsettledFaults = 0;
+  /** The share of faults that concern the leader. */
+  private readonly leaderFaults: number;
+  /** How often a decision is followed by a fault. */
+  private readonly decisionFaults: number;
 
   constructor(seed: number, isFenced: boolean) {
     const {group} = this;
     this.random = new SeededRandom(seed);
+    this.leaderFaults = this.random.pick([0.1, 0.3, 0.6]);
+    this.decisionFaults = this.random.pick([0.2, 0.5, 0.9]);
     const note = (event: string) => this.note(event);
     this.authority = new SimulatedAuthority(group, this.random, isFenced, note);
     this.control = new SimulatedControl(group, this.random, leadership => {
@@ -119,12 +125,17 @@
   async changeLeader(
     kind: 'kill' | 'suspend' | 'isolate',
     electionMs: number,
-    {actsOnMs = 0, applyDelayMs = 0} = {},
+    {actsOnMs = 0, applyDelayMs = 0, mayBeLast = false} = {},
   ): Promise<void> {
     this.note(`${this.control.current?.instance.name} is lost: ${kind}`);
     this.control.lose(kind, actsOnMs);
     await delay(electionMs);
-    if (!this.control.current) this.control.electAny(applyDelayMs);
+    while (
+      !this.control.current &&
+      !this.control.electAny(applyDelayMs, mayBeLast)
+    ) {
+      await delay(electionMs);
+    }
   }
 
   private get connected(): readonly SimulatedProxy[] {
@@ -171,7 +182,9 @@
     if (this.isServing) this.lastServedAt = now;
     this.longestWaitMs = Math.max(this.longestWaitMs, now - this.lastServedAt);
     const isLeaderless = this.isHealed && !this.control.current;
-    if (isLeaderless && this.unsettledFaults === 0) this.control.electAny(0);
+    if (isLeaderless && this.unsettledFaults === 0) {
+      this.control.electAny(0, true);
+    }
   }
 
   private reportsOf({published}: Leadership, instance: string): FailureReports {
@@ -188,23 +201,22 @@
     const act = this.afterNextConfirmation;
     this.afterNextConfirmation = undefined;
     if (act) return act();
-    if (!this.authority.isFaulty || this.random.fraction() > 0.05) return;
+    const {authority, random, group} = this;
+    if (!authority.isFaulty || random.fraction() > 0.05) return;
     this.loseLeader('suspend');
+    const {primary} = group;
+    if (primary) this.harmLater(primary.instance, 1_500);
   }
 
   /** Faults during a promotion are the ones that leave requests under way. */
   private onDidDecide(successor: string): void {
-    if (!this.authority.isFaulty || this.random.fraction() < 0.5) return;
-    const {random} = this;
-    const isLeader = random.integer(0, 1) === 0;
-    setTimeout(
-      () => {
-        if (this.isHealed) return;
-        if (isLeader) this.loseLeader();
-        else this.harm(successor);
-      },
-      random.integer(0, 1_500),
-    );
+    const {authority, random} = this;
+    if (!authority.isFaulty || random.fraction() > this.decisionFaults) return;
+    if (random.fraction() < this.leaderFaults) {
+      setTimeout(() => this.loseLeader(), random.integer(0, 1_500));
+    } else {
+      this.harmLater(successor, 1_500);
+    }
   }
 
   private injectFault(): void {
@@ -212,19 +224,14 @@
     const {primary} = this.group;
     const isAtPrimary = primary && random.fraction() < 0.7;
     const {instance} = isAtPrimary ? primary : random.pick(this.group.all);
-    switch (random.integer(0, 7)) {
-      case 0:
-      case 1:
-      case 2:
-        return this.loseLeader();
-      case 3:
-        this.control.current?.suspendFor(random.integer(50, 900));
-        return;
-      default:
-        this.harm(instance);
-        if (random.integer(0, 1) === 0) return;
-        setTimeout(() => this.loseLeader(), random.integer(0, 2_500));
+    if (random.fraction() < this.leaderFaults) return this.loseLeader();
+    if (random.integer(0, 7) === 0) {
+      this.control.current?.suspendFor(random.integer(50, 900));
+      return;
     }
+    this.harmLater(instance, 0);
+    if (random.fraction() > this.leaderFaults) return;
+    setTimeout(() => this.loseLeader(), random.integer(0, 2_500));
   }
 
   private loseLeader(
@@ -238,9 +245,17 @@
     void this.changeLeader(kind, random.integer(300, 1_500), {
       actsOnMs,
       applyDelayMs,
+      mayBeLast: random.integer(0, 1) === 0,
     }).then(() => this.unsettledFaults--);
   }
 
+  private harmLater(instance: string, maxDelayMs: number): void {
+    const harm = () => {
+      if (!this.isHealed) this.harm(instance);
+    };
+    setTimeout(harm, this.random.integer(0, maxDelayMs));
+  }
+
   private harm(instance: string): void {
     const member = this.group.member(instance);
     const kind = this.random.pick([
--- a/src/services/promotion/test/node/simulated_authority.ts
+++ b/src/services/promotion/test/node/simulated_authority.ts
@@ -45,6 +45,8 @@
   private highestToken = 0;
   private readonly holders = new Map<number, string>();
   private readonly effectDelayMs: number;
+  /** How often copies are held, beside three that are answered. */
+  private readonly heldWeight: number;
 
   constructor(
     private readonly group: LoggingGroup,
@@ -53,6 +55,7 @@
     private readonly note: (event: string) => void,
   ) {
     this.effectDelayMs = random.integer(300, 1_000);
+    this.heldWeight = random.pick([1, 4, 8]);
   }
 
   async promote(
@@ -93,6 +96,7 @@
     const scripted = this.script?.(instance, copy);
     if (scripted !== undefined) return scripted;
     if (!this.isFaulty) return 'answered';
+    const held = this.random.integer(100, MAX_HOLD_MS);
     return this.random.pick<Fate>([
       'answered',
       'answered',
@@ -100,7 +104,7 @@
       'reply lost',
       'dropped',
       'rate limited',
-      this.random.integer(100, MAX_HOLD_MS),
+      ...Array.from({length: this.heldWeight}, () => held),
     ]);
   }
 
--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -30,12 +30,18 @@
 
 /** A control instance, which may be suspended and may lead several times. */
 export class ControlInstance {
-  readonly machine = new FleetStateMachine();
+  machine = new FleetStateMachine();
   appliedIndex = 0;
   suspendedUntil = 0;
 
   constructor(readonly name: string) {}
 
+  /** A process that starts again applies the log from its beginning. */
+  restart(): void {
+    this.machine = new FleetStateMachine();
+    this.appliedIndex = 0;
+  }
+
   get isSuspended(): boolean {
     return Date.now() < this.suspendedUntil;
   }
@@ -131,6 +137,7 @@
   current: Leadership | undefined;
   private readonly log: CommittedEntry[] = [];
   private lostAt = 0;
+  private lastLost: ControlInstance | undefined;
 
   constructor(
     private readonly group: LoggingGroup,
@@ -147,9 +154,13 @@
     const lost = this.current;
     if (!lost) return;
     this.current = undefined;
+    this.lastLost = lost.instance;
     this.lostAt = Date.now();
     lost.isKilled = kind === 'kill';
-    if (kind === 'kill') return lost.stop.abort();
+    if (kind === 'kill') {
+      lost.instance.restart();
+      return lost.stop.abort();
+    }
     if (kind === 'suspend') lost.suspendFor(actsOnMs);
     // A suspended leader acts on until it hears of the next one.
     const hearsMs = kind === 'suspend' ? this.random.integer(5, 150) : 0;
@@ -163,8 +174,10 @@
    */
   elect(instance: ControlInstance, applyDelayMs = 0): void {
     const unseenMs = applyDelayMs > 0 ? 100 : 0;
+    const isRestarted =
+      instance === this.lastLost && instance.appliedIndex === 0;
     const seen = this.log.filter(({committedAt}) => {
-      return committedAt <= this.lostAt - unseenMs;
+      return !isRestarted && committedAt <= this.lostAt - unseenMs;
     });
     const leadership = new Leadership(instance, this.group);
     const index = this.append(encodeCommand(NOTHING));
@@ -174,10 +187,15 @@
     this.onDidElect(leadership);
   }
 
-  /** Elects any instance that is running and was not just lost. */
-  electAny(applyDelayMs: number): void {
-    const able = this.instances.filter(({isSuspended}) => !isSuspended);
-    if (able.length > 0) this.elect(this.random.pick(able), applyDelayMs);
+  /** Elects an instance that is running; false if there is none. */
+  electAny(applyDelayMs: number, mayBeLast = false): boolean {
+    const able = this.instances.filter(instance => {
+      const isLast = instance === this.lastLost && !mayBeLast;
+      return !instance.isSuspended && !isLast;
+    });
+    if (able.length === 0) return false;
+    this.elect(this.random.pick(able), applyDelayMs);
+    return true;
   }
 
   /** Whether a majority confirms a leader after the call. */
