--- a/bench/fleet/fleet_process.ts
+++ b/bench/fleet/fleet_process.ts
@@ -31,6 +31,7 @@
   private output = '';
   private readonly exits: ProcessExit[] = [];
   private isExitExpected = false;
+  private suspendedUntil = -Infinity;
 
   constructor(
     readonly name: string,
@@ -79,6 +80,7 @@
       if (this.child === child) this.child = undefined;
     });
     this.isExitExpected = false;
+    this.suspendedUntil = -Infinity;
     this.child = child;
   }
 
@@ -87,11 +89,18 @@
     this.child?.kill(name);
   }
 
-  /** Suspends the process for a time, like a machine that hangs. */
+  /**
+   * Suspends the process for a time, like a machine that hangs. Of overlapping
+   * times the last one to end resumes it.
+   */
   suspend(milliseconds: number): void {
     const {child} = this;
+    const until = performance.now() + milliseconds;
+    this.suspendedUntil = Math.max(this.suspendedUntil, until);
     child?.kill('SIGSTOP');
-    setTimeout(() => child?.kill('SIGCONT'), milliseconds);
+    setTimeout(() => {
+      if (until >= this.suspendedUntil) child?.kill('SIGCONT');
+    }, milliseconds);
   }
 
   /** Signals the process, waits for its exit and returns its exit code. */
