Tests: confirmations and indices in random schedules with changes of voters

Change: `ConsensusHistory` checks, in the order of real time: a confirmation that is requested after a leader of a higher term confirmed or committed anything never succeeds, and covers all that was committed before; what a proposer was told stands in the log of every instance; reported indices rise with each proposal and from term to term.

--- a/src/services/consensus/test/common/consensus.test.ts
+++ b/src/services/consensus/test/common/consensus.test.ts
@@ -106,7 +106,7 @@
     for (let seed = 1; seed <= SEED_COUNT; seed++) {
       const group = runFaults(seed);
       expect(group.violations, `seed ${seed}`).toEqual([]);
-      terms += group.leaders.size;
+      terms += group.history.leaderCount;
     }
     expect(terms).toBeGreaterThan(SEED_COUNT * 5);
   });
@@ -351,7 +351,7 @@
       group.restart(late);
       group.run(100);
       expect(group.leader, `seed ${seed}`).toBeDefined();
-      expect([...group.leaders.keys()], `seed ${seed}`).toHaveLength(1);
+      expect(group.history.leaderCount, `seed ${seed}`).toBe(1);
     }
   });
 
--- a/src/services/consensus/test/common/consensus_simulation.ts
+++ b/src/services/consensus/test/common/consensus_simulation.ts
@@ -2,29 +2,52 @@
 import type {
   Configuration,
   ConsensusMessage,
-  LogEntry,
   Peer,
   Snapshot,
 } from '../../../../schema/generated/consensus';
 import {makeConfiguration} from '../../common/configuration';
 import {Consensus} from '../../common/consensus';
 import type {ConsensusEvent, Effect} from '../../common/consensus_types';
+import {emptyState} from '../../common/initial_state';
+import {ConsensusHistory} from './consensus_history';
 import {saveEffects, type SimulatedDisk} from './simulated_disk';
 
 const OPTIONS = {electionMs: 100, heartbeatMs: 20};
 const MAX_ENTRIES = 12;
+/** Events that are saved together after a disk hung. */
+const MAX_BATCH = 64;
+
+/** An effect and the term of the core that made it. */
+interface TermEffect {
+  readonly effect: Effect;
+  readonly term: number;
+}
 
 /** One instance of the group; it has no core while it is crashed. */
 export class SimulatedMember {
   core: Consensus | undefined;
-  applied = new Map<number, string>();
   appliedIndex = 0;
   isOffline = false;
+  /** Messages pass between members of the same side only. */
+  side = 0;
+  /** While its disk hangs, it handles no further event. */
+  isHanging = false;
+  /** While its process is stopped, it handles nothing and has no timers. */
+  isFrozen = false;
+  /** Events that are not handled yet. */
+  queue: ConsensusEvent[] = [];
+  /** Effects that wait for the disk. */
+  saving: TermEffect[] | undefined;
 
   constructor(
     readonly id: string,
     readonly disk: SimulatedDisk,
   ) {}
+
+  /** Instances that lose their disks keep their addresses. */
+  get address(): string {
+    return addressOf(this.id);
+  }
 }
 
 /** A group of cores with disks in memory, and the messages between them. */
@@ -32,13 +55,10 @@
   readonly members: SimulatedMember[];
   inFlight: ConsensusMessage[] = [];
   now = 0;
-  /** Content of all entries that were ever committed, by index. */
-  readonly committed = new Map<number, string>();
-  readonly leaders = new Map<number, string>();
-  readonly violations: string[] = [];
+  readonly history = new ConsensusHistory();
   readonly outcomes = new Map<number, string>();
   private lastRequestId = 0;
-  private readonly minConfirmedIndex = new Map<number, number>();
+  private lastIncarnation = 0;
 
   constructor(
     count: number,
@@ -55,6 +75,10 @@
     for (const member of this.members) this.restart(member);
   }
 
+  get violations(): readonly string[] {
+    return this.history.violations;
+  }
+
   get leader(): SimulatedMember | undefined {
     const leading = this.members.filter(({core}) => core?.role === 'leader');
     return leading.sort((a, b) => {
@@ -73,18 +97,69 @@
     member.appliedIndex = snapshot.index;
   }
 
+  /** Stops an instance; a write that hangs is on its disk or lost. */
   crash(member: SimulatedMember): void {
+    const {saving} = member;
+    if (saving && this.random.integer(0, 1) === 0) {
+      saveEffects(
+        member.disk,
+        saving.map(({effect}) => effect),
+      );
+    }
     member.core = undefined;
+    member.saving = undefined;
+    member.queue = [];
+    member.isHanging = false;
+    member.isFrozen = false;
+  }
+
+  /** Adds an empty instance; it takes no part before a change adds it. */
+  addEmpty(address = `m${this.members.length}`): void {
+    const id = `${address}#${++this.lastIncarnation}`;
+    const member = new SimulatedMember(id, {...emptyState(), entries: []});
+    this.members.push(member);
+    this.restart(member);
+  }
+
+  /** Replaces an instance by one with an empty disk at its address. */
+  wipe(member: SimulatedMember): void {
+    this.crash(member);
+    this.members.splice(this.members.indexOf(member), 1);
+    this.addEmpty(member.address);
+  }
+
+  /** Ends or begins hanging of the disk of an instance. */
+  setHanging(member: SimulatedMember, isHanging: boolean): void {
+    member.isHanging = isHanging;
+    this.resume(member);
+  }
+
+  freeze(member: SimulatedMember): void {
+    member.isFrozen = true;
+  }
+
+  /** Continues a process, which reads its sockets in any order. */
+  continue(member: SimulatedMember): void {
+    if (!member.isFrozen) return;
+    member.isFrozen = false;
+    const {queue} = member;
+    member.queue = [];
+    while (queue.length > 0) {
+      const at = this.random.integer(0, queue.length - 1);
+      member.queue.push(...queue.splice(at, 1));
+    }
+    this.resume(member);
   }
 
   tick(member: SimulatedMember): void {
-    this.step(member, {kind: 'tick'});
+    if (!member.isFrozen) this.post(member, {kind: 'tick'});
   }
 
   propose(member: SimulatedMember, text: string): number {
     const requestId = ++this.lastRequestId;
     const command = Buffer.from(text);
-    this.step(member, {kind: 'propose', command, requestId});
+    this.history.onRequest(requestId, text);
+    this.post(member, {kind: 'propose', command, requestId});
     return requestId;
   }
 
@@ -93,27 +168,35 @@
     configuration: Configuration,
   ): number {
     const requestId = ++this.lastRequestId;
-    this.step(member, {kind: 'changeConfiguration', configuration, requestId});
+    this.history.onRequest(requestId);
+    this.post(member, {kind: 'changeConfiguration', configuration, requestId});
     return requestId;
   }
 
   /** Requests confirmation, which has to cover all that is committed now. */
   confirm(member: SimulatedMember): number {
     const requestId = ++this.lastRequestId;
-    this.minConfirmedIndex.set(
-      requestId,
-      Math.max(0, ...this.committed.keys()),
-    );
-    this.step(member, {kind: 'confirm', requestId});
+    this.history.onRequest(requestId);
+    this.post(member, {kind: 'confirm', requestId});
     return requestId;
   }
 
   deliver(index: number): void {
     const [message] = this.inFlight.splice(index, 1);
-    const to = this.members.find(({id}) => id === message?.to);
     const from = this.members.find(({id}) => id === message?.from);
-    if (!message || !to?.core || to.isOffline || from?.isOffline) return;
-    this.step(to, {kind: 'message', message});
+    if (!message || from?.isOffline) return;
+    const to = this.memberAt(message.to);
+    if (to && !to.isOffline && to.side === from?.side) this.receive(message);
+  }
+
+  /** Delivers a message, whoever is cut off now. */
+  receive(message: ConsensusMessage): void {
+    const to = this.memberAt(message.to);
+    if (to) this.post(to, {kind: 'message', message});
+  }
+
+  private memberAt(id: string): SimulatedMember | undefined {
+    return this.members.find(({address}) => address === addressOf(id));
   }
 
   /** Delivers all messages and ticks all members for a time. */
@@ -128,44 +211,75 @@
     }
   }
 
-  private step(member: SimulatedMember, event: ConsensusEvent): void {
-    const {core} = member;
-    if (!core) return;
-    let effects = core.step(event, this.now);
-    while (effects.length > 0) {
-      const last = saveEffects(member.disk, effects);
-      for (const effect of effects) this.runEffect(member, effect);
-      effects = last
-        ? core.step(
-            {kind: 'synced', index: last.index, term: last.term},
-            this.now,
-          )
-        : [];
+  /** Handles an event once the disk has finished what came before. */
+  private post(member: SimulatedMember, event: ConsensusEvent): void {
+    if (!member.core) return;
+    member.queue.push(event);
+    this.resume(member);
+  }
+
+  /** Handles queued events, unless it is stopped, in batches that are saved together. */
+  private resume(member: SimulatedMember): void {
+    if (member.isFrozen || !this.finishSaving(member)) return;
+    while (member.queue.length > 0) {
+      const batch = member.queue.splice(0, MAX_BATCH);
+      const effects = batch.flatMap(event => this.step(member, event));
+      if (!this.save(member, effects)) return;
+    }
+  }
+
+  private finishSaving(member: SimulatedMember): boolean {
+    const {saving} = member;
+    if (!saving) return true;
+    member.saving = undefined;
+    return this.save(member, saving);
+  }
+
+  /** Makes effects durable before it runs them; false while the disk hangs. */
+  private save(member: SimulatedMember, effects: TermEffect[]): boolean {
+    let rest = effects;
+    while (rest.length > 0) {
+      if (member.isHanging && rest.some(({effect}) => isWrite(effect))) {
+        member.saving = rest;
+        return false;
+      }
+      const last = saveEffects(
+        member.disk,
+        rest.map(({effect}) => effect),
+      );
+      for (const item of rest) this.runEffect(member, item);
+      const {index = 0, term = 0} = last ?? {};
+      rest = last ? this.step(member, {kind: 'synced', index, term}) : [];
     }
-    this.recordLeader(member);
     this.compact(member);
+    return true;
+  }
+
+  private step(member: SimulatedMember, event: ConsensusEvent): TermEffect[] {
+    const core = member.core!;
+    const effects = core.step(event, this.now);
+    const term = core.currentTerm;
+    if (core.role === 'leader') this.history.onLeader(member.id, term);
+    return effects.map(effect => ({effect, term}));
   }
 
-  private runEffect(member: SimulatedMember, effect: Effect): void {
+  private runEffect(member: SimulatedMember, {effect, term}: TermEffect): void {
+    this.history.onOutcome(member.id, effect, term);
     switch (effect.kind) {
       case 'send':
         this.inFlight.push(effect.message);
         return;
       case 'apply':
-        return this.apply(member, effect.entry);
+        this.history.onApply(member.id, effect.entry, member.appliedIndex);
+        member.appliedIndex = effect.entry.index;
+        return;
       case 'installSnapshot':
+        this.history.onSnapshot(member.id, effect.snapshot);
         member.appliedIndex = effect.snapshot.index;
         return;
       case 'confirmed':
-        this.outcomes.set(effect.requestId, 'confirmed');
-        if (
-          effect.index < (this.minConfirmedIndex.get(effect.requestId) ?? 0)
-        ) {
-          this.violations.push(`${member.id} confirmed a state that was old`);
-        }
-        return;
       case 'committed':
-        this.outcomes.set(effect.requestId, 'committed');
+        this.outcomes.set(effect.requestId, effect.kind);
         return;
       case 'refused':
         this.outcomes.set(effect.requestId, effect.reason);
@@ -175,33 +289,6 @@
     }
   }
 
-  private apply(member: SimulatedMember, entry: LogEntry): void {
-    const {payload, index, term} = entry;
-    const text = payload?.$case === 'command' ? payload.value.toString() : '';
-    const content = `${term}:${payload?.$case}:${text}`;
-    const known = this.committed.get(index);
-    if (known !== undefined && known !== content) {
-      this.violations.push(`index ${index}: ${known} and ${content}`);
-    }
-    if (index !== member.appliedIndex + 1) {
-      this.violations.push(`${member.id} applied ${index} out of order`);
-    }
-    this.committed.set(index, content);
-    member.appliedIndex = index;
-  }
-
-  private recordLeader(member: SimulatedMember): void {
-    if (member.core?.role !== 'leader') return;
-    const term = member.core.currentTerm;
-    const known = this.leaders.get(term);
-    if (known !== undefined && known !== member.id) {
-      this.violations.push(
-        `term ${term} has leaders ${known} and ${member.id}`,
-      );
-    }
-    this.leaders.set(term, member.id);
-  }
-
   private compact(member: SimulatedMember): void {
     const {core} = member;
     if (!core || core.commitIndex - core.snapshotIndex < MAX_ENTRIES) return;
@@ -211,6 +298,19 @@
   }
 }
 
+function isWrite({kind}: Effect): boolean {
+  return (
+    kind === 'saveHardState' ||
+    kind === 'append' ||
+    kind === 'truncate' ||
+    kind === 'installSnapshot'
+  );
+}
+
+function addressOf(id: string): string {
+  return id.split('#')[0]!;
+}
+
 export function makePeer(id: string, voter = true): Peer {
   return {id, address: `${id}:1`, voter};
 }
