Control: each command to a leaving replica needs the leadership and a steady service

Cause: `LeavingReplicaControl` asked a majority and the driver once, then stopped or resumed one draining replica after the other; each takes up to 1.3 s. Meanwhile the driver, or the next leader, may stop the replicas and compare their logs for a promotion. A replica that is resumed after that receives and confirms further commits of an old primary that control cannot reach, and the promotion loses them. RESUME carries no term, so the member cannot refuse it.

Ruled out: one more look at the signal of the leadership. It aborts only when this instance hears of its end.

Change: the leadership, the epoch and the driver are asked before each command. A replica that is not resumed still counts as stopped.

--- a/src/services/fleet_control/node/leaving_replica_control.ts
+++ b/src/services/fleet_control/node/leaving_replica_control.ts
@@ -17,6 +17,13 @@
   confirmationsOf(service: string): number;
 }
 
+/** A draining replica, and the end of its log if it is stopped. */
+interface LeavingReplica {
+  readonly member: Member;
+  readonly key: string;
+  readonly end: Position | undefined;
+}
+
 /** Stops the logs of draining replicas, during one leadership. */
 export class LeavingReplicaControl {
   /** Services whose replicas are being reconciled. */
@@ -26,7 +33,7 @@
   constructor(
     private readonly groups: ServiceGroups,
     private readonly access: LeavingReplicaAccess,
-    private readonly node: ConsensusNode,
+    private readonly node: Pick<ConsensusNode, 'isLeadershipConfirmed'>,
     private readonly log: Log,
   ) {}
 
@@ -81,41 +88,66 @@
     const [primaryEnd, ...ends] = await Promise.all(
       [primary, ...staying].map(member => groups.monitors.readEnd(member)),
     );
-    // Only a majority's leader may stop replicas, or let them receive.
-    if (!(await this.node.isLeadershipConfirmed())) return;
-    // Guard: a replica that the driver resumes at the same time would grow past
-    // the end that is recorded here.
-    const isCurrent = groups.epochOf(service) === epoch;
-    if (!isCurrent || !this.access.isSteady(service)) return;
+    if (!(await this.mayCommand(service, epoch))) return;
+    const known = leaving.map(member => {
+      return {member, key: this.keyOf(member), end: this.knownEnd(member)};
+    });
     const plan = this.replicasOf(service).plan({
       epoch,
       confirmations: this.access.confirmationsOf(service),
       primaryEnd,
       staying: ends,
-      leaving: leaving.map(member => this.keyOf(member)),
+      leaving: known.map(({key}) => key),
     });
-    for (const member of leaving) await this.carryOut(plan, member, epoch);
+    for (const replica of known) await this.carryOut(plan, replica, epoch);
+  }
+
+  /**
+   * Whether replicas may be stopped or resumed now.
+   *
+   * Guard: only the leader of a majority may do so, and each command takes
+   * time. A replica that the driver or the next leader has stopped, to compare
+   * its log, would confirm commits that the promotion loses.
+   */
+  private async mayCommand(service: string, epoch: number): Promise<boolean> {
+    if (!(await this.node.isLeadershipConfirmed())) return false;
+    const isCurrent = this.groups.epochOf(service) === epoch;
+    return isCurrent && this.access.isSteady(service);
   }
 
   private async carryOut(
-    {stop, resume}: LeavingPlan,
+    plan: LeavingPlan,
+    {member, key, end}: LeavingReplica,
+    epoch: number,
+  ): Promise<void> {
+    const isResumed = plan.resume.includes(key);
+    if (!isResumed && !plan.stop.includes(key)) return;
+    const {service} = member;
+    if (!(await this.mayCommand(service, epoch))) {
+      // The plan counts it as resumed already.
+      if (isResumed && end) this.replicasOf(service).onDidStop(key, end);
+    } else if (isResumed) await this.resumeReplica(member);
+    else await this.stopReplica(member, key, epoch);
+  }
+
+  private async resumeReplica(member: Member): Promise<void> {
+    const {service, instance} = member;
+    await this.groups.monitors.of(member).sendCommand({kind: 'resume'});
+    this.log.info('Resumed a leaving replica.', {service, instance});
+  }
+
+  private async stopReplica(
     member: Member,
+    key: string,
     epoch: number,
   ): Promise<void> {
-    const {groups, log} = this;
+    const {groups} = this;
     const {service, instance} = member;
-    const key = this.keyOf(member);
-    if (resume.includes(key)) {
-      await groups.monitors.of(member).sendCommand({kind: 'resume'});
-      log.info('Resumed a leaving replica.', {service, instance});
-    }
-    if (!stop.includes(key)) return;
-    const group = groups.membersOf(service);
-    const end = await groups.monitors.stop(member, group);
+    const end = await groups.monitors.stop(member, groups.membersOf(service));
     if (!end || groups.epochOf(service) !== epoch) return;
     this.replicasOf(service).onDidStop(key, end);
     const stoppedAt = formatPosition(end);
-    log.info('Stopped a leaving replica.', {service, instance, stoppedAt});
+    this.log.info('Stopped a leaving replica.', {service, instance, stoppedAt});
   }
 
   /** A replica that restarts receives again, so its connection counts too. */
