--- a/src/services/consensus/test/common/consensus.test.ts
+++ b/src/services/consensus/test/common/consensus.test.ts
@@ -319,6 +319,46 @@
   });
 });
 
+describe('a leader without a committed entry of its own term', () => {
+  // Guards against a configuration that two leaders replace independently, and
+  // against reads that lack what earlier leaders committed.
+  it('changes no voters and confirms nothing', () => {
+    const core = makeCandidate();
+    const {peers} = core.configuration;
+    const vote = {granted: true, pre: false};
+    receive(core, 'm1', core.currentTerm, {$case: 'voteReply', value: vote});
+    expect(core.role).toBe('leader');
+    const configuration = makeConfiguration(peers.slice(0, 2));
+    const requests = [
+      {kind: 'changeConfiguration', configuration, requestId: 1},
+      {kind: 'confirm', requestId: 1},
+    ] as const;
+    const refusal = {kind: 'refused', requestId: 1, reason: 'not leader'};
+    for (const request of requests) {
+      expect(core.step(request, 0)).toEqual([refusal]);
+    }
+    expect(core.configuration.peers).toEqual(peers);
+  });
+});
+
+describe('a candidate', () => {
+  // Guards against a second leader of a term: voters of an earlier term may
+  // have voted for another candidate since.
+  it('counts no vote of an earlier term', () => {
+    const core = makeCandidate();
+    const {currentTerm} = core;
+    core.step({kind: 'tick'}, 10_000);
+    const preVote = {granted: true, pre: true};
+    const late = {granted: true, pre: false};
+    const requested = currentTerm + 1;
+    receive(core, 'm1', requested, {$case: 'voteReply', value: preVote});
+    expect(core.currentTerm).toBe(requested);
+    receive(core, 'm1', currentTerm, {$case: 'voteReply', value: late});
+    receive(core, 'm2', currentTerm, {$case: 'voteReply', value: late});
+    expect(core.role).toBe('candidate');
+  });
+});
+
 describe('two instances that start an election together', () => {
   it('elect one of them at once', () => {
     // Guards against split votes when the third instance is down.
