Tests: requests that are queued behind a slow write when a leader is replaced

Nothing was wrong; the answer rested on reading so far. A confirmation and a proposal that are queued before the message of the next leader, and those queued after it, are refused once the disk goes on, and nothing of them is applied.

--- a/src/services/consensus/test/node/stalled_storage.test.ts
+++ b/src/services/consensus/test/node/stalled_storage.test.ts
@@ -104,9 +104,9 @@
     snapshot: makeInitialSnapshot(peers),
     entries: [{index: 2, term: 2, payload}],
   });
-  const send = (body: ConsensusMessage['body']) => {
-    const message = {from: 'm1', to: SELF.id, term: NEW_TERM, fromAddress: ''};
-    started.node.receive({...message, body});
+  const send = (body: ConsensusMessage['body'], term = NEW_TERM) => {
+    const addresses = {from: 'm1', to: SELF.id, fromAddress: ''};
+    started.node.receive({...addresses, term, body});
   };
   for (const pre of [true, false]) {
     send({$case: 'voteReply', value: {granted: true, pre}});
@@ -122,6 +122,14 @@
   return {$case: 'appendReply', value};
 }
 
+/** The first message of a leader whose log ends like that of the new leader. */
+function makeHeartbeat(): ConsensusMessage['body'] {
+  const previous = {previousIndex: NOOP_INDEX, previousTerm: NEW_TERM};
+  const commitIndex = NOOP_INDEX;
+  const value = {...previous, entries: [], commitIndex, round: 1};
+  return {$case: 'appendRequest', value};
+}
+
 /** A message that the core ignores. */
 const UNRELATED_MESSAGE = {
   from: 'm1',
@@ -225,6 +233,39 @@
   });
 });
 
+describe('a leader that is replaced while its disk hangs', () => {
+  // Guards against requests that were queued behind a slow write and succeed
+  // although another instance leads.
+  it('refuses what was queued before and after the message of the next one', async () => {
+    const {node, storage, applied, send} = await startNewLeader();
+    send(makeAppendReply(NOOP_INDEX));
+    await settleTimers();
+    expect(node.isLeading).toBe(true);
+    storage.isHanging = true;
+    const requests = [track(node.propose(Buffer.from('under way')))];
+    await settleTimers();
+    const request = () => {
+      requests.push(track(node.confirmLeadership()));
+      requests.push(track(node.propose(Buffer.from('queued'))));
+    };
+    request();
+    send(makeHeartbeat(), NEW_TERM + 1);
+    request();
+    storage.release();
+    await settleTimers();
+    const lost = 'leadership lost';
+    expect(requests.map(({outcome}) => outcome)).toEqual([
+      lost,
+      lost,
+      lost,
+      'not leader',
+      'not leader',
+    ]);
+    expect(applied).toEqual(['earlier']);
+    expect(node.isLeading).toBe(false);
+  });
+});
+
 describe('a node that ends', () => {
   // Guards against callers of a failed disk that never get an answer.
   it('refuses open and later requests when its disk failed', async () => {
