Control: no monitor of a member begins after its leadership ended

Cause: `MemberMonitors.of` waited for the end of a leadership that may have ended before. Such a monitor connects, pings for ever and delivers the commands of tasks that still run, while the next leader stops the replicas.

Change: the monitor's controller is a child of the leadership's, which is aborted at once if that one is. It also leaves no listener behind.

Result: the new test was red (RESUME was delivered) and passes. Not shown: that a task reaches it; all members of the roster have monitors by then.

--- a/src/services/fleet_control/node/member_monitors.ts
+++ b/src/services/fleet_control/node/member_monitors.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '../../../base/common/clock';
-import {createAbortController} from '../../../base/node/timers';
+import {createChildController} from '../../../base/node/timers';
 import type {Member} from '../../../schema/generated/fleet';
 import type {Position} from '../../position/common/position';
 import {
@@ -37,9 +37,8 @@
     if (existing?.address === member.address) return existing.monitor;
     existing?.end();
     const {connector, reader} = this.access;
-    const controller = createAbortController();
+    const controller = createChildController(this.signal);
     const end = () => controller.abort();
-    this.signal.addEventListener('abort', end, {once: true});
     const monitor = new MemberMonitor(
       member,
       connector,
