--- a/src/services/fleet_control/test/node/leaving_replica_control.test.ts
+++ b/src/services/fleet_control/test/node/leaving_replica_control.test.ts
@@ -68,9 +68,9 @@
   callback: () => void,
 ): void {
   const run = member.run.bind(member);
-  member.run = kind => {
-    if (kind === command) callback();
-    return run(kind);
+  member.run = statement => {
+    if (statement.kind === command) callback();
+    return run(statement);
   };
 }
 
