Promotion: a comparison that began beside a lease is repeated, also if it ended

Cause: whether leases had to be waited for was asked after the first comparison of the logs. A lease that ended during the comparison counted as none, though commits could be acknowledged after a log had been read. Found by "stops a member that joined while it waited for leases", which failed once beside load.

Change: the question comes before the comparison. A test that ends the lease during the first command.

Result: the new test fails without the change and passes with it.

--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -260,9 +260,9 @@
       const canPrimaryStay = fields.reason === REPLICA_REASON;
       return findSuccessor(dependencies, fields.primary, canPrimaryStay);
     };
+    const mayBeLeased = dependencies.leaseHolders().length > 0;
     const found = yield* compareLogs();
     if (!this.isPromotable(found, assignment, fields)) return undefined;
-    const mayBeLeased = dependencies.leaseHolders().length > 0;
     if (found.hasSteppedDown || !mayBeLeased) return found;
     yield* this.waitForLeases(fields, signal);
     // Guard: until then the old primary, if control cannot reach it, may have
--- a/src/services/promotion/test/node/promotion_driver.test.ts
+++ b/src/services/promotion/test/node/promotion_driver.test.ts
@@ -164,6 +164,29 @@
     expect(joined.commands).toContain('pause');
     expect(leadership.promoted).toEqual(['d']);
   });
+
+  it('stops a member that joined as the last lease ended', async () => {
+    // Guards against a comparison that began while commits could be
+    // acknowledged, since the leases ended before it was over.
+    const {group} = leadership;
+    const b = group.member('b');
+    await pause(800);
+    leadership.leaseHolders = ['proxy-1'];
+    leadership.reportCount = 4;
+    const run = b.run.bind(b);
+    b.run = statement => {
+      const isFirst = !group.members.some(({instance}) => instance === 'd');
+      if (statement.kind === 'pause' && isFirst) {
+        group.add('d').position = {term: 1, offset: 11};
+        leadership.leaseHolders = [];
+      }
+      return run(statement);
+    };
+    group.member('a').isSilent = true;
+    await until(() => leadership.promoted.length > 0);
+    expect(group.member('d').commands).toContain('pause');
+    expect(leadership.promoted).toEqual(['d']);
+  });
 });
 
 describe('lines and measures of PromotionDriver', () => {
