Promotion: one order of requests, from what the control log says is under way

What callers saw, on a platform that checks no fences: commits that had been acknowledged were gone. What the platform saw: a lower fencing token after a higher one of the same service, from two control instances in turn.

Cause: a request without a reply may be executed seconds later. The next leader requested the same member again under a token of its own 0.7 s after its start, and a leader wrote a new assignment each time that a request took longer than 4 s; the earlier copies then arrived with lower tokens. A member that led already was published although no request with the new token had raised the fence, so a late one for another member took over from it, with fences too. And a new leader decided on an assignment before it had applied the newest one.

Change: RequestOrder decides when a token may be used, when another member may be chosen and when a member may serve. The control log says for each assignment whether all copies were answered, whether there is a single copy (so that the lead of its member shows that it was executed) and whether another member may have been requested. Copies within a leadership repeat their token. A driver begins once a majority confirmed its leader. A leader that finds a settled assignment waits for nothing; before, it waited for 13 s if the primary failed again.

--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -202,13 +202,20 @@
         );
       },
       confirmLeadership: () => this.dependencies.node.isLeadershipConfirmed(),
-      assignPrimary: (instance, ordered, chosen) => {
+      assignPrimary: (instance, decision) => {
+        const {isPending: ordered, isSingle: single, chosen} = decision;
         const {term, offset} = chosen?.end ?? ORIGIN_POSITION;
         const leadTerm = chosen?.leadTerm ?? 0;
         const log = {term, offset, leadTerm};
-        const value = {service, holder, instance, ordered, ...log};
+        const othersEnded = decision.haveOthersEnded;
+        const requests = {ordered, othersEnded, single};
+        const value = {service, holder, instance, ...requests, ...log};
         return this.propose({$case: 'nameLead', value});
       },
+      recordCopies: async (epoch, state) => {
+        const value = {service, epoch, answered: state === 'answered'};
+        return (await this.propose({$case: 'recordCopies', value})).isOk;
+      },
       completePromotion: async epoch => {
         const value = {service, epoch};
         return (await this.propose({$case: 'settleLead', value})).isOk;
--- a/src/services/fleet_state/common/fleet_state_machine.ts
+++ b/src/services/fleet_state/common/fleet_state_machine.ts
@@ -141,6 +141,11 @@
         return this.assignPrimary(index, body.value);
       case 'settleLead':
         return this.completePromotion(body.value.service, body.value.epoch);
+      case 'recordCopies': {
+        const {service, epoch, answered} = body.value;
+        const change = answered ? {answered} : {single: false};
+        return this.updateAssignment(service, epoch, change);
+      }
       default:
         return;
     }
@@ -226,23 +231,30 @@
   }
 
   private assignPrimary(epoch: number, entry: AssignPrimary) {
-    const {service, instance, ordered, leadTerm, term, offset} = entry;
+    const {service, instance, leadTerm, term, offset} = entry;
     const primary = this.member(service, instance);
     const chosen = leadTerm > 0 ? {end: {term, offset}, leadTerm} : undefined;
     const current = this.assignmentByService.get(service);
     const isNew = current?.instance !== instance;
     this.baselines.assignPrimary(service, primary, isNew, chosen);
-    // A copy of an earlier promotion request for the same member may still
-    // arrive.
-    const hasPendingRequest = current?.instance === instance && current.pending;
-    const pending = ordered || hasPendingRequest;
-    this.assignmentByService.set(service, {service, instance, epoch, pending});
+    const requests = requestsAfter(current, entry);
+    const assignment = {service, instance, epoch, ...requests};
+    this.assignmentByService.set(service, assignment);
   }
 
   private completePromotion(service: string, epoch: number): void {
+    this.updateAssignment(service, epoch, NO_REQUESTS);
+  }
+
+  /** Changes an assignment unless a newer one has replaced it. */
+  private updateAssignment(
+    service: string,
+    epoch: number,
+    change: Partial<PrimaryAssignment>,
+  ): void {
     const assignment = this.assignmentByService.get(service);
     if (assignment?.epoch !== epoch) return;
-    this.assignmentByService.set(service, {...assignment, pending: false});
+    this.assignmentByService.set(service, {...assignment, ...change});
   }
 
   private removeMember(service: string, instance: string): void {
@@ -260,5 +272,34 @@
   }
 }
 
+type AssignmentRequests = Omit<
+  PrimaryAssignment,
+  'service' | 'instance' | 'epoch'
+>;
+
+const NO_REQUESTS: AssignmentRequests = {
+  pending: false,
+  answered: false,
+  contested: false,
+  single: false,
+};
+
+/** What may still be under way once a primary is assigned. */
+function requestsAfter(
+  current: PrimaryAssignment | undefined,
+  {instance, ordered, othersEnded, single}: AssignPrimary,
+): AssignmentRequests {
+  const isSame = current?.instance === instance;
+  // A copy of an earlier request for the same member may still arrive.
+  const earlier = isSame ? current : NO_REQUESTS;
+  const mayCompete = current?.contested || (current?.pending && !isSame);
+  return {
+    pending: ordered || earlier.pending,
+    answered: !ordered && earlier.answered,
+    single: ordered ? single : earlier.single,
+    contested: !othersEnded && mayCompete === true,
+  };
+}
+
 /** More than the number of catalogs submitted at the same time. */
 const MAX_OUTCOMES = 256;
--- a/src/services/fleet_state/test/common/fleet_state_machine.test.ts
+++ b/src/services/fleet_state/test/common/fleet_state_machine.test.ts
@@ -71,8 +71,9 @@
     index: number,
     instance: string,
     ordered: boolean,
+    othersEnded = false,
   ) => {
-    const log = {leadTerm: 0, term: 0, offset: 0};
+    const log = {leadTerm: 0, term: 0, offset: 0, othersEnded, single: true};
     const value = {service: 's', holder: 'c1', instance, ordered, ...log};
     machine.apply(index, encodeCommand({$case: 'nameLead', value}));
     return machine.assignmentOf('s');
@@ -105,4 +106,52 @@
     machine.apply(10, encodeCommand({$case: 'settleLead', value: newest}));
     expect(machine.assignmentOf('s')?.pending).toBe(false);
   });
+
+  it('are answered only as long as no request with a new token follows', () => {
+    // Guards against a new leader that takes a request without a reply for one
+    // that cannot arrive any more.
+    const machine = new FleetStateMachine();
+    assign(machine, 7, 'm2', true);
+    const record = (index: number, epoch: number) => {
+      const value = {service: 's', epoch, answered: true};
+      machine.apply(index, encodeCommand({$case: 'recordCopies', value}));
+    };
+    record(8, 7);
+    expect(machine.assignmentOf('s')?.answered).toBe(true);
+    expect(assign(machine, 9, 'm2', false)?.answered).toBe(true);
+    expect(assign(machine, 10, 'm2', true)?.answered).toBe(false);
+    record(11, 7);
+    expect(machine.assignmentOf('s')?.answered).toBe(false);
+  });
+
+  it('have a single request until a further copy follows', () => {
+    // Guards against a new leader that takes the lead of a member for the only
+    // copy of its request, while another one may arrive.
+    const machine = new FleetStateMachine();
+    expect(assign(machine, 7, 'm2', true)?.single).toBe(true);
+    const value = {service: 's', epoch: 7, answered: false};
+    machine.apply(8, encodeCommand({$case: 'recordCopies', value}));
+    expect(machine.assignmentOf('s')).toMatchObject({
+      pending: true,
+      answered: false,
+      single: false,
+    });
+    expect(assign(machine, 9, 'm2', false)?.single).toBe(false);
+  });
+
+  it('are contested while a request for another member may take effect', () => {
+    // Guards against a new leader that takes a member which leads already for
+    // the outcome of a request that would fence the others.
+    const machine = new FleetStateMachine();
+    assign(machine, 7, 'm2', true);
+    expect(assign(machine, 8, 'm3', true)?.contested).toBe(true);
+    expect(assign(machine, 9, 'm3', true)?.contested).toBe(true);
+    expect(assign(machine, 10, 'm3', true, true)?.contested).toBe(false);
+    expect(assign(machine, 11, 'm2', true, true)?.contested).toBe(false);
+    expect(assign(machine, 12, 'm3', true)?.contested).toBe(true);
+    const settle = {service: 's', epoch: 12};
+    machine.apply(13, encodeCommand({$case: 'settleLead', value: settle}));
+    expect(machine.assignmentOf('s')?.contested).toBe(false);
+    expect(assign(machine, 14, 'm2', true)?.contested).toBe(false);
+  });
 });
--- a/src/services/promotion/node/counted_promotion_authority.ts
+++ b/src/services/promotion/node/counted_promotion_authority.ts
@@ -1,7 +1,7 @@
 import type {PromotionCount} from '../common/promotion_count';
+import type {PromotionOutcome} from '../common/promotion_outcome';
 import type {
   PromotionAuthority,
-  PromotionOutcome,
   PromotionReply,
   PromotionRequest,
 } from './promotion_authority';
--- a/src/services/promotion/node/promotion_authority.ts
+++ b/src/services/promotion/node/promotion_authority.ts
@@ -1,3 +1,5 @@
+import type {PromotionOutcome} from '../common/promotion_outcome';
+
 /** Request to the platform to promote a member. */
 export interface PromotionRequest {
   readonly service: string;
@@ -8,16 +10,6 @@
   readonly token: number;
 }
 
-/** Outcome of a promotion request. */
-export type PromotionOutcome =
-  | 'accepted'
-  /** A newer token was seen, or the member is not running. */
-  | 'refused'
-  /** Not sent, rate limited or unavailable; nothing was done. */
-  | 'not now'
-  /** No reply; the request may still take effect seconds later. */
-  | 'unknown';
-
 /** What is known of a promotion request after its reply or without one. */
 export interface PromotionReply {
   readonly outcome: PromotionOutcome;
--- a/src/services/promotion/node/promotion_dependencies.ts
+++ b/src/services/promotion/node/promotion_dependencies.ts
@@ -23,6 +23,18 @@
   readonly clock: Clock;
 }
 
+/** A decision about the primary of a service, for the control log. */
+export interface AssignmentDecision {
+  /** Whether a promotion request follows. */
+  readonly isPending: boolean;
+  /** No request for another member can take effect any more. */
+  readonly haveOthersEnded: boolean;
+  /** No earlier request can arrive, and the member does not lead. */
+  readonly isSingle: boolean;
+  /** Set if the member was chosen for its log. */
+  readonly chosen?: ChosenLog | undefined;
+}
+
 /** Dependencies of the promotions of one service during one leadership. */
 export interface PromotionDependencies extends MemberGroup {
   readonly service: string;
@@ -45,16 +57,16 @@
   leaseHolders(): readonly string[];
   /** Whether a majority confirms that this instance still leads control. */
   confirmLeadership(): Promise<boolean>;
-  /**
-   * Writes a decision to the control log; its index is epoch and token.
-   *
-   * @param chosen Set if the member was chosen for its log.
-   */
+  /** Writes a decision to the control log; its index is epoch and token. */
   assignPrimary(
     instance: string,
-    isPending: boolean,
-    chosen?: ChosenLog,
+    decision: AssignmentDecision,
   ): Promise<Result<number, string>>;
+  /**
+   * Records that no copy of the assignment's request can arrive any more, or
+   * that a further copy follows.
+   */
+  recordCopies(epoch: number, state: 'answered' | 'repeated'): Promise<boolean>;
   completePromotion(epoch: number): Promise<boolean>;
   /** The assigned member was seen to be the primary. */
   onDidPromote(instance: string): void;
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -1,7 +1,7 @@
+import type {Result} from '../../../base/common/result';
 import {sleep, settled, startTask, type Task} from '../../../base/node/task';
 import type {Member, PrimaryAssignment} from '../../../schema/generated/fleet';
 import {ClaimedRole} from '../../../schema/generated/fleet';
-import type {ChosenLog} from '../../fleet_state/common/log_baselines';
 import {formatPosition} from '../../position/common/position';
 import {assessPrimary, REPLICA_REASON} from '../common/assess_primary';
 import {hasChosenLog} from '../common/complete_log';
@@ -10,8 +10,9 @@
   sendToAll,
   type SuccessorSearchResult,
 } from './successor_search';
+import {RequestOrder} from '../common/request_order';
 import {PromotionLog} from './promotion_log';
-import {REQUEST_MAX_AGE_MS, PromotionRequests} from './promotion_requests';
+import {PromotionRequests} from './promotion_requests';
 import type {PromotionDependencies} from './promotion_dependencies';
 
 const CHECK_INTERVAL_MS = 100;
@@ -40,6 +41,7 @@
   /** When the current reason for a warning was first seen. */
   private warnedSince = -Infinity;
   private readonly startedAt: number;
+  private readonly order: RequestOrder;
   private readonly requests: PromotionRequests;
   private readonly lines: PromotionLog;
   /** Since when an earlier request has held up a promotion. */
@@ -51,7 +53,8 @@
 
   constructor(private readonly dependencies: PromotionDependencies) {
     this.startedAt = dependencies.clock.now();
-    this.requests = new PromotionRequests(dependencies);
+    this.order = new RequestOrder(dependencies.access.isFenced, this.startedAt);
+    this.requests = new PromotionRequests(dependencies, this.order);
     this.lines = new PromotionLog(dependencies);
   }
 
@@ -64,7 +67,7 @@
   /** Whether a request for the assigned member may still take effect. */
   get mayTakeEffect(): boolean {
     const isPending = this.dependencies.assignment()?.pending === true;
-    return isPending && !this.requests.hasExpired;
+    return isPending && this.order.mayTakeEffect(this.now);
   }
 
   /** For how long an earlier request has held up a promotion, in ms. */
@@ -80,17 +83,34 @@
 
   start(signal: AbortSignal): Promise<void> {
     const {service} = this.dependencies;
-    this.lines.logStart(this.requests.mayTakeEffectMs);
     return startTask(`promotion ${service}`, () => this.run(signal));
   }
 
+  private get now(): number {
+    return this.dependencies.clock.now();
+  }
+
   private *run(signal: AbortSignal): Task<void> {
+    yield* this.inheritRequests(signal);
     while (!signal.aborted) {
       yield* sleep(CHECK_INTERVAL_MS);
       yield* this.check(signal);
     }
   }
 
+  /**
+   * Guard: before a majority confirms this leader, the assignment may not be
+   * the newest one, whose request may still be under way.
+   */
+  private *inheritRequests(signal: AbortSignal): Task<void> {
+    while (!signal.aborted && !(yield* this.confirmsLeadership())) {
+      yield* sleep(CHECK_INTERVAL_MS);
+    }
+    if (signal.aborted) return;
+    this.order.inherit(this.dependencies.assignment());
+    this.lines.logStart(this.order.underWayMs(this.now));
+  }
+
   private *check(signal: AbortSignal): Task<void> {
     const assignment = this.dependencies.assignment();
     if (!assignment) return yield* this.assignFirstPrimary();
@@ -111,8 +131,14 @@
   private *assignFirstPrimary(): Task<void> {
     const claimant = this.dependencies.claimedPrimary();
     if (!claimant) return;
-    const {instance} = claimant;
-    yield* settled(this.dependencies.assignPrimary(instance, false));
+    yield* settled(this.assignLeading(claimant.instance));
+  }
+
+  /** Assigns a member that is the primary, without a request. */
+  private assignLeading(instance: string): Promise<Result<number, string>> {
+    const haveOthersEnded = !this.order.mayTakeEffect(this.now);
+    const requests = {isPending: false, isSingle: false, haveOthersEnded};
+    return this.dependencies.assignPrimary(instance, requests);
   }
 
   private get hasCollectedReports(): boolean {
@@ -129,11 +155,14 @@
     signal: AbortSignal,
   ): Task<void> {
     const {instance, epoch} = assignment;
-    if (yield* this.requests.isPrimary(instance)) {
+    const isPrimary = yield* this.requests.isPrimary(instance);
+    if (isPrimary && this.order.allowsService(assignment, this.now)) {
       this.lastEffectiveEpoch = epoch;
+      this.order.onDidTakeEffect(this.now);
       this.lines.logLeading(assignment);
       return this.dependencies.onDidPromote(instance);
     }
+    this.waitingSince ??= this.now;
     if (!this.hasCollectedReports) return;
     const successor = this.memberOf(instance);
     const isAvailable =
@@ -141,14 +170,31 @@
       hasChosenLog(successor, this.dependencies.baseline()) &&
       !this.dependencies.isUncertain(successor) &&
       this.dependencies.monitorOf(successor).silentMs < MAX_SILENCE_MS;
-    if (isAvailable) yield* this.promote(instance, signal);
-    else yield* this.replace(assignment, 'the successor failed', signal);
+    if (!isAvailable) {
+      return yield* this.replace(assignment, 'the successor failed', signal);
+    }
+    if (this.requests.canRepeat(epoch)) {
+      return yield* this.request(assignment, undefined, signal);
+    }
+    if (this.order.allowsNewToken(this.now)) {
+      return yield* this.promote(instance, signal);
+    }
+    const {service} = this.dependencies;
+    this.holdBack({service, primary: instance, reason: 'it does not lead yet'});
+  }
+
+  /** Warns that an earlier request keeps this leader from a decision. */
+  private holdBack(fields: ReplacementFields): void {
+    const why = 'an earlier request may still take effect';
+    this.heldSince ??= this.now;
+    const remainingMs = Math.round(this.order.underWayMs(this.now));
+    const until = `${remainingMs} ms have passed`;
+    this.warnOnce('Cannot promote safely.', {...fields, why, until});
   }
 
   private *completePromotion(assignment: PrimaryAssignment): Task<void> {
-    const {access} = this.dependencies;
-    if (!access.isFenced && !this.requests.hasExpired) return;
-    const {mayTakeEffectMs} = this.requests;
+    if (!this.order.allowsCompletion(this.now)) return;
+    const mayTakeEffectMs = Math.round(this.order.underWayMs(this.now));
     const completed = yield* settled(
       this.dependencies.completePromotion(assignment.epoch),
     );
@@ -191,9 +237,7 @@
   private *keepPrimary({instance}: PrimaryAssignment): Task<void> {
     if (!(yield* this.requests.isPrimary(instance))) return;
     const {service, log} = this.dependencies;
-    const assigned = yield* settled(
-      this.dependencies.assignPrimary(instance, false),
-    );
+    const assigned = yield* settled(this.assignLeading(instance));
     const done = 'value' in assigned && assigned.value.isOk;
     const token = done ? assigned.value.value : 0;
     log.info('Kept the primary.', {service, instance, token, done});
@@ -231,9 +275,10 @@
       const why = 'no majority confirms the leadership of this instance';
       return this.warnOnce('Cannot promote safely.', {...fields, why});
     }
-    this.lines.logIfChanged(assignment);
-    this.mayBePaused = true;
+    if (this.lines.logIfChanged(assignment)) return;
     dependencies.revokeLeases();
+    if (!this.allowsReplacement(canPrimaryStay)) return this.holdBack(fields);
+    this.mayBePaused = true;
     const found = yield* this.search(assignment, fields, signal);
     if (!found || signal.aborted) return;
     const {instance: successor, end, answers} = found;
@@ -289,12 +334,18 @@
     });
   }
 
+  /** Whether a member may be chosen, as far as earlier requests matter. */
+  private allowsReplacement(canPrimaryStay: boolean): boolean {
+    const {order, now} = this;
+    if (!order.allowsNewToken(now)) return false;
+    return canPrimaryStay || order.allowsOtherMember(now);
+  }
+
   private isPromotable(
     found: SuccessorSearchResult,
     assignment: PrimaryAssignment,
     fields: ReplacementFields,
   ): found is Successor {
-    const {dependencies, requests} = this;
     if (found.kind === 'wait') {
       const {reason: why, until, answers} = found;
       const inputs = {...fields, why, until, answers};
@@ -302,14 +353,8 @@
       return false;
     }
     const isOtherMember = found.instance !== assignment.instance;
-    // Guard: a request without a reply can take effect seconds later. Unless
-    // the authority fences it, it would replace the member that is promoted
-    // now, and the commits that this one acknowledged would be lost.
-    const mayTakeEffect = assignment.pending && !requests.hasExpired;
-    if (isOtherMember && mayTakeEffect && !dependencies.access.isFenced) {
-      const why = 'an earlier request may still take effect';
-      this.heldSince ??= dependencies.clock.now();
-      this.warnOnce('Cannot promote safely.', {...fields, why});
+    if (isOtherMember && !this.order.allowsOtherMember(this.now)) {
+      this.holdBack(fields);
       return false;
     }
     return true;
@@ -332,35 +377,47 @@
   private *promote(
     successor: string,
     signal: AbortSignal,
-    chosen?: ChosenLog,
+    chosen?: Successor,
   ): Task<void> {
-    const {dependencies, requests} = this;
+    const {dependencies} = this;
     const {service} = dependencies;
     this.heldSince = undefined;
-    // A request of the previous leader may still be sent for this long.
-    const remainingMs =
-      this.startedAt + REQUEST_MAX_AGE_MS - dependencies.clock.now();
-    if (remainingMs > 0) yield* sleep(remainingMs);
     const confirmedAt = dependencies.access.clock.now();
     const previous = dependencies.assignment();
+    const isSingle = this.order.isSingle(chosen?.leads === true, this.now);
+    const haveOthersEnded = !this.order.mayTakeEffect(this.now);
     const assigned = yield* settled(
-      dependencies.assignPrimary(successor, true, chosen),
+      dependencies.assignPrimary(successor, {
+        isPending: true,
+        isSingle,
+        haveOthersEnded,
+        chosen,
+      }),
     );
-    if (!('value' in assigned) || assigned.value.isErr) {
+    const assignment = dependencies.assignment();
+    if (!('value' in assigned) || assigned.value.isErr || !assignment) {
       return this.warnOnce('No majority accepted the new primary.', {service});
     }
     const token = assigned.value.value;
+    this.order.onDidAssign(isSingle);
     this.lines.logPromotion({heir: successor, token, previous, confirmedAt});
-    if (previous?.instance !== successor) requests.startNewAssignment();
-    const outcome = yield* requests.promote(
-      successor,
-      token,
+    yield* this.request(assignment, confirmedAt, signal);
+  }
+
+  /** @param confirmedAt Undefined if leadership has to be confirmed first. */
+  private *request(
+    assignment: PrimaryAssignment,
+    confirmedAt: number | undefined,
+    signal: AbortSignal,
+  ): Task<void> {
+    const outcome = yield* this.requests.promote(
+      assignment,
       confirmedAt,
       signal,
     );
     if (outcome !== 'promoted') return;
-    this.lastEffectiveEpoch = token;
-    dependencies.onDidPromote(successor);
+    this.lastEffectiveEpoch = assignment.epoch;
+    this.dependencies.onDidPromote(assignment.instance);
   }
 
   private memberOf(instance: string): Member | undefined {
--- a/src/services/promotion/node/promotion_log.ts
+++ b/src/services/promotion/node/promotion_log.ts
@@ -39,12 +39,16 @@
     const assignment = this.dependencies.assignment();
     if (!assignment) return;
     const {instance, epoch: token, pending} = assignment;
+    const {answered, contested, single} = assignment;
     const fields = {service, instance, token, pending};
     if (!pending) return log.info('Inherited an assignment.', fields);
     log.info('Inherited a pending promotion.', {
       ...fields,
+      answered,
+      contested,
+      single,
       isFenced: access.isFenced,
-      mayTakeEffectMs,
+      mayTakeEffectMs: Math.round(mayTakeEffectMs),
     });
   }
 
@@ -56,13 +60,15 @@
     }
   }
 
-  /** Logs that the assignment is not the one that a decision is based on. */
-  logIfChanged(read: PrimaryAssignment): void {
+  /**
+   * Whether the assignment is not the one that a decision is based on, which it
+   * logs.
+   */
+  logIfChanged(read: PrimaryAssignment): boolean {
     const {service, log} = this.dependencies;
     const current = this.dependencies.assignment();
-    if (!current) return;
+    if (!current || current.epoch === read.epoch) return false;
     const {instance, epoch: token, pending} = current;
-    if (token === read.epoch && pending === read.pending) return;
     log.warn('The assignment changed before it was confirmed.', {
       service,
       ...describeBefore(read),
@@ -70,6 +76,7 @@
       token,
       pending,
     });
+    return true;
   }
 
   /** Logs that the requests of a new assignment begin. */
--- a/src/services/promotion/node/promotion_requests.ts
+++ b/src/services/promotion/node/promotion_requests.ts
@@ -1,23 +1,20 @@
+import {detach} from '../../../base/node/broken_invariant';
 import {sleep, settled, type Task} from '../../../base/node/task';
+import type {PrimaryAssignment} from '../../../schema/generated/fleet';
+import type {PromotionOutcome} from '../common/promotion_outcome';
+import {
+  MAX_EXECUTION_MS,
+  REQUEST_MAX_AGE_MS,
+  type RequestOrder,
+} from '../common/request_order';
 import {sendToAll} from './successor_search';
-import type {
-  PromotionOutcome,
-  PromotionReply,
-  PromotionRequest,
-} from './promotion_authority';
+import type {PromotionReply, PromotionRequest} from './promotion_authority';
 import type {PromotionDependencies} from './promotion_dependencies';
 
 const RETRY_INTERVAL_MS = 250;
-const TAKE_EFFECT_TIMEOUT_MS = 4_000;
+/** How long a request without a reply is repeated before members are checked. */
+const REPEAT_TIMEOUT_MS = 4_000;
 const STATUS_CHECK_INTERVAL_MS = 50;
-/** Longer than the platform may take to execute a request without a reply. */
-const MAX_EFFECT_DELAY_MS = 13_000;
-/**
- * How soon a request must be sent after a majority confirmed the leader. Guard:
- * an instance that was suspended in between would send a token that is lower
- * than that of the next leader.
- */
-export const REQUEST_MAX_AGE_MS = 300;
 
 /** When leadership was confirmed, and when that was found to be recent. */
 interface CheckTimes {
@@ -26,70 +23,91 @@
   readonly checkedAt: number | undefined;
 }
 
-/** Promotion requests of one service, and until when they may take effect. */
-export class PromotionRequests {
-  /** Requests for the current assignment may take effect until then. */
-  private mayTakeEffectUntil: number;
+/** Copies of one request, until its outcome is known or unclear for long. */
+interface Attempt {
+  readonly request: PromotionRequest;
+  /** The member was the primary before the first copy. */
+  readonly wasPrimary: boolean;
+  copyCount: number;
+  nextSendAt: number;
+  endsAt: number;
+}
 
-  constructor(private readonly dependencies: PromotionDependencies) {
-    this.mayTakeEffectUntil = dependencies.clock.now() + MAX_EFFECT_DELAY_MS;
-  }
+/** Sends the promotion requests of one service. */
+export class PromotionRequests {
+  /** Token of the request that may be repeated; 0 for none. */
+  private repeatableToken = 0;
+  /** Token of which the control log says that it has several copies. */
+  private repeatedToken = 0;
 
-  /** Whether no copy of the last request can take effect any more. */
-  get hasExpired(): boolean {
-    return this.dependencies.clock.now() >= this.mayTakeEffectUntil;
-  }
+  constructor(
+    private readonly dependencies: PromotionDependencies,
+    private readonly order: RequestOrder,
+  ) {}
 
-  /** How much longer a request may take effect, in milliseconds. */
-  get mayTakeEffectMs(): number {
-    const remainingMs = this.mayTakeEffectUntil - this.dependencies.clock.now();
-    return Math.max(0, Math.round(remainingMs));
+  /** Whether the request of an assignment is this leader's and has no reply. */
+  canRepeat(epoch: number): boolean {
+    return this.repeatableToken === epoch;
   }
 
   /**
-   * Repeats a request until it is refused or the member is the primary. All
-   * copies have the same token, so a late one promotes the same member.
+   * Repeats the request of an assignment until it is refused or the member may
+   * serve as the primary. All copies have the same token, so a late one
+   * promotes the same member.
    *
    * @param confirmedAt When leadership was last confirmed, on the clock that
-   *     advances during suspensions.
+   *     advances during suspensions; undefined if that is not recent.
    */
   *promote(
-    instance: string,
-    token: number,
-    confirmedAt: number,
+    assignment: PrimaryAssignment,
+    confirmedAt: number | undefined,
     signal: AbortSignal,
   ): Task<'promoted' | 'refused' | 'unclear'> {
-    const {service, holder, clock, log} = this.dependencies;
-    const request = {service, instance, holder, token};
-    const retryUntil = clock.now() + TAKE_EFFECT_TIMEOUT_MS;
-    let leadershipConfirmedAt: number | undefined = confirmedAt;
-    let outcome: PromotionOutcome = 'not now';
-    let nextSendAt = -Infinity;
-    let copy = 0;
-    while (clock.now() < retryUntil && !signal.aborted) {
-      if (outcome !== 'accepted' && clock.now() >= nextSendAt) {
-        leadershipConfirmedAt ??= yield* this.confirmLeadership();
+    const {clock} = this.dependencies;
+    const attempt = yield* this.startAttempt(assignment);
+    let leadershipConfirmedAt = confirmedAt;
+    while (clock.now() < attempt.endsAt && !signal.aborted) {
+      if (clock.now() >= attempt.nextSendAt) {
+        leadershipConfirmedAt ??= yield* this.announceCopy(attempt);
         if (leadershipConfirmedAt === undefined) return 'unclear';
-        copy++;
-        outcome = yield* this.send(
-          request,
-          copy,
+        const outcome = yield* this.send(
+          attempt,
           leadershipConfirmedAt,
           signal,
         );
-        leadershipConfirmedAt = undefined;
         if (outcome === 'refused') return 'refused';
-        nextSendAt = clock.now() + RETRY_INTERVAL_MS;
-      }
-      if (yield* this.isPrimary(instance)) {
-        log.info('The promotion took effect.', {service, instance, token});
-        return 'promoted';
+        leadershipConfirmedAt = undefined;
       }
+      if (yield* this.mayServe(assignment)) return 'promoted';
       yield* sleep(STATUS_CHECK_INTERVAL_MS);
     }
     return 'unclear';
   }
 
+  private *startAttempt(assignment: PrimaryAssignment): Task<Attempt> {
+    const {service, holder, clock} = this.dependencies;
+    const {instance, epoch: token, contested} = assignment;
+    const wasPrimary = contested && (yield* this.isPrimary(instance));
+    this.repeatableToken = token;
+    return {
+      request: {service, instance, holder, token},
+      wasPrimary,
+      copyCount: 0,
+      nextSendAt: -Infinity,
+      endsAt: clock.now() + REPEAT_TIMEOUT_MS,
+    };
+  }
+
+  private *mayServe(assignment: PrimaryAssignment): Task<boolean> {
+    const {instance, epoch: token} = assignment;
+    const {service, clock, log} = this.dependencies;
+    if (!(yield* this.isPrimary(instance))) return false;
+    if (!this.order.allowsService(assignment, clock.now())) return false;
+    this.order.onDidTakeEffect(clock.now());
+    log.info('The promotion took effect.', {service, instance, token});
+    return true;
+  }
+
   /** Whether a member reports itself as the primary. */
   *isPrimary(instance: string): Task<boolean> {
     const member = this.dependencies.members().find(other => {
@@ -103,39 +121,54 @@
   }
 
   private *send(
-    request: PromotionRequest,
-    copy: number,
+    attempt: Attempt,
     confirmedAt: number,
     signal: AbortSignal,
   ): Task<PromotionOutcome> {
     const {clock, access} = this.dependencies;
+    const {request, wasPrimary} = attempt;
     let checkedAt: number | undefined;
     const isFresh = () => {
       checkedAt = access.clock.now();
       return checkedAt - confirmedAt < REQUEST_MAX_AGE_MS;
     };
-    const previous = this.mayTakeEffectUntil;
-    this.mayTakeEffectUntil = clock.now() + MAX_EFFECT_DELAY_MS;
+    attempt.copyCount++;
     const done = yield* settled(
       access.authority.promote(request, isFresh, signal),
     );
     const reply: PromotionReply =
       'value' in done ? done.value : {outcome: 'unknown'};
     const {outcome} = reply;
-    // A reply rules out this copy only; earlier ones may still take effect.
-    if (outcome !== 'unknown') this.mayTakeEffectUntil = previous;
-    this.logCopy(request, copy, reply, {confirmedAt, checkedAt});
+    const now = clock.now();
+    this.order.onDidSend({token: request.token, wasPrimary}, outcome, now);
+    this.recordReplies(request.token, outcome);
+    this.logCopy(attempt, reply, {confirmedAt, checkedAt});
+    const isAccepted = outcome === 'accepted';
+    attempt.nextSendAt = isAccepted ? Infinity : now + RETRY_INTERVAL_MS;
+    if (isAccepted) attempt.endsAt = now + MAX_EXECUTION_MS;
     return outcome;
   }
 
+  /**
+   * Lets the next leader know that no copy can arrive any more. The token is
+   * not used again, so that this stays true.
+   */
+  private recordReplies(token: number, outcome: PromotionOutcome): void {
+    if (outcome !== 'accepted' && outcome !== 'refused') return;
+    this.repeatableToken = 0;
+    const {access, clock} = this.dependencies;
+    if (access.isFenced || this.order.mayArrive(clock.now())) return;
+    const recorded = this.dependencies.recordCopies(token, 'answered');
+    detach('replies to a promotion', recorded);
+  }
+
   /** At most one line for each copy, which the retry interval spaces out. */
   private logCopy(
-    request: PromotionRequest,
-    copy: number,
+    {request, copyCount: copy}: Attempt,
     {outcome, status, writtenAt}: PromotionReply,
     {confirmedAt, checkedAt}: CheckTimes,
   ): void {
-    const {access, log} = this.dependencies;
+    const {access, clock, log} = this.dependencies;
     const sentAt = writtenAt ?? checkedAt;
     log.info('Requested a promotion.', {
       ...request,
@@ -145,20 +178,29 @@
       ...elapsed('checkedAgeMs', confirmedAt, checkedAt),
       ...elapsed('writtenAgeMs', confirmedAt, writtenAt),
       ...elapsed('replyMs', sentAt, access.clock.now()),
-      mayTakeEffectMs: this.mayTakeEffectMs,
+      mayTakeEffectMs: Math.round(this.order.underWayMs(clock.now())),
     });
   }
 
-  private *confirmLeadership(): Task<number | undefined> {
-    const {access} = this.dependencies;
+  /**
+   * Lets the next leader know that a further copy follows one without a reply.
+   * Returns when a majority confirmed this leader, or undefined.
+   */
+  private *announceCopy({request}: Attempt): Task<number | undefined> {
+    const {dependencies} = this;
+    const {access, clock} = dependencies;
+    const {token} = request;
     const requestedAt = access.clock.now();
-    const done = yield* settled(this.dependencies.confirmLeadership());
-    return 'value' in done && done.value ? requestedAt : undefined;
-  }
-
-  /** Starts a new assignment, which no earlier request can affect. */
-  startNewAssignment(): void {
-    this.mayTakeEffectUntil = -Infinity;
+    const isRepeated = !access.isFenced && this.order.mayArrive(clock.now());
+    const isNew = isRepeated && this.repeatedToken !== token;
+    const done = yield* settled(
+      isNew
+        ? dependencies.recordCopies(token, 'repeated')
+        : dependencies.confirmLeadership(),
+    );
+    if (!('value' in done) || !done.value) return undefined;
+    if (isNew) this.repeatedToken = token;
+    return requestedAt;
   }
 }
 
--- a/src/services/promotion/node/successor_search.ts
+++ b/src/services/promotion/node/successor_search.ts
@@ -30,6 +30,8 @@
       readonly end: Position;
       /** The first term in which it can lead. */
       readonly leadTerm: number;
+      /** It is the primary already. */
+      readonly leads: boolean;
       /** Acknowledged commits may be gone with members that ended for good. */
       readonly isLossPossible: boolean;
       /** Whether the old primary confirmed that it stepped down. */
@@ -81,7 +83,9 @@
   );
   const answers = describeLogs(logs, baseline);
   if (choice.kind === 'wait') return {...choice, answers};
-  return {...choice, kind: 'successor', hasSteppedDown, answers};
+  const successor = logs.find(({instance}) => instance === choice.instance);
+  const leads = successor?.isLeader === true;
+  return {...choice, kind: 'successor', leads, hasSteppedDown, answers};
 }
 
 /** The logs of all members but the assigned primary. */
--- a/src/services/promotion/test/node/counted_promotion_authority.test.ts
+++ b/src/services/promotion/test/node/counted_promotion_authority.test.ts
@@ -1,6 +1,6 @@
 import {expect, it} from 'vitest';
 import {CountedPromotionAuthority} from '../../node/counted_promotion_authority';
-import type {PromotionOutcome} from '../../node/promotion_authority';
+import type {PromotionOutcome} from '../../common/promotion_outcome';
 
 it('counts requests by service and outcome, and passes replies on', async () => {
   const outcomes: PromotionOutcome[] = ['unknown', 'accepted', 'unknown'];
--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -155,8 +155,11 @@
     const orders = await startOrders(true);
     const {group, proxies} = orders;
     const [a, b] = [group.member('a'), group.member('b')];
+    // The first confirmation precedes all decisions of a leadership.
     orders.afterNextConfirmation = () => {
-      void orders.changeLeader('suspend', 300, {actsOnMs: 1_600});
+      orders.afterNextConfirmation = () => {
+        void orders.changeLeader('suspend', 300, {actsOnMs: 1_600});
+      };
     };
     void orders.changeLeader('kill', 300);
     await until(() => orders.leaderCount === 3);
