Control: a leadership registers targets once it holds what was committed

Cause: `Leadership.onTargetStatus` was the only decision of control that did not ask whether the instance leads yet. A target that announced itself during an election was compared with a state that may lack what earlier leaders committed, and proposed again. Applied again it changes a site and a revision only, so nothing was lost; but it is the write that, in one batch with the reply that commits, held back the state of a new leader.

Change: it waits for `isLeading`; the reconciliation covers earlier targets.

Result: the new test was red and passes; 22 of 22 tests of control and failover pass.

--- a/src/control/node/leadership.ts
+++ b/src/control/node/leadership.ts
@@ -82,7 +82,10 @@
     this.removeExpiredProxies();
   }
 
+  /** Registers a target that the log does not have, or has otherwise. */
   onTargetStatus(status: TargetStatus): void {
+    // Targets that announce themselves earlier are reconciled later.
+    if (!this.dependencies.node.isLeading) return;
     const record = this.dependencies.machine.service(status.service);
     const member = record?.members.find(({instance}) => {
       return instance === status.instance;
