Promotions: commands that were sent before a suspension arrive in the simulation

Cause: a suspended leader held back commands that it had already sent to a member. No check of the leader could have prevented a loss by them.

Change: only commands that were not sent yet wait for the end of a suspension.

--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -21,7 +21,7 @@
 const GIVE_UP_MS = 700;
 const LINK_DELAY_MS = 5;
 
-const LOST = {kind: 'lost', reason: 'closed'} as const;
+const CLOSED = {kind: 'lost', reason: 'closed'} as const;
 
 interface CommittedEntry {
   readonly command: Buffer;
@@ -110,8 +110,11 @@
   private delayLink(link: TargetLink): TargetLink {
     const send: TargetLink['send'] = calls => {
       return calls.map(async call => {
-        await this.pass(LINK_DELAY_MS);
-        if (this.isKilled || link.isClosed) return LOST;
+        // What was sent before a suspension arrives during it.
+        await this.pass(0);
+        if (this.isKilled) return CLOSED;
+        await delay(LINK_DELAY_MS);
+        if (link.isClosed) return CLOSED;
         const [reply] = link.send([call]);
         const received = await reply!;
         await this.pass(LINK_DELAY_MS);
