Tests: a draining primary serves until its successor can be requested

Cause: without fences the driver makes a draining primary step down, and finds only then that an earlier request keeps it from promoting another member. The service has no primary until that request is void.

--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -149,6 +149,22 @@
     await expectKept(orders);
   });
 
+  it('lets a draining primary serve until a successor can be requested', async () => {
+    // Guards against a primary that is stopped while an earlier request keeps
+    // control from promoting another member for seconds.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    authority.script = (...[, copy]) => (copy === 1 ? LATE_MS : undefined);
+    group.member('a').crash();
+    await until(() => group.member('b').isPrimary && orders.isServing);
+    group.member('a').recover();
+    await advance(500);
+    group.member('b').isDraining = true;
+    await advance(3_000);
+    expect(orders.isServing).toBe(true);
+    await expectKept(orders);
+  });
+
   it('resumes no replica long after its leadership was confirmed', async () => {
     // Guards against a suspended leader that resumes replicas whose logs the
     // next leader has compared, so that they confirm more commits.
