Promotions: in the search of orders, a leader decides once it has applied the log

Cause: an instance now leads only once its state machine holds what was committed, so the search looked at runs that no node gives any more.

The two scripted tests for a driver that starts earlier stay as strict as they were, with `startsEarly`: they show that the driver itself relies on it.

--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -84,6 +84,7 @@
     await until(() => authority.copiesFor('b') === 1);
     b.isSilent = true;
     authority.script = undefined;
+    orders.startsEarly = true;
     void orders.changeLeader('kill', 300, {applyDelayMs: 900});
     await advance(4_000);
     b.isSilent = false;
@@ -141,6 +142,7 @@
     a.crash();
     await until(() => authority.copiesFor('b') === 1);
     control.lose('kill', 0);
+    orders.startsEarly = true;
     a.recover();
     b.isLagging = true;
     await advance(300);
