Tests: an accepted request takes effect after the old primary was published

Cause: a request for the present primary is accepted and changes nothing, while one for a successor that was accepted just before takes effect some hundred milliseconds later. That its own request was accepted is therefore not enough to publish a member that led already: requests accepted before it must have taken effect too.

--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -132,6 +132,27 @@
     await expectKept(orders);
   });
 
+  it('keeps the old primary after an accepted request took effect', async () => {
+    // Guards against a request for a successor that was accepted just before
+    // the one for the old primary, and replaces it after it was published.
+    const orders = await startOrders(true);
+    const {authority, group} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    authority.script = (instance, copy) => {
+      if (instance === 'a') authority.release();
+      if (instance !== 'b') return undefined;
+      return copy === 1 ? 'kept' : 'dropped';
+    };
+    a.isSilent = true;
+    a.isHidden = true;
+    await until(() => authority.copiesFor('b') === 1);
+    a.recover();
+    b.isSilent = true;
+    b.isLagging = true;
+    await advance(LATE_MS + 2_000);
+    await expectKept(orders);
+  });
+
   it('assigns a first primary only after the log was applied', async () => {
     // Guards against a leader that has just restarted and publishes the old
     // primary, while a request for its successor may arrive.
--- a/src/services/promotion/test/node/simulated_authority.ts
+++ b/src/services/promotion/test/node/simulated_authority.ts
@@ -19,6 +19,8 @@
   | 'reply lost'
   | 'dropped'
   | 'rate limited'
+  /** No reply; executed when the test releases it. */
+  | 'kept'
   /** No reply; executed after this time, in milliseconds. */
   | number;
 
@@ -41,6 +43,7 @@
   readonly acknowledged = new Set<number>();
   isFaulty = false;
   effectCount = 0;
+  private readonly kept: PromotionRequest[] = [];
   private readonly copyCounts = new Map<string, number>();
   private highestToken = 0;
   private readonly holders = new Map<number, string>();
@@ -85,6 +88,11 @@
     await delay(milliseconds);
   }
 
+  /** Executes the requests that were kept. */
+  release(): void {
+    for (const request of this.kept.splice(0)) this.execute(request);
+  }
+
   /** How many copies of requests for a member were sent. */
   copiesFor(instance: string): number {
     return this.copyCounts.get(instance) ?? 0;
@@ -115,6 +123,10 @@
     const {instance, holder, token} = request;
     this.note(`${holder} requests ${instance} with ${token}: ${fate}`);
     if (fate === 'dropped') return 'unknown';
+    if (fate === 'kept') {
+      this.kept.push(request);
+      return 'unknown';
+    }
     if (fate === 'rate limited') return 'not now';
     if (typeof fate === 'number') {
       setTimeout(() => this.execute(request), fate);
