Promotions: simulated members report the log that they begin with

Cause: the first position of a member was that of the fixture, later than its log, until its tenth commit.

--- a/src/services/promotion/test/node/logging_group.ts
+++ b/src/services/promotion/test/node/logging_group.ts
@@ -1,4 +1,5 @@
 import type {Member} from '../../../../schema/generated/fleet';
+import type {Position} from '../../../position/common/position';
 import {
   DONE_LOCALLY,
   type StatementResult,
@@ -14,6 +15,7 @@
 
 /** A member with a log of commits. */
 export class LoggingMember extends SimulatedMember {
+  override position: Position = {term: 1, offset: 1};
   log: readonly Entry[] = [{commit: 0, term: 1}];
   isUp = true;
   isPaused = false;
