Promotion: a primary serves until its successor can be requested

What callers saw: without fences, a primary that drains within 13 s after a request without a reply was stopped at once, and nobody led until the wait was over.

Cause: leases were revoked and the primary made to step down before the driver asked whether another member may be requested at all.

Change: that question comes first. The primary keeps its leases meanwhile.

Result: "lets a draining primary serve until a successor can be requested" failed before this commit and passes; src/services/promotion 89 of 89.

--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -276,9 +276,10 @@
       return this.warnOnce('Cannot promote safely.', {...fields, why});
     }
     if (this.lines.logIfChanged(assignment)) return;
-    dependencies.revokeLeases();
+    // Until then the primary serves all that can reach it.
     if (!this.allowsReplacement(canPrimaryStay)) return this.holdBack(fields);
     this.mayBePaused = true;
+    dependencies.revokeLeases();
     const found = yield* this.search(assignment, fields, signal);
     if (!found || signal.aborted) return;
     const {instance: successor, end, answers} = found;
