Tests: promotions beside a busy member, and commands after a wait for leases

A member that leads and has no free slot for STATUS counts as one that does not lead, so that a second request for it is recorded as single. The second comparison of the logs sends STEPDOWN and PAUSE up to 1.25 s after the leadership was confirmed.

The delay before a busy member is retried now also runs in virtual time.

--- a/src/services/promotion/test/node/logging_group.ts
+++ b/src/services/promotion/test/node/logging_group.ts
@@ -2,6 +2,7 @@
 import type {Position} from '../../../position/common/position';
 import {
   DONE_LOCALLY,
+  failure,
   type StatementResult,
   type TargetStatement,
 } from '../../../statement/common/statement';
@@ -22,6 +23,8 @@
   isDraining = false;
   /** Whether it receives nothing for now, though it may. */
   isLagging = false;
+  /** Whether it has no free slot for commands. */
+  isBusy = false;
   /** Whether only proxies that are partitioned from control reach it. */
   isHidden = false;
 
@@ -40,6 +43,7 @@
   /** The reply tells the status at the time of the command. */
   override run(statement: TargetStatement): StatementResult {
     if (statement.kind === 'reset') return DONE_LOCALLY;
+    if (this.isBusy) return failure('busy', 'no free slot');
     this.obey(statement);
     const {isPrimary, term, position: receivedPosition} = this;
     const status: MemberStatus = {isPrimary, term, receivedPosition};
@@ -79,6 +83,7 @@
     this.isSilent = false;
     this.isHidden = false;
     this.isDraining = false;
+    this.isBusy = false;
     this.isLagging = false;
   }
 }
--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -10,6 +10,13 @@
 import {PromotionOrders} from './promotion_orders';
 import {advance, useVirtualTime} from './virtual_time';
 
+// Fake timers do not replace these.
+vi.mock('node:timers/promises', () => ({
+  setTimeout: (milliseconds: number) => {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+  },
+}));
+
 /** A range of other seeds: ORDER_SEEDS=100-149 npx vitest run orders */
 const SEEDS = process.env['ORDER_SEEDS'] ?? '1-8';
 const [first, last] = SEEDS.split('-').map(Number);
@@ -216,6 +223,53 @@
     proxy!.isCut = false;
     await expectKept(orders);
   });
+
+  it('takes no missing status for a member that does not lead', async () => {
+    // Guards against a second request for a member that leads already: its
+    // lead would be taken for the execution of that request, which arrives
+    // after the next primary was promoted.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    authority.script = (instance, copy) => {
+      return instance === 'b' && copy === 2 ? LATE_MS : undefined;
+    };
+    a.crash();
+    await until(() => authority.copiesFor('b') === 1);
+    b.isBusy = true;
+    await advance(3_200);
+    b.isBusy = false;
+    await until(() => orders.isServing);
+    a.recover();
+    await advance(1_000);
+    b.crash();
+    await advance(1_500);
+    b.recover();
+    await until(() => orders.isServing);
+    b.isLagging = true;
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
+  it('commands no member long after its leadership was confirmed', async () => {
+    // Guards against an isolated leader that waits for leases, and then stops a
+    // primary that the next leader has kept, or replicas that it has resumed.
+    const orders = await startOrders(true);
+    const {group} = orders;
+    const [a, b, c] = [group.member('a'), group.member('b'), group.member('c')];
+    const [proxy] = orders.proxies;
+    proxy!.isCut = true;
+    a.isSilent = true;
+    a.isHidden = true;
+    await until(() => b.isPaused && c.isPaused);
+    void orders.changeLeader('isolate', 300, {actsOnMs: 1_000});
+    await advance(100);
+    a.recover();
+    await advance(3_000);
+    proxy!.isCut = false;
+    expect([a.isPrimary, b.isPaused, c.isPaused]).toEqual([true, false, false]);
+    await expectKept(orders);
+  });
 });
 
 describe.each([true, false])('PromotionDriver, fenced: %s', isFenced => {
