Promotion: a copy is single only beside a replica's reply; confirm again after leases

A missing status was taken for a member that does not lead, and an accepted request that may still take effect for one that has ended. Both made the lead of the member count as the execution of the next request. After a wait for leases the leadership is confirmed again before members get commands.

--- a/src/services/promotion/common/request_order.ts
+++ b/src/services/promotion/common/request_order.ts
@@ -76,9 +76,13 @@
     this.expectArrivalsUntil(sentUntil + MAX_DELAY_MS);
   }
 
-  /** Whether a request with a new token is the only one that can arrive. */
-  isSingle(leads: boolean, now: number): boolean {
-    return !leads && !this.mayArrive(now);
+  /**
+   * Whether only a request with a new token can make its member the primary.
+   *
+   * @param isReplica Whether the member replied that it does not lead.
+   */
+  isSingle(isReplica: boolean, now: number): boolean {
+    return isReplica && !this.mayTakeEffect(now);
   }
 
   /** A new token is used from now on. */
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -311,6 +311,7 @@
     if (!this.isPromotable(found, assignment, fields)) return undefined;
     if (found.hasSteppedDown || !mayBeLeased) return found;
     yield* this.waitForLeases(fields, signal);
+    if (!(yield* this.confirmsLeadership())) return undefined;
     // Guard: until then the old primary, if control cannot reach it, may have
     // acknowledged commits which a member confirmed that joined meanwhile, or
     // that a suspended leader let receive again.
@@ -385,7 +386,10 @@
     this.heldSince = undefined;
     const confirmedAt = dependencies.access.clock.now();
     const previous = dependencies.assignment();
-    const isSingle = this.order.isSingle(chosen?.leads === true, this.now);
+    // Guard: a member that leads already may reply late. Its lead would be taken
+    // for the execution of the new request, which is still under way.
+    const isReplica = chosen?.leads === false;
+    const isSingle = this.order.isSingle(isReplica, this.now);
     const haveOthersEnded = !this.order.mayTakeEffect(this.now);
     const assigned = yield* settled(
       dependencies.assignPrimary(successor, {
--- a/src/services/promotion/test/common/request_order.test.ts
+++ b/src/services/promotion/test/common/request_order.test.ts
@@ -66,7 +66,7 @@
   it('takes the lead of a member for the execution of one copy only', () => {
     // Guards against a second copy that arrives after the next primary.
     const order = makeOrder(false);
-    order.onDidAssign(order.isSingle(false, 0));
+    order.onDidAssign(order.isSingle(true, 0));
     order.onDidSend(request, 'unknown', 100);
     order.onDidSend(request, 'unknown', 400);
     order.onDidTakeEffect(600);
@@ -77,16 +77,24 @@
     // Guards against a request that changed nothing and arrives later, when
     // another member is the primary.
     const order = makeOrder(false);
-    order.onDidAssign(order.isSingle(true, 0));
+    order.onDidAssign(order.isSingle(false, 0));
     order.onDidSend(request, 'unknown', 100);
     order.onDidTakeEffect(600);
     expect(order.allowsCompletion(600)).toBe(false);
   });
 
+  it('takes the lead of a member for no execution if it may lead soon', () => {
+    // Guards against an accepted request that takes effect late, and counts as
+    // the execution of the next one for the same member.
+    const order = makeOrder(false, {pending: true, answered: true});
+    expect(order.isSingle(true, MAX_EXECUTION_MS - 1)).toBe(false);
+    expect(order.isSingle(true, MAX_EXECUTION_MS)).toBe(true);
+  });
+
   it('takes the lead of a member for the accepted copy, if there is one', () => {
     // Guards against a copy without a reply that arrives later.
     const order = makeOrder(false);
-    order.onDidAssign(order.isSingle(false, 0));
+    order.onDidAssign(order.isSingle(true, 0));
     order.onDidSend(request, 'unknown', 100);
     order.onDidSend(request, 'accepted', 400);
     order.onDidTakeEffect(600);
