Control: tasks of an ended leadership propose and confirm nothing

The consensus node knows no leaderships of its callers: if the same instance led again by then, the group would commit a decision that rests on what was known before another leader decided.

Change: drivers, the account of former members, leaving replicas and removals go through `LeadershipRequests`, which ends with their leadership. A proposal that is queued before the end is told to its task is still refused by the core: it comes before the votes of another election.

Not shown that it could happen: the waits in question last 300 ms, an election at least 350 ms.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -28,6 +28,7 @@
 import {SingleFlight} from './single_flight';
 import {StableCount} from '../common/stable_count';
 import type {PromotionView} from '../common/promotion_metrics';
+import {LeadershipRequests} from './leadership_requests';
 import {LimitCoordinator} from './limit_coordinator';
 import type {ConnectionAllocator} from '../../connection_quota/common/connection_allocator';
 import {ConnectionAllocation} from '../../connection_quota/common/connection_allocation';
@@ -306,6 +307,7 @@
 
   private async removeLeavingMember(member: Member): Promise<boolean> {
     const {departures} = this;
+    const requests = this.leadershipRequests();
     const {instance, service} = member;
     departures.begin(member);
     this.roster.remove(instance);
@@ -317,7 +319,7 @@
     const stoppedAt = end ? formatPosition(end) : 'unknown';
     const fields = {instance, service, stoppedAt, others: logs};
     this.dependencies.log.info('A member left.', fields);
-    const done = await this.forget(member, end, true);
+    const done = await this.forget(requests, member, end, true);
     if (done) departures.complete(instance);
     else departures.cancel(instance);
     return done;
@@ -330,8 +332,9 @@
     if (this.proposals.isRunning(key)) return;
     const fields = {instance, service, address, reason};
     this.dependencies.log.warn('Removing a lost member.', fields);
+    const requests = this.leadershipRequests();
     this.proposals.start(key, async () => {
-      const done = await this.forget(member, undefined, false);
+      const done = await this.forget(requests, member, undefined, false);
       const hasReturned = this.roster.get(instance)?.born !== member.born;
       if (!done || hasReturned) return;
       this.roster.remove(instance);
@@ -341,6 +344,7 @@
 
   /** Removes a member from the control log, together with its log. */
   private async forget(
+    requests: LeadershipRequests,
     {instance, service, born}: Member,
     end: Position | undefined,
     left: boolean,
@@ -349,10 +353,16 @@
     const stopped = end !== undefined;
     const value = {instance, service, born, stopped, term, offset, left};
     const body = {$case: 'forget', value} as const;
-    const proposed = await this.dependencies.node.propose(encodeCommand(body));
+    const proposed = await requests.propose(encodeCommand(body));
     return proposed.isOk;
   }
 
+  /** Requests that end with the current leadership. */
+  private leadershipRequests(): LeadershipRequests {
+    const {node} = this.dependencies;
+    return new LeadershipRequests(node, this.leadership.signal);
+  }
+
   private makeLimitCoordinator(): LimitCoordinator {
     const dependencies = {...this.dependencies, catalog: () => this.catalog()};
     return new LimitCoordinator(dependencies, this.proposals);
--- a/src/services/fleet_control/node/former_members.ts
+++ b/src/services/fleet_control/node/former_members.ts
@@ -6,11 +6,11 @@
   type LogBaseline,
   type Member,
 } from '../../../schema/generated/fleet';
-import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
 import {isSameIncarnation} from '../../fleet_state/common/log_baselines';
 import {formatPosition} from '../../position/common/position';
 import type {Departures} from '../../roster/common/departures';
+import type {LeadershipRequests} from './leadership_requests';
 import type {ServiceGroups} from './service_groups';
 
 /** Silence after which a member that left has ended. */
@@ -24,7 +24,7 @@
   constructor(
     private readonly groups: ServiceGroups,
     private readonly departures: Departures,
-    private readonly node: ConsensusNode,
+    private readonly requests: LeadershipRequests,
     private readonly log: Log,
   ) {}
 
@@ -87,7 +87,7 @@
     const {term, offset} = status.receivedPosition;
     const value = {service, term, offset, members: [...members]};
     const command = encodeCommand({$case: 'accountForMembers', value});
-    const proposed = await this.node.propose(command);
+    const proposed = await this.requests.propose(command);
     this.log.info('Accounted for members that ended.', {
       service,
       members: members.map(({instance}) => instance).join(' '),
--- a/src/services/fleet_control/node/leaving_replica_control.ts
+++ b/src/services/fleet_control/node/leaving_replica_control.ts
@@ -1,12 +1,12 @@
 import {detach} from '../../../base/node/broken_invariant';
 import type {Log} from '../../../base/node/log';
 import type {Member} from '../../../schema/generated/fleet';
-import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {formatPosition, type Position} from '../../position/common/position';
 import {
   LeavingReplicas,
   type LeavingPlan,
 } from '../../promotion/common/leaving_replicas';
+import type {LeadershipRequests} from './leadership_requests';
 import type {ServiceGroups} from './service_groups';
 
 /** What decides whether replicas may be stopped. */
@@ -33,7 +33,10 @@
   constructor(
     private readonly groups: ServiceGroups,
     private readonly access: LeavingReplicaAccess,
-    private readonly node: Pick<ConsensusNode, 'isLeadershipConfirmed'>,
+    private readonly requests: Pick<
+      LeadershipRequests,
+      'isLeadershipConfirmed'
+    >,
     private readonly log: Log,
   ) {}
 
@@ -110,7 +113,7 @@
    * its log, would confirm commits that the promotion loses.
    */
   private async mayCommand(service: string, epoch: number): Promise<boolean> {
-    if (!(await this.node.isLeadershipConfirmed())) return false;
+    if (!(await this.requests.isLeadershipConfirmed())) return false;
     const isCurrent = this.groups.epochOf(service) === epoch;
     return isCurrent && this.access.isSteady(service);
   }
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -19,6 +19,7 @@
 import type {Departures} from '../../roster/common/departures';
 import type {Roster} from '../../roster/common/roster';
 import {FormerMembers} from './former_members';
+import {LeadershipRequests} from './leadership_requests';
 import {LeavingReplicaControl} from './leaving_replica_control';
 import {MemberMonitors, type MonitorAccess} from './member_monitors';
 import {ServiceGroups} from './service_groups';
@@ -62,6 +63,7 @@
   private readonly drivers = new Map<string, PromotionDriver>();
   private readonly groups: ServiceGroups;
   private readonly monitors: MemberMonitors;
+  private readonly requests: LeadershipRequests;
   readonly formerMembers: FormerMembers;
   readonly leavingReplicas: LeavingReplicaControl;
 
@@ -71,9 +73,16 @@
   ) {
     const {memberAccess, clock, machine, roster} = dependencies;
     const {departures, node, log} = dependencies;
+    this.requests = new LeadershipRequests(node, signal);
+    const {requests} = this;
     this.monitors = new MemberMonitors(memberAccess, clock, signal);
     this.groups = new ServiceGroups(machine, roster, this.monitors);
-    this.formerMembers = new FormerMembers(this.groups, departures, node, log);
+    this.formerMembers = new FormerMembers(
+      this.groups,
+      departures,
+      requests,
+      log,
+    );
     const access = {
       isSteady: (service: string) => {
         return this.drivers.get(service)?.isSteady === true;
@@ -85,7 +94,7 @@
     this.leavingReplicas = new LeavingReplicaControl(
       this.groups,
       access,
-      node,
+      requests,
       log,
     );
     this.logStart();
@@ -201,7 +210,7 @@
           clock.now(),
         );
       },
-      confirmLeadership: () => this.dependencies.node.isLeadershipConfirmed(),
+      confirmLeadership: () => this.requests.isLeadershipConfirmed(),
       assignPrimary: (instance, decision) => {
         const {isPending: ordered, isSingle: single, chosen} = decision;
         const {term, offset} = chosen?.end ?? ORIGIN_POSITION;
@@ -234,7 +243,7 @@
   private propose(
     body: NonNullable<FleetCommand['body']>,
   ): Promise<Result<number, string>> {
-    return this.dependencies.node.propose(encodeCommand(body));
+    return this.requests.propose(encodeCommand(body));
   }
 }
 
