--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -251,6 +251,79 @@
     await expectKept(orders);
   });
 
+  it('stops no primary that the next leader kept', async () => {
+    // Guards against a leader that is suspended once its leadership was
+    // confirmed, and pauses replicas that nobody resumes.
+    const orders = await startOrders(true);
+    const {group} = orders;
+    const [a, b, c] = [group.member('a'), group.member('b'), group.member('c')];
+    a.isSilent = true;
+    a.isHidden = true;
+    await advance(300);
+    orders.afterNextConfirmation = () => {
+      void orders.changeLeader('suspend', 300, {actsOnMs: 2_500});
+    };
+    await until(() => orders.control.current === undefined);
+    a.recover();
+    await advance(5_000);
+    expect([a.isPrimary, b.isPaused, c.isPaused]).toEqual([true, false, false]);
+    await expectKept(orders);
+  });
+
+  it('takes no missing status of a contested member for a replica', async () => {
+    // Guards against a request for another member that was accepted first and
+    // takes effect after the assigned member, which led already, was published.
+    const orders = await startOrders(true);
+    const {authority, group} = orders;
+    const [b, c] = [group.member('b'), group.member('c')];
+    authority.script = (instance, copy) => {
+      if (instance === 'b' && copy === 1) return 4_800;
+      if (instance === 'c' && copy === 1) return 5_780;
+      if (instance === 'c') return 'dropped';
+      return copy > 1 ? undefined : 'dropped';
+    };
+    group.member('a').isDraining = true;
+    await until(() => authority.copiesFor('b') === 1);
+    b.isSilent = true;
+    await until(() => authority.copiesFor('c') === 1);
+    c.isSilent = true;
+    await until(() => b.isPrimary);
+    b.isSilent = false;
+    c.isLagging = true;
+    await until(() => orders.history.at(-1)!.includes('"heir":"b"'));
+    b.isBusy = true;
+    const sent = authority.copiesFor('b');
+    await until(() => authority.copiesFor('b') > sent);
+    b.isBusy = false;
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
+  it('waits for effects after a contested member took the lead late', async () => {
+    // Guards against an earlier request for the assigned member itself, so that
+    // the accepted one changed nothing, as if the member had led before.
+    const orders = await startOrders(true);
+    const {authority, group} = orders;
+    const [b, c] = [group.member('b'), group.member('c')];
+    let repeats = 0;
+    authority.script = (instance, copy) => {
+      if (instance === 'b' && copy === 1) return 8_140;
+      if (instance === 'c' && copy === 1) return 5_300;
+      if (instance === 'c' || authority.copiesFor('c') === 0) return 'dropped';
+      return ++repeats > 1 ? undefined : 'dropped';
+    };
+    group.member('a').isDraining = true;
+    await until(() => authority.copiesFor('b') === 1);
+    b.isSilent = true;
+    await until(() => authority.copiesFor('c') === 1);
+    c.isSilent = true;
+    await advance(2_000);
+    b.isSilent = false;
+    c.isLagging = true;
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
   it('commands no member long after its leadership was confirmed', async () => {
     // Guards against an isolated leader that waits for leases, and then stops a
     // primary that the next leader has kept, or replicas that it has resumed.
