Promotion: a contested primary serves once earlier effects are over

An accepted request changes nothing if its member led already, which a status before it cannot rule out: it may be missing, or an earlier request for the same member takes effect after it. The service is allowed MAX_EXECUTION_MS after the reply in each case. The status before the first copy, which aged the confirmation, is gone. The unit test now asks for the later time.

--- a/src/services/promotion/common/request_order.ts
+++ b/src/services/promotion/common/request_order.ts
@@ -22,8 +22,6 @@
 interface AcceptedRequest {
   readonly token: number;
   readonly acceptedAt: number;
-  /** The member was the primary before, so that the request changed nothing. */
-  readonly wasPrimary: boolean;
 }
 
 /**
@@ -92,11 +90,7 @@
   }
 
   /** A copy of a request was sent at this time or earlier. */
-  onDidSend(
-    {token, wasPrimary}: Pick<AcceptedRequest, 'token' | 'wasPrimary'>,
-    outcome: PromotionOutcome,
-    now: number,
-  ): void {
+  onDidSend(token: number, outcome: PromotionOutcome, now: number): void {
     if (outcome === 'unknown') {
       this.openCopies = this.mayArrive(now) ? this.openCopies + 1 : 1;
       this.expectArrivalsUntil(now + MAX_DELAY_MS);
@@ -105,7 +99,7 @@
     this.expectEffectsUntil(now + MAX_EXECUTION_MS);
     // A copy that follows the first accepted one finds the same member.
     if (this.accepted?.token === token) return;
-    this.accepted = {token, acceptedAt: now, wasPrimary};
+    this.accepted = {token, acceptedAt: now};
   }
 
   /** The member of the newest request is the primary. */
@@ -147,14 +141,14 @@
    * Whether the assigned member, which is the primary, may serve as such.
    *
    * Guard: a request for another member could arrive until the authority has
-   * accepted the token of this assignment, and take effect a little later.
+   * accepted the token of this assignment, and take effect a little later. The
+   * accepted request itself changes nothing if its member led already.
    */
   allowsService({epoch, contested}: AssignmentRequests, now: number): boolean {
     if (!contested || !this.mayTakeEffect(now)) return true;
     const {accepted} = this;
     if (!this.isFenced || accepted?.token !== epoch) return false;
-    const {wasPrimary, acceptedAt} = accepted;
-    return !wasPrimary || now >= acceptedAt + MAX_EXECUTION_MS;
+    return now >= accepted.acceptedAt + MAX_EXECUTION_MS;
   }
 
   /** Whether nothing can arrive that the authority does not refuse. */
--- a/src/services/promotion/node/promotion_requests.ts
+++ b/src/services/promotion/node/promotion_requests.ts
@@ -26,8 +26,6 @@
 /** Copies of one request, until its outcome is known or unclear for long. */
 interface Attempt {
   readonly request: PromotionRequest;
-  /** The member was the primary before the first copy. */
-  readonly wasPrimary: boolean;
   copyCount: number;
   nextSendAt: number;
   endsAt: number;
@@ -64,7 +62,7 @@
     signal: AbortSignal,
   ): Task<'promoted' | 'refused' | 'unclear'> {
     const {clock} = this.dependencies;
-    const attempt = yield* this.startAttempt(assignment);
+    const attempt = this.startAttempt(assignment);
     let leadershipConfirmedAt = confirmedAt;
     while (clock.now() < attempt.endsAt && !signal.aborted) {
       if (clock.now() >= attempt.nextSendAt) {
@@ -84,14 +82,12 @@
     return 'unclear';
   }
 
-  private *startAttempt(assignment: PrimaryAssignment): Task<Attempt> {
+  private startAttempt(assignment: PrimaryAssignment): Attempt {
     const {service, holder, clock} = this.dependencies;
-    const {instance, epoch: token, contested} = assignment;
-    const wasPrimary = contested && (yield* this.isPrimary(instance));
+    const {instance, epoch: token} = assignment;
     this.repeatableToken = token;
     return {
       request: {service, instance, holder, token},
-      wasPrimary,
       copyCount: 0,
       nextSendAt: -Infinity,
       endsAt: clock.now() + REPEAT_TIMEOUT_MS,
@@ -126,7 +122,7 @@
     signal: AbortSignal,
   ): Task<PromotionOutcome> {
     const {clock, access} = this.dependencies;
-    const {request, wasPrimary} = attempt;
+    const {request} = attempt;
     let checkedAt: number | undefined;
     const isFresh = () => {
       checkedAt = access.clock.now();
@@ -140,7 +136,7 @@
       'value' in done ? done.value : {outcome: 'unknown'};
     const {outcome} = reply;
     const now = clock.now();
-    this.order.onDidSend({token: request.token, wasPrimary}, outcome, now);
+    this.order.onDidSend(request.token, outcome, now);
     this.recordReplies(request.token, outcome);
     this.logCopy(attempt, reply, {confirmedAt, checkedAt});
     const isAccepted = outcome === 'accepted';
--- a/src/services/promotion/test/common/request_order.test.ts
+++ b/src/services/promotion/test/common/request_order.test.ts
@@ -30,7 +30,7 @@
 }
 
 const INHERITED_END = REQUEST_MAX_AGE_MS + MAX_DELAY_MS;
-const request = {token: 5, wasPrimary: false};
+const request = 5;
 
 describe('RequestOrder without fences', () => {
   it('waits for nothing after a settled assignment', () => {
@@ -150,10 +150,11 @@
     const contested = makeAssignment({pending: true, contested: true});
     const order = makeOrder(true, contested);
     expect(order.allowsService(contested, 100)).toBe(false);
-    order.onDidSend({token: 4, wasPrimary: false}, 'accepted', 200);
+    order.onDidSend(4, 'accepted', 200);
     expect(order.allowsService(contested, 200)).toBe(false);
     order.onDidSend(request, 'accepted', 300);
-    expect(order.allowsService(contested, 300)).toBe(true);
+    const end = 300 + MAX_EXECUTION_MS;
+    expect(order.allowsService(contested, end)).toBe(true);
   });
 
   it('waits for requests that were accepted before, if one changed nothing', () => {
@@ -161,7 +162,7 @@
     // takes effect after the assigned member, which led already, was published.
     const contested = makeAssignment({pending: true, contested: true});
     const order = makeOrder(true, contested);
-    order.onDidSend({token: 5, wasPrimary: true}, 'accepted', 300);
+    order.onDidSend(request, 'accepted', 300);
     const end = 300 + MAX_EXECUTION_MS;
     expect(order.allowsService(contested, end - 1)).toBe(false);
     expect(order.allowsService(contested, end)).toBe(true);
