Promotion: replicas receive again by one command, sent soon after a confirmation

What callers saw: acknowledged commits that are gone after a failover, if a proxy and the old primary are cut off from control, and a control leader is suspended or a replica is busy at the wrong moment.

Cause: RESUME has no term by which a replica could refuse it. It was sent however long ago the leadership had been confirmed, and retried for 0.7 s where the replica was busy, also after a later PAUSE. Proxies that control cannot reach may go on acknowledging by the members' word after their leases, so the pause is what protects a comparison. A suspended leader stopped primaries as well that the next one had kept.

Change: members are commanded within 0.3 s of a confirmation, RESUME is sent once, and a leaving replica whose RESUME had no reply counts as stopped still.

Tests: the late RESUME of the search now has two schedules, one that the network holds (red without the second comparison) and one of a suspended leader (red without the limit of age); it was one schedule that only the first could pass, and the suspended leader had to resume the replica for it. Timers of a suspended leader close no connection in the simulation.

--- a/src/services/fleet_control/node/leaving_replica_control.ts
+++ b/src/services/fleet_control/node/leaving_replica_control.ts
@@ -120,25 +120,40 @@
 
   private async carryOut(
     plan: LeavingPlan,
-    {member, key, end}: LeavingReplica,
+    replica: LeavingReplica,
     epoch: number,
   ): Promise<void> {
+    const {member, key, end} = replica;
     const isResumed = plan.resume.includes(key);
     if (!isResumed && !plan.stop.includes(key)) return;
     const {service} = member;
     if (!(await this.mayCommand(service, epoch))) {
-      // The plan counts it as resumed already.
-      if (isResumed && end) this.replicasOf(service).onDidStop(key, end);
-    } else if (isResumed) await this.resumeReplica(member);
+      if (isResumed) this.countAsStopped(member, key, end);
+    } else if (isResumed) await this.resumeReplica(replica);
     else await this.stopReplica(member, key, epoch);
   }
 
-  private async resumeReplica(member: Member): Promise<void> {
+  private async resumeReplica({
+    member,
+    key,
+    end,
+  }: LeavingReplica): Promise<void> {
     const {service, instance} = member;
-    await this.groups.monitors.of(member).sendCommand({kind: 'resume'});
+    const monitor = this.groups.monitors.of(member);
+    const status = await monitor.sendCommand({kind: 'resume'});
+    if (!status) return this.countAsStopped(member, key, end);
     this.log.info('Resumed a leaving replica.', {service, instance});
   }
 
+  /** The plan counts a replica as resumed that was not. */
+  private countAsStopped(
+    {service}: Member,
+    key: string,
+    end: Position | undefined,
+  ): void {
+    if (end) this.replicasOf(service).onDidStop(key, end);
+  }
+
   private async stopReplica(
     member: Member,
     key: string,
--- a/src/services/promotion/node/member_monitor.ts
+++ b/src/services/promotion/node/member_monitor.ts
@@ -122,6 +122,9 @@
    * Commands take a slot, and members are busiest when their service has lost
    * its primary. A busy member is retried, so that a promotion need not wait
    * for the next check of the whole service.
+   *
+   * Guard: a command that lets a replica receive is not retried. It could follow
+   * one that stopped the replica for a promotion.
    */
   async sendCommand(
     command: TargetStatement,
@@ -136,7 +139,8 @@
         this.recordPosition(status.receivedPosition);
         return status;
       }
-      if (this.clock.now() >= retryUntil) return undefined;
+      const isRetryable = command.kind !== 'resume';
+      if (!isRetryable || this.clock.now() >= retryUntil) return undefined;
       await setTimeout(BUSY_RETRY_DELAY_MS);
     }
   }
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -10,7 +10,7 @@
   sendToAll,
   type SuccessorSearchResult,
 } from './successor_search';
-import {RequestOrder} from '../common/request_order';
+import {REQUEST_MAX_AGE_MS, RequestOrder} from '../common/request_order';
 import {PromotionLog} from './promotion_log';
 import {PromotionRequests} from './promotion_requests';
 import type {PromotionDependencies} from './promotion_dependencies';
@@ -103,7 +103,7 @@
    * the newest one, whose request may still be under way.
    */
   private *inheritRequests(signal: AbortSignal): Task<void> {
-    while (!signal.aborted && !(yield* this.confirmsLeadership())) {
+    while (!signal.aborted && !(yield* this.confirmsLeadership(Infinity))) {
       yield* sleep(CHECK_INTERVAL_MS);
     }
     if (signal.aborted) return;
@@ -325,9 +325,12 @@
    * it hears of the next leader. It would pause replicas that nobody resumes,
    * or resume replicas whose logs the next leader is comparing.
    */
-  private *confirmsLeadership(): Task<boolean> {
+  private *confirmsLeadership(maxAgeMs = REQUEST_MAX_AGE_MS): Task<boolean> {
+    const {clock} = this.dependencies.access;
+    const requestedAt = clock.now();
     const done = yield* settled(this.dependencies.confirmLeadership());
-    return 'value' in done && done.value;
+    const isRecent = clock.now() - requestedAt < maxAgeMs;
+    return 'value' in done && done.value && isRecent;
   }
 
   private hasReachableReplica({instance}: PrimaryAssignment): boolean {
--- a/src/services/promotion/test/node/member_monitor.test.ts
+++ b/src/services/promotion/test/node/member_monitor.test.ts
@@ -1,6 +1,9 @@
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 import {ok, type Result} from '../../../../base/common/result';
-import {DONE_LOCALLY} from '../../../statement/common/statement';
+import {
+  DONE_LOCALLY,
+  type TargetCall,
+} from '../../../statement/common/statement';
 import type {
   ConnectFailure,
   TargetConnector,
@@ -11,21 +14,23 @@
 /** A member that counts requests, and replies unless it is silent. */
 class CountingMember implements TargetConnector {
   requestCount = 0;
+  readonly kinds: string[] = [];
   isSilent = false;
 
   connect(): Promise<Result<TargetLink, ConnectFailure>> {
     const link: TargetLink = {
       isClosed: false,
       positionAtOpen: undefined,
-      send: calls => calls.map(() => this.reply()),
+      send: calls => calls.map(call => this.reply(call)),
       onDidClose: () => {},
       close: () => {},
     };
     return Promise.resolve(ok(link));
   }
 
-  private reply() {
+  private reply({statement}: TargetCall) {
     this.requestCount++;
+    this.kinds.push(statement.kind);
     if (this.isSilent) return new Promise<never>(() => {});
     const result = DONE_LOCALLY;
     const state = 'idle' as const;
@@ -105,3 +110,20 @@
   await vi.advanceTimersByTimeAsync(1_000);
   expect(monitor.silentMs).toBeGreaterThan(700);
 });
+
+it('retries no command that lets a replica receive', async () => {
+  // Guards against a replica that receives again after it was stopped for a
+  // promotion, since it was too busy for an earlier command.
+  const monitor = startMonitor(1_000);
+  await vi.advanceTimersByTimeAsync(100);
+  const replies = Promise.all([
+    monitor.sendCommand({kind: 'resume'}),
+    monitor.sendCommand({kind: 'status'}),
+  ]);
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(await replies).toEqual([undefined, undefined]);
+  const resumed = member.kinds.filter(kind => kind === 'resume');
+  const asked = member.kinds.filter(kind => kind === 'status');
+  expect(resumed).toHaveLength(1);
+  expect(asked.length).toBeGreaterThan(1);
+});
--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -54,6 +54,35 @@
   expect(orders.errors).toEqual([]);
 }
 
+/** A leader is lost when it resumes replicas; the next one stops them. */
+async function startLateResume(
+  loseLeader: (orders: PromotionOrders) => void,
+): Promise<PromotionOrders> {
+  const orders = await startOrders(true);
+  const {group, proxies} = orders;
+  const [a, b] = [group.member('a'), group.member('b')];
+  // The first confirmation precedes all decisions of a leadership.
+  orders.afterNextConfirmation = () => {
+    orders.afterNextConfirmation = () => loseLeader(orders);
+  };
+  void orders.changeLeader('kill', 300);
+  await until(() => orders.leaderCount === 3);
+  await advance(500);
+  proxies[0]!.isCut = true;
+  a.isSilent = true;
+  a.isHidden = true;
+  await until(() => b.isPaused);
+  b.isSilent = true;
+  return orders;
+}
+
+async function expectKeptAfterResume(orders: PromotionOrders): Promise<void> {
+  orders.group.member('b').isSilent = false;
+  await advance(LATE_MS);
+  orders.proxies[0]!.isCut = false;
+  await expectKept(orders);
+}
+
 describe('PromotionDriver', () => {
   it('waits until no request of the last leader can arrive', async () => {
     // Guards against a lower token after a higher one at a change of leader.
@@ -195,33 +224,30 @@
     await expectKept(orders);
   });
 
+  it('compares logs again after a late command let a replica receive', async () => {
+    // Guards against commits that a replica confirms after its log was compared,
+    // since the network held a command of the last leader.
+    const orders = await startLateResume(running => {
+      running.control.current!.resumeDelayMs = 1_600;
+      const suspend = () => {
+        return running.changeLeader('suspend', 300, {actsOnMs: 1_900});
+      };
+      setTimeout(() => void suspend(), 10);
+    });
+    await until(() => !orders.group.member('c').isPaused);
+    await advance(50);
+    await expectKeptAfterResume(orders);
+  });
+
   it('resumes no replica long after its leadership was confirmed', async () => {
     // Guards against a suspended leader that resumes replicas whose logs the
     // next leader has compared, so that they confirm more commits.
-    const orders = await startOrders(true);
-    const {group, proxies} = orders;
-    const [a, b] = [group.member('a'), group.member('b')];
-    // The first confirmation precedes all decisions of a leadership.
-    orders.afterNextConfirmation = () => {
-      orders.afterNextConfirmation = () => {
-        void orders.changeLeader('suspend', 300, {actsOnMs: 1_600});
-      };
-    };
-    void orders.changeLeader('kill', 300);
-    await until(() => orders.leaderCount === 3);
-    const [proxy] = proxies;
-    await advance(500);
-    proxy!.isCut = true;
-    a.isSilent = true;
-    a.isHidden = true;
-    await until(() => b.isPaused);
-    b.isSilent = true;
-    await until(() => !group.member('c').isPaused);
-    await advance(50);
-    b.isSilent = false;
-    await advance(LATE_MS);
-    proxy!.isCut = false;
-    await expectKept(orders);
+    const orders = await startLateResume(running => {
+      void running.changeLeader('suspend', 300, {actsOnMs: 1_600});
+    });
+    await advance(450);
+    expect(orders.group.member('c').isPaused).toBe(true);
+    await expectKeptAfterResume(orders);
   });
 
   it('takes no missing status for a member that does not lead', async () => {
--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -55,6 +55,8 @@
   isKilled = false;
   /** Whether its state machine holds all that was committed before it. */
   isReady = false;
+  /** How long the network holds commands that let replicas receive. */
+  resumeDelayMs = 0;
   private readonly monitors = new Map<string, MemberMonitor>();
 
   constructor(
@@ -115,7 +117,8 @@
         // What was sent before a suspension arrives during it.
         await this.pass(0);
         if (this.isKilled) return CLOSED;
-        await delay(LINK_DELAY_MS);
+        const isHeld = call.statement.kind === 'resume';
+        await delay(LINK_DELAY_MS + (isHeld ? this.resumeDelayMs : 0));
         if (link.isClosed) return CLOSED;
         const [reply] = link.send([call]);
         const received = await reply!;
@@ -128,7 +131,10 @@
       positionAtOpen: link.positionAtOpen,
       send,
       onDidClose: listener => link.onDidClose(listener),
-      close: () => link.close(),
+      // The timers of a suspended leader close nothing.
+      close: () => {
+        if (!this.instance.isSuspended) link.close();
+      },
     };
   }
 }
