Tests: a leader repeats its request instead of waiting for it

The guard "promotion: copies of a request repeat their token" was green without the guard: without it the leader waits until the first copy arrives, which broke no rule. The test now asks for a primary before that.

--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -97,7 +97,8 @@
   });
 
   it('repeats a request with the same token until it takes effect', async () => {
-    // Guards against a lower token after a higher one of the same leader.
+    // Guards against a lower token after a higher one of the same leader, and
+    // against a leader that waits though it may repeat its request.
     const orders = await startOrders(false);
     const {authority, group} = orders;
     authority.script = (...[, copy]) => {
@@ -105,7 +106,9 @@
       return copy < 6 ? 'dropped' : undefined;
     };
     group.member('a').crash();
-    await advance(LATE_MS + 2_000);
+    await advance(LATE_MS - 500);
+    expect(orders.isServing).toBe(true);
+    await advance(2_500);
     await expectKept(orders);
   });
 
