Promotion: connect to the platform while the decision is saved

Cause: the request leaves a round trip after the decision was saved, since the connection is opened then. A leader that ends in between leaves a decision whose request may be under way, so the next one has to wait.

Change: the connection is opened while the decision is saved, and carries the request once it is. It saves that round trip in each promotion, too.

--- a/src/services/fleet_control/test/node/service_promotions.test.ts
+++ b/src/services/fleet_control/test/node/service_promotions.test.ts
@@ -42,6 +42,7 @@
   }
   const requested: string[] = [];
   const authority = {
+    prepare: () => {},
     promote: ({instance}: {instance: string}) => {
       requested.push(instance);
       return Promise.resolve({outcome: 'refused'});
--- a/src/services/promotion/node/counted_promotion_authority.ts
+++ b/src/services/promotion/node/counted_promotion_authority.ts
@@ -15,6 +15,10 @@
 
   constructor(private readonly authority: PromotionAuthority) {}
 
+  prepare(signal: AbortSignal): void {
+    this.authority.prepare(signal);
+  }
+
   async promote(
     request: PromotionRequest,
     isFresh: () => boolean,
--- a/src/services/promotion/node/promotion_authority.ts
+++ b/src/services/promotion/node/promotion_authority.ts
@@ -24,6 +24,9 @@
 
 /** The service of the platform that executes promotions. */
 export interface PromotionAuthority {
+  /** Connects for the next request, so that it leaves without delay. */
+  prepare(signal: AbortSignal): void;
+
   /**
    * Sends a promotion request.
    *
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -387,6 +387,9 @@
     const {dependencies} = this;
     const {service} = dependencies;
     this.heldSince = undefined;
+    // Between the decision and its request, a leader that ends leaves the next
+    // one waiting for a request that was never sent.
+    dependencies.access.authority.prepare(signal);
     const confirmedAt = dependencies.access.clock.now();
     const previous = dependencies.assignment();
     // Guard: a member that leads already may reply late. Its lead would be taken
--- a/src/services/promotion/test/node/counted_promotion_authority.test.ts
+++ b/src/services/promotion/test/node/counted_promotion_authority.test.ts
@@ -5,6 +5,7 @@
 it('counts requests by service and outcome, and passes replies on', async () => {
   const outcomes: PromotionOutcome[] = ['unknown', 'accepted', 'unknown'];
   const counted = new CountedPromotionAuthority({
+    prepare: () => {},
     promote: () => Promise.resolve({outcome: outcomes.shift()!, status: 500}),
   });
   const {signal} = new AbortController();
--- a/src/services/promotion/test/node/order_dependencies.ts
+++ b/src/services/promotion/test/node/order_dependencies.ts
@@ -41,6 +41,7 @@
     log,
     access: {
       authority: {
+        prepare: () => {},
         promote: (request, isFresh, signal) => {
           return authority.promote(request, isFresh, signal, leadership);
         },
--- a/src/services/promotion/test/node/promotion_driver.test.ts
+++ b/src/services/promotion/test/node/promotion_driver.test.ts
@@ -67,6 +67,7 @@
       log: this.logger.log,
       access: {
         authority: {
+          prepare: () => {},
           promote: ({instance}) => {
             this.promoted.push(instance);
             this.group.member(instance).isPrimary = true;
--- a/src/services/promotion/test/node/promotion_requests.test.ts
+++ b/src/services/promotion/test/node/promotion_requests.test.ts
@@ -21,6 +21,7 @@
   const clock = new ManualClock(1_000);
   const {lines, log} = makeLog();
   const authority: PromotionAuthority = {
+    prepare: () => {},
     promote: (...[, isFresh]) => {
       const reply = promote(clock, isFresh);
       return reply instanceof Error
