--- a/src/services/promotion/test/node/promotion_orders.test.ts
+++ b/src/services/promotion/test/node/promotion_orders.test.ts
@@ -112,6 +112,29 @@
     await expectKept(orders);
   });
 
+  it('tells the next leader of a second copy before it is sent', async () => {
+    // Guards against a lead that counts as the execution of the only copy, while
+    // another one arrives after the next primary was promoted.
+    const orders = await startOrders(false);
+    const {authority, group} = orders;
+    const [a, b] = [group.member('a'), group.member('b')];
+    authority.script = (instance, copy) => {
+      if (instance !== 'b' || copy > 2) return undefined;
+      return copy === 1 ? 1_500 : LATE_MS;
+    };
+    a.crash();
+    await until(() => authority.copiesFor('b') === 2);
+    void orders.changeLeader('kill', 300);
+    await until(() => orders.isServing);
+    a.recover();
+    await advance(500);
+    b.crash();
+    await advance(2_500);
+    b.recover();
+    await advance(LATE_MS);
+    await expectKept(orders);
+  });
+
   it('decides on the newest assignment after a change of leader', async () => {
     // Guards against a successor that is promoted while the last leader's
     // request for another one may arrive, as its entry was not applied yet.
