Promotion: a wait for a late request runs from the end of the leader that sent it

Cause: each new leader counted the 13.3 s from its own start, though nothing had been sent since the first of them was lost.

Change: each instance keeps when it first applied an entry of a later term (TermHistory). An instance that does not know counts from its own start, as before.

--- a/src/services/consensus/node/consensus_node.ts
+++ b/src/services/consensus/node/consensus_node.ts
@@ -16,6 +16,7 @@
   RefusalReason,
   RequestId,
 } from '../common/consensus_types';
+import {TermHistory} from '../common/term_history';
 import type {LogStorage, StorageFailure} from './log_storage';
 import {
   OpenRequests,
@@ -60,6 +61,7 @@
   private reportedConfiguration: Configuration | undefined;
   /** The newest entry that the state machine holds. */
   private applied: Pick<LogEntry, 'index' | 'term'>;
+  private readonly terms: TermHistory;
 
   constructor(
     readonly core: Consensus,
@@ -72,6 +74,7 @@
   ) {
     const {index, term} = core.baseSnapshot;
     this.applied = {index, term};
+    this.terms = new TermHistory(this.applied);
   }
 
   /**
@@ -82,6 +85,14 @@
     return this.applied.index;
   }
 
+  /**
+   * By when the leadership that proposed an entry had ended; undefined if that
+   * was before the process started, or if it goes on.
+   */
+  leadershipEndOf(index: number): number | undefined {
+    return this.terms.endOf(index);
+  }
+
   /** Runs until the signal aborts. */
   start(signal: AbortSignal): Promise<void> {
     this.mailbox.post({kind: 'tick'});
@@ -279,13 +290,13 @@
         if (payload?.$case === 'command') {
           this.machine.apply(index, payload.value);
         }
-        this.applied = {index, term};
+        this.recordApplied({index, term});
         return;
       }
       case 'installSnapshot': {
         const {index, term, state} = effect.snapshot;
         this.machine.restore(state);
-        this.applied = {index, term};
+        this.recordApplied({index, term});
         return;
       }
       case 'committed':
@@ -303,6 +314,11 @@
     }
   }
 
+  private recordApplied(entry: Pick<LogEntry, 'index' | 'term'>): void {
+    this.applied = entry;
+    this.terms.record(entry, this.clock.now());
+  }
+
   private *compactIfDue(): Task<boolean> {
     const {core} = this;
     const entryCount = core.commitIndex - core.snapshotIndex;
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -191,6 +191,7 @@
       claimedPrimary: () => claimedPrimaryOf(roster, service),
       assignment: () => machine.assignmentOf(service),
       monitorOf: member => this.monitors.of(member),
+      leadershipEndOf: epoch => this.dependencies.node.leadershipEndOf(epoch),
       failureReportsOf: instance => leader.failureReportsOf(service, instance),
       revokeLeases: () => {
         publishedPrimaries.revoke(service);
--- a/src/services/fleet_control/test/node/service_promotions.test.ts
+++ b/src/services/fleet_control/test/node/service_promotions.test.ts
@@ -54,6 +54,7 @@
     node: {
       core: {currentTerm: 2, commitIndex: 1},
       appliedIndex: 1,
+      leadershipEndOf: () => undefined,
       propose: (command: Buffer) => {
         proposed.push(FleetCommand.decode(command).body?.$case);
         return Promise.resolve(ok(proposed.length + 1));
--- a/src/services/promotion/common/request_order.ts
+++ b/src/services/promotion/common/request_order.ts
@@ -61,16 +61,25 @@
     private readonly startedAt: number,
   ) {}
 
-  /** Takes account of the requests of earlier holders. */
-  inherit(assignment: AssignmentRequests | undefined): void {
+  /**
+   * Takes account of the requests of earlier holders.
+   *
+   * @param endedAt When the holder that wrote the assignment had ended, if that
+   *     is known.
+   */
+  inherit(
+    assignment: AssignmentRequests | undefined,
+    endedAt = this.startedAt,
+  ): void {
     if (!assignment?.pending) return;
     const {answered, contested, single} = assignment;
+    const heldUntil = Math.min(endedAt, this.startedAt);
     if (answered && !contested) {
-      return this.expectEffectsUntil(this.startedAt + MAX_EXECUTION_MS);
+      return this.expectEffectsUntil(heldUntil + MAX_EXECUTION_MS);
     }
     this.isExecutionVisible = single && !contested;
     this.openCopies = this.isExecutionVisible ? 1 : Infinity;
-    const sentUntil = this.startedAt + REQUEST_MAX_AGE_MS;
+    const sentUntil = heldUntil + REQUEST_MAX_AGE_MS;
     this.expectArrivalsUntil(sentUntil + MAX_DELAY_MS);
   }
 
--- a/src/services/promotion/node/promotion_dependencies.ts
+++ b/src/services/promotion/node/promotion_dependencies.ts
@@ -48,6 +48,11 @@
   claimedPrimary(): Member | undefined;
   /** The primary assignment in the control log. */
   assignment(): PrimaryAssignment | undefined;
+  /**
+   * By when the leader that wrote an assignment had ended; undefined if this
+   * instance does not know.
+   */
+  leadershipEndOf(epoch: number): number | undefined;
   failureReportsOf(instance: string): FailureReports;
   /** Makes the proxies return their leases on the primary. */
   revokeLeases(): void;
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -107,7 +107,9 @@
       yield* sleep(CHECK_INTERVAL_MS);
     }
     if (signal.aborted) return;
-    this.order.inherit(this.dependencies.assignment());
+    const assignment = this.dependencies.assignment();
+    const endedAt = this.dependencies.leadershipEndOf(assignment?.epoch ?? 0);
+    this.order.inherit(assignment, endedAt);
     this.lines.logStart(this.order.underWayMs(this.now));
   }
 
--- a/src/services/promotion/test/common/request_order.test.ts
+++ b/src/services/promotion/test/common/request_order.test.ts
@@ -101,6 +101,14 @@
     expect(order.allowsCompletion(600)).toBe(false);
   });
 
+  it('counts from the end of the holder that sent the request', () => {
+    // Guards against a wait that each change of leader begins anew.
+    const order = new RequestOrder(false, 9_000);
+    order.inherit(makeAssignment({pending: true}), 2_000);
+    expect(order.allowsNewToken(2_000 + INHERITED_END - 1)).toBe(false);
+    expect(order.allowsNewToken(2_000 + INHERITED_END)).toBe(true);
+  });
+
   it('waits only for the effect of requests that were answered', () => {
     const order = makeOrder(false, {pending: true, answered: true});
     expect(order.allowsNewToken(0)).toBe(true);
--- a/src/services/promotion/test/node/order_dependencies.ts
+++ b/src/services/promotion/test/node/order_dependencies.ts
@@ -57,6 +57,7 @@
     confirmations: () => 1,
     claimedPrimary: () => group.primary?.record,
     assignment: () => machine.assignmentOf(SERVICE),
+    leadershipEndOf: epoch => control.leadershipEndOf(epoch),
     failureReportsOf,
     revokeLeases: () => published.revoke(SERVICE),
     isRevoked: () => {
--- a/src/services/promotion/test/node/promotion_driver.test.ts
+++ b/src/services/promotion/test/node/promotion_driver.test.ts
@@ -85,6 +85,7 @@
       claimedPrimary: () => undefined,
       assignment: () => this.assignment,
       monitorOf: member => this.monitorOf(member),
+      leadershipEndOf: () => undefined,
       failureReportsOf: () => {
         const {reportCount} = this;
         return {proxyCount: 4, reportCount, reportedMs: 0};
--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -148,6 +148,7 @@
   current: Leadership | undefined;
   private readonly log: CommittedEntry[] = [];
   private lostAt = 0;
+  private readonly elections: {index: number; at: number}[] = [];
   private lastLost: ControlInstance | undefined;
 
   constructor(
@@ -192,6 +193,7 @@
     });
     const leadership = new Leadership(instance, this.group);
     const index = this.append(encodeCommand(NOTHING));
+    this.elections.push({index, at: Date.now()});
     const applyAll = () => {
       this.apply(leadership, index);
       leadership.isReady = true;
@@ -217,6 +219,11 @@
     return true;
   }
 
+  /** When the leader that appended an entry had a successor. */
+  leadershipEndOf(index: number): number | undefined {
+    return this.elections.find(election => election.index > index)?.at;
+  }
+
   /** Whether a majority confirms a leader after the call. */
   async confirm(leadership: Leadership): Promise<boolean> {
     await leadership.pass(this.random.integer(1, 15));
