--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -20,6 +20,7 @@
 /** A leader that is cut off gives up its requests after this time. */
 const GIVE_UP_MS = 700;
 const LINK_DELAY_MS = 5;
+const REPLY_TIMEOUT_MS = 600;
 
 const CLOSED = {kind: 'lost', reason: 'closed'} as const;
 
@@ -112,16 +113,19 @@
   }
 
   private delayLink(link: TargetLink): TargetLink {
+    let unansweredCount = 0;
     const send: TargetLink['send'] = calls => {
       return calls.map(async call => {
         // What was sent before a suspension arrives during it.
         await this.pass(0);
         if (this.isKilled) return CLOSED;
+        unansweredCount++;
         const isHeld = call.statement.kind === 'resume';
         await delay(LINK_DELAY_MS + (isHeld ? this.resumeDelayMs : 0));
         if (link.isClosed) return CLOSED;
         const [reply] = link.send([call]);
         const received = await reply!;
+        unansweredCount--;
         await this.pass(LINK_DELAY_MS);
         return received;
       });
@@ -131,9 +135,14 @@
       positionAtOpen: link.positionAtOpen,
       send,
       onDidClose: listener => link.onDidClose(listener),
-      // The timers of a suspended leader close nothing.
+      // The timers of a suspended leader expire when it goes on; those of
+      // commands that it sends then begin then.
       close: () => {
-        if (!this.instance.isSuspended) link.close();
+        if (!this.instance.isSuspended) return link.close();
+        const remainingMs = unansweredCount > 0 ? 0 : REPLY_TIMEOUT_MS;
+        void this.pass(0)
+          .then(() => delay(remainingMs))
+          .then(() => unansweredCount > 0 && link.close());
       },
     };
   }
