Review: no primary for good after a late heartbeat (case 7)

A heartbeat of a member that crashed and came back under another id arrives late, while the primary is lost. The old id becomes a former member, which only a primary that serves could account for.

--- a/review/standins-2/database.mjs
+++ b/review/standins-2/database.mjs
@@ -40,6 +40,12 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Silent from now on, like a machine without power. */
+  goDark() {
+    this.isGone = true;
+    this.isDark = true;
+  }
+
   serve(socket) {
     this.sockets.add(socket);
     const session = {
@@ -61,7 +67,7 @@
   }
 
   async onLine(socket, session, line) {
-    if (socket.destroyed) return;
+    if (socket.destroyed || this.isDark) return;
     const words = line.split(' ');
     if (words[0] === 'STARTUP') {
       const isOther = words[1] !== this.service.name;
@@ -82,7 +88,7 @@
       return;
     }
     const state = session.transaction ? (session.hasFailed ? 'E' : 'T') : 'I';
-    if (socket.destroyed) return;
+    if (socket.destroyed || this.isDark) return;
     socket.write(`${reply}READY ${state} ${this.position}\r\n`, 'latin1');
   }
 
@@ -247,6 +253,18 @@
     return member;
   }
 
+  /** A crashed member comes back at its address, with its log and a new id. */
+  async bringBack(member) {
+    const next = new Member(this, `i-${++this.ids}a${this.ids}`, member.zone);
+    next.log = member.log.slice();
+    next.term = member.term;
+    await next.listen(member.ip, member.port);
+    this.members = this.members.filter(other => other !== member);
+    this.members.push(next);
+    if (this.primary) next.receiveFrom(this.primary);
+    return next;
+  }
+
   /** Sends the members' heartbeats until the fleet stops. */
   announce(fleet) {
     this.timer = setInterval(() => this.beatAll(fleet), HEARTBEAT_MS);
@@ -299,7 +317,9 @@
 
   stop() {
     clearInterval(this.timer);
-    for (const member of this.members) if (!member.isGone) member.close();
+    for (const member of this.members) {
+      if (!member.isGone || member.isDark) member.close();
+    }
     this.platform.closeAllConnections();
     this.platform.close();
   }
