--- a/review/standins-2/database.mjs
+++ b/review/standins-2/database.mjs
@@ -83,10 +83,6 @@
     const requestId = words[1];
     const text = line.slice(line.indexOf(' ', 6) + 1);
     const reply = await this.run(session, requestId, text);
-    if (requestId !== '-' && this.service.isAnswerLost(this)) {
-      this.service.lostAnswers.add(requestId);
-      return;
-    }
     const state = session.transaction ? (session.hasFailed ? 'E' : 'T') : 'I';
     if (socket.destroyed || this.isDark) return;
     socket.write(`${reply}READY ${state} ${this.position}\r\n`, 'latin1');
@@ -215,10 +211,6 @@
   ran = [];
   promotions = [];
   highestToken = 0;
-  /** Requests that ran and whose answers were lost. */
-  lostAnswers = new Set();
-  /** Whether a member loses the answer to the request that it just ran. */
-  isAnswerLost = () => false;
 
   constructor(name, note) {
     this.name = name;
