Catalog: what proxies would not receive as it is, is invalid

The check now stands in validateCatalog, so it holds for each reader: the catalog is encoded, decoded and compared, and its size is bounded by what a link between instances carries.

The size is a case of its own, found by reading: some MB of account keys become digests of 64 characters each. Such a catalog was committed, and each link to a proxy ended at the frame ("the peer does not read", above 4 MiB) and was opened again, for good.

catalog_transport.test.ts: all three fail before ("valid").

--- a/src/services/catalog/common/catalog.ts
+++ b/src/services/catalog/common/catalog.ts
@@ -5,6 +5,7 @@
   DatabaseRoute,
 } from '../../../schema/generated/fleet';
 import {AccountIndex} from '../../account/common/account_index';
+import {findTransportFault} from './catalog_transport';
 
 /** Why a catalog is invalid. */
 export interface CatalogError {
@@ -26,7 +27,10 @@
   readonly canonicalText: string;
 }
 
-/** Validates the references and the uniqueness of names in a catalog. */
+/**
+ * Validates the references and the uniqueness of names in a catalog, and that
+ * it can be sent to proxies.
+ */
 export function validateCatalog(
   catalog: Catalog,
 ): Result<Catalog, CatalogError> {
@@ -51,7 +55,10 @@
       return error(`route ${name} gives statements no time`);
     }
   }
-  return validateAccounts(catalog.accounts).map(() => catalog);
+  const accounts = validateAccounts(catalog.accounts);
+  if (accounts.isErr) return err(accounts.error);
+  const fault = findTransportFault(catalog);
+  return fault === undefined ? ok(catalog) : error(`not sendable: ${fault}`);
 }
 
 /** A key identifies an account, so two accounts cannot share one. */
--- /dev/null
+++ b/src/services/catalog/test/common/catalog_transport.test.ts
@@ -0,0 +1,35 @@
+import {describe, expect, it} from 'vitest';
+import type {Consistency} from '../../../../schema/generated/fleet';
+import {
+  makeCatalog,
+  makeRoute,
+} from '../../../gateway/test/node/session_fixture';
+import {validateCatalog} from '../../common/catalog';
+import {MAX_CATALOG_BYTES} from '../../common/catalog_transport';
+
+const reasonOf = (catalog: ReturnType<typeof makeCatalog>) => {
+  const validated = validateCatalog(catalog);
+  return validated.isErr ? validated.error.reason : 'valid';
+};
+
+// Guards against a catalog that is committed and that no leader can send.
+describe('a catalog that proxies would not receive as it is', () => {
+  it('is invalid if a value cannot be encoded', () => {
+    const consistency = Object as unknown as Consistency;
+    const reason = reasonOf(makeCatalog([makeRoute({consistency})]));
+    expect(reason).toMatch(/^not sendable: invalid int32/);
+  });
+
+  it('is invalid if a name changes on its way', () => {
+    const catalog = makeCatalog([makeRoute({database: 'd\ud800'})]);
+    expect(reasonOf(catalog)).toBe('not sendable: a value is changed');
+  });
+
+  it('is invalid if it is larger than a link carries', () => {
+    const name = 'x'.repeat(MAX_CATALOG_BYTES);
+    expect(reasonOf(makeCatalog([makeRoute({name})]))).toMatch(
+      /^not sendable: \d+ bytes/,
+    );
+    expect(reasonOf(makeCatalog([makeRoute()]))).toBe('valid');
+  });
+});
--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -7,6 +7,7 @@
 import type {LimitPrecision} from '../../account/common/limit_precision';
 import type {ShareAllocator} from '../../account/common/permit_counting';
 import type {CatalogReader} from '../../catalog/common/catalog';
+import {MAX_CATALOG_BYTES} from '../../catalog/common/catalog_transport';
 import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
 import type {FleetLeader} from '../../fleet_link/node/fleet_leader';
@@ -214,6 +215,11 @@
     const {catalog, canonicalText} = read.value;
     const {version} = catalog;
     const compressed = deflateRawSync(Buffer.from(canonicalText));
+    if (compressed.length > MAX_CATALOG_BYTES) {
+      const reason = `${compressed.length} bytes after compression`;
+      log.info('Rejected an invalid catalog.', {reason});
+      return ok({kind: 'invalid', reason});
+    }
     const body = {
       $case: 'publish',
       value: {version, source: compressed},
