Control: committed entries that cannot be applied are skipped, not fatal

- A catalog that the reader refuses (an earlier version of the program took it).
FleetControl.catalog() threw "invalid catalog 4 in the log" in the consensus task.
The newest catalog that can be read is in force now; later ones are skipped with a line and counted, two in a row as well, and the same version may be sent again with other content.
Catalogs are read when one is needed, not when they are applied, so a start with a long log reads one.
- A command that cannot be decoded ("premature EOF").
It has no effect.

Ruled out: to keep the raw version and only send none. The corrected configuration would then conflict with a version that nobody can use.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -1,4 +1,3 @@
-import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {Clock} from '../../../base/common/clock';
 import {err, ok, type Result} from '../../../base/common/result';
 import type {Log} from '../../../base/node/log';
@@ -11,10 +10,8 @@
 import type {ConsensusNode} from '../../consensus/node/consensus_node';
 import {encodeCommand} from '../../fleet_state/common/fleet_command';
 import type {FleetLeader} from '../../fleet_link/node/fleet_leader';
-import type {
-  FleetStateMachine,
-  PublishOutcome,
-} from '../../fleet_state/common/fleet_state_machine';
+import type {PublishOutcome} from '../../fleet_state/common/committed_catalogs';
+import type {FleetStateMachine} from '../../fleet_state/common/fleet_state_machine';
 import type {GroupMembership} from '../../membership/node/group_membership';
 import {PoolerPlanner} from '../../pooler/common/pooler_planner';
 import {PublishedPrimaries} from '../../lease/common/published_primaries';
@@ -26,6 +23,11 @@
 } from '../../position/common/position';
 import {Departures} from '../../roster/common/departures';
 import {Roster, type Announcement} from '../../roster/common/roster';
+import {
+  compressSource,
+  decompressSource,
+  type CommittedCatalogReader,
+} from './catalog_source';
 import {SingleFlight} from './single_flight';
 import {StableCount} from '../common/stable_count';
 import type {PromotionView} from '../common/promotion_metrics';
@@ -60,6 +62,7 @@
   readonly node: ConsensusNode;
   readonly machine: FleetStateMachine;
   readonly reader: CatalogReader;
+  readonly committedCatalogs: CommittedCatalogReader;
   readonly memberAccess: MemberAccess;
   readonly clock: Clock;
   readonly log: Log;
@@ -88,7 +91,6 @@
   private currentPrimaries = new PublishedPrimaries();
   private leaseHolders = new LeaseHolders(Infinity);
   private limitCoordinator: LimitCoordinator;
-  private parsedCatalog: {version: number; catalog: Catalog} | undefined;
   private readonly connectionAllocation: ConnectionAllocation;
   leader: FleetLeader | undefined;
 
@@ -123,17 +125,12 @@
     return this.roster.revision;
   }
 
-  /** The current catalog; undefined before the first one. */
+  /** The catalog in force; undefined before the first one. */
   catalog(): Catalog | undefined {
-    const {machine, reader} = this.dependencies;
-    const version = machine.catalogVersion;
-    if (version === 0) return undefined;
-    if (this.parsedCatalog?.version !== version) {
-      const read = reader.read(inflate(machine.catalogSource));
-      if (read.isErr) throw new Error(`invalid catalog ${version} in the log`);
-      this.parsedCatalog = {version, catalog: read.value.catalog};
-    }
-    return this.parsedCatalog.catalog;
+    const {machine, committedCatalogs} = this.dependencies;
+    const {catalogInForce} = machine;
+    if (catalogInForce.version === 0) return undefined;
+    return committedCatalogs.catalogOf(catalogInForce);
   }
 
   /** The state of the promotions of all services, while this instance leads. */
@@ -214,7 +211,7 @@
     if (!membership.hasEnoughVoters) return err('too few voters');
     const {catalog, canonicalText} = read.value;
     const {version} = catalog;
-    const compressed = deflateRawSync(Buffer.from(canonicalText));
+    const compressed = compressSource(canonicalText);
     if (compressed.length > MAX_CATALOG_BYTES) {
       const reason = `${compressed.length} bytes after compression`;
       log.info('Rejected an invalid catalog.', {reason});
@@ -251,8 +248,8 @@
     if (!this.isLeading) return err('not leading');
     const confirmed = await node.confirmLeadership();
     if (confirmed.isErr) return err('unconfirmed');
-    if (machine.catalogVersion === 0) return ok(undefined);
-    return ok(inflate(machine.catalogSource));
+    const {version, source} = machine.catalogInForce;
+    return ok(version === 0 ? undefined : decompressSource(source));
   }
 
   /** Applies an announcement of a member whose service is defined. */
@@ -509,7 +506,3 @@
     });
   }
 }
-
-function inflate(source: Buffer): string {
-  return inflateRawSync(source).toString();
-}
--- a/src/services/fleet_state/common/fleet_state_machine.ts
+++ b/src/services/fleet_state/common/fleet_state_machine.ts
@@ -1,26 +1,34 @@
+import {toError} from '../../../base/common/errors';
 import {
   type CounterEntry,
   FleetCommand,
   FleetState,
-  type PublishCatalog,
   type Member,
+  type PublishCatalog,
   type AssignPrimary,
   type ForgetMember,
   type LogBaseline,
   type PoolerEntry,
   type PrimaryAssignment,
 } from '../../../schema/generated/fleet';
+import {
+  CommittedCatalogs,
+  type PublishOutcome,
+  type ReadabilityCheck,
+} from './committed_catalogs';
 import {LogBaselines} from './log_baselines';
 
-/** The outcome of a catalog in the log. */
-export type PublishOutcome =
-  | 'in force'
-  /** The same version with the same content was applied before. */
-  | 'unchanged'
-  /** A higher version was applied before. */
-  | 'superseded'
-  /** The same version with other content was applied before. */
-  | 'conflict';
+/** What the state machine skips, as it would fail each instance in turn. */
+export interface LogGuard {
+  readonly isReadable: ReadabilityCheck;
+  /** A committed command cannot be decoded; it has no effect. */
+  onDidSkipCommand(index: number, reason: string): void;
+}
+
+const NO_GUARD: LogGuard = {
+  isReadable: () => true,
+  onDidSkipCommand: () => {},
+};
 
 /**
  * The replicated state of control for services whose members confirm commits
@@ -28,8 +36,7 @@
  * the primary assignments, the poolers and the counters.
  */
 export class FleetStateMachine {
-  private version = 0;
-  private source: Buffer = Buffer.alloc(0);
+  private readonly catalogs: CommittedCatalogs;
   private registeredMembers: Member[] = [];
   private assignedPoolers: readonly PoolerEntry[] = [];
   private poolersIndex = 0;
@@ -41,13 +48,13 @@
   /** Outcomes of recent entries, for the instance that proposed them. */
   private readonly outcomes = new Map<number, PublishOutcome>();
 
-  get catalogVersion(): number {
-    return this.version;
+  constructor(private readonly guard: LogGuard = NO_GUARD) {
+    this.catalogs = new CommittedCatalogs(guard.isReadable);
   }
 
-  /** The compressed source of the current catalog; empty before the first. */
-  get catalogSource(): Buffer {
-    return this.source;
+  /** The newest readable catalog; of version 0 before the first. */
+  get catalogInForce(): PublishCatalog {
+    return this.catalogs.inForce;
   }
 
   /** The members whose logs count at a promotion. */
@@ -111,10 +118,10 @@
   }
 
   apply(index: number, command: Buffer): void {
-    const {body} = FleetCommand.decode(command);
+    const body = this.decode(index, command);
     switch (body?.$case) {
       case 'publish':
-        this.recordOutcome(index, this.publish(body.value));
+        this.recordOutcome(index, this.catalogs.publish(body.value));
         return;
       case 'admit': {
         const {member} = body.value;
@@ -153,8 +160,7 @@
 
   snapshot(): Buffer {
     const state = {
-      version: this.version,
-      source: this.source,
+      ...this.catalogs.inForce,
       members: this.registeredMembers,
       poolers: [...this.assignedPoolers],
       poolersIndex: this.poolersIndex,
@@ -175,21 +181,19 @@
     for (const lead of leads) this.assignmentByService.set(lead.service, lead);
     this.assignedPoolers = poolers;
     this.poolersIndex = poolersIndex;
-    this.version = version;
-    this.source = source;
+    this.catalogs.restore({version, source});
     this.baselines.restore(decoded.baselines);
     this.registeredMembers = [];
     for (const member of members) this.addMember(member);
   }
 
-  private publish({version, source}: PublishCatalog): PublishOutcome {
-    if (version < this.version) return 'superseded';
-    if (version === this.version) {
-      return source.equals(this.source) ? 'unchanged' : 'conflict';
+  private decode(index: number, command: Buffer): FleetCommand['body'] {
+    try {
+      return FleetCommand.decode(command).body;
+    } catch (thrown) {
+      this.guard.onDidSkipCommand(index, toError(thrown).message);
+      return undefined;
     }
-    this.version = version;
-    this.source = source;
-    return 'in force';
   }
 
   /** Entries for an earlier incarnation of the member are ignored. */
--- a/src/services/fleet_state/test/common/fleet_state_machine.test.ts
+++ b/src/services/fleet_state/test/common/fleet_state_machine.test.ts
@@ -19,7 +19,7 @@
     expect(publish(machine, 1, 4, 'four')).toBe('in force');
     expect(publish(machine, 2, 9, 'nine')).toBe('in force');
     expect(publish(machine, 3, 7, 'seven')).toBe('superseded');
-    expect(machine.catalogVersion).toBe(9);
+    expect(machine.catalogInForce.version).toBe(9);
   });
 
   it('conflict if two operators submit the same version', () => {
@@ -29,7 +29,7 @@
     expect(publish(machine, 1, 4, 'mine')).toBe('in force');
     expect(publish(machine, 2, 4, 'yours')).toBe('conflict');
     expect(publish(machine, 3, 4, 'mine')).toBe('unchanged');
-    expect(machine.catalogSource.toString()).toBe('mine');
+    expect(machine.catalogInForce.source.toString()).toBe('mine');
   });
 
   it('are restored from a snapshot, as are members', () => {
@@ -49,7 +49,7 @@
     machine.apply(2, encodeCommand({$case: 'admit', value: {member}}));
     const copy = new FleetStateMachine();
     copy.restore(machine.snapshot());
-    expect(copy.catalogVersion).toBe(4);
+    expect(copy.catalogInForce.version).toBe(4);
     expect(copy.members).toEqual([member]);
     const gone = {
       service: 's',
