--- a/src/control/node/control_state_machine.ts
+++ b/src/control/node/control_state_machine.ts
@@ -1,3 +1,5 @@
+import {toError} from '../../base/common/errors';
+import type {Log} from '../../base/node/log';
 import type {StateMachine} from '../../services/consensus/node/consensus_node';
 import {
   ControlMachine,
@@ -9,8 +11,22 @@
 export class ControlStateMachine implements StateMachine {
   readonly machine = new ControlMachine();
 
+  constructor(private readonly log: Log) {}
+
+  /**
+   * Guard: a command that cannot be decoded is skipped, as it would end each
+   * instance that applies it.
+   */
   apply(index: number, command: Buffer): void {
-    this.machine.apply(index, Command.decode(command));
+    let decoded: Command;
+    try {
+      decoded = Command.decode(command);
+    } catch (thrown) {
+      const reason = toError(thrown).message;
+      this.log.error('Skipped a committed command.', {index, reason});
+      return;
+    }
+    this.machine.apply(index, decoded);
   }
 
   snapshot(): Buffer {
--- a/src/control/node/main.ts
+++ b/src/control/node/main.ts
@@ -71,13 +71,13 @@
   const signal = createStopSignal();
   const clock = new MonotonicClock();
   const {core, storage} = await openConsensus(args, fileSettings, self.address);
-  const stateMachine = new ControlStateMachine();
+  const stateMachine = new ControlStateMachine(log);
   stateMachine.restore(core.baseSnapshot.state);
   const {machine} = stateMachine;
 
   let leadership: Leadership | undefined;
   const membershipLog = new MembershipLog(core, log);
-  const settings = new SettingsInForce(machine, fileSettings);
+  const settings = new SettingsInForce(machine, fileSettings, log);
   const transport = new PeerTransport(self.address, signal);
   const node: ConsensusNode = new ConsensusNode(
     core,
--- a/src/control/node/settings_in_force.ts
+++ b/src/control/node/settings_in_force.ts
@@ -1,3 +1,4 @@
+import type {Log} from '../../base/node/log';
 import type {ControlMachine} from '../../services/control_state/common/control_machine';
 import {
   formatSettingsError,
@@ -13,6 +14,7 @@
   constructor(
     private readonly machine: ControlMachine,
     private readonly fileSettings: Settings,
+    private readonly log: Log,
   ) {
     this.current = fileSettings;
   }
@@ -21,8 +23,14 @@
     const {settingsVersion, settingsText} = this.machine.state;
     if (settingsVersion === this.version) return this.current;
     const parsed = parseSettings({file: 'settings', text: settingsText});
-    if (parsed.isOk) this.current = parsed.value;
     this.version = settingsVersion;
+    if (parsed.isOk) {
+      this.current = parsed.value;
+    } else {
+      const reason = parsed.error.map(formatSettingsError).join('; ');
+      const fields = {version: settingsVersion, reason};
+      this.log.error('Skipped committed settings that are invalid.', fields);
+    }
     return this.current;
   }
 
--- a/src/services/control_state/common/control_machine.ts
+++ b/src/services/control_state/common/control_machine.ts
@@ -72,9 +72,9 @@
       case 'applySettings':
         return this.applySettings(index, body.value, addEntry);
       case 'registerProxy':
-        return this.registerProxy(body.value.proxy!);
+        return this.registerProxy(body.value.proxy);
       case 'forgetProxy':
-        return this.forgetProxy(body.value.proxy!);
+        return this.forgetProxy(body.value.proxy);
       case 'registerMember':
         return this.registerMember(index, body.value);
       case 'beginChange':
@@ -157,14 +157,16 @@
     this.changeOutcomes.delete(changes.shift()!.changeId);
   }
 
-  private registerProxy(proxy: ProxyRecord): void {
+  private registerProxy(proxy: ProxyRecord | undefined): void {
+    if (!proxy) return;
     const isRegistered = this.current.proxies.some(other =>
       isSame(other, proxy),
     );
     if (!isRegistered) this.current.proxies.push(proxy);
   }
 
-  private forgetProxy(proxy: ProxyRecord): void {
+  private forgetProxy(proxy: ProxyRecord | undefined): void {
+    if (!proxy) return;
     this.current.proxies = this.current.proxies.filter(other => {
       return !isSame(other, proxy);
     });
