Look-ups by outside text find no words of the language

Three: a boolean setting with the value "constructor" was accepted, and is true as a function; a column of that name was found in each row of the stand-in; pages of the proxy's status by their path (HTTP paths begin with a slash, so only by reading). Maps, or own properties. Left as they are: look-ups by words of the SQL parser and of our own types.

--- a/src/proxy/node/status_endpoint.ts
+++ b/src/proxy/node/status_endpoint.ts
@@ -19,13 +19,11 @@
 
 /** Serves Prometheus metrics, histograms and the status as JSON over HTTP. */
 export class StatusEndpoint {
-  private readonly pages: Readonly<
-    Record<string, (response: ServerResponse) => void>
-  > = {
-    '/metrics': response => this.metrics(response),
-    '/histograms': response => sendJson(response, this.histograms()),
-    '/status': response => sendJson(response, this.status()),
-  };
+  private readonly pages = new Map<string, (response: ServerResponse) => void>([
+    ['/metrics', response => this.metrics(response)],
+    ['/histograms', response => sendJson(response, this.histograms())],
+    ['/status', response => sendJson(response, this.status())],
+  ]);
 
   constructor(private readonly dependencies: StatusDependencies) {}
 
@@ -35,7 +33,7 @@
     signal: AbortSignal,
   ): Promise<Result<void, Error>> {
     const server = createServer((request, response) => {
-      const page = this.pages[request.url ?? ''];
+      const page = this.pages.get(request.url ?? '');
       if (page) return page(response);
       response.statusCode = 404;
       response.end('not found\n');
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -166,13 +166,18 @@
   return repeated ? `[${name}.NAME]` : `[${name}]`;
 }
 
+const BOOLEANS: ReadonlyMap<string, boolean> = new Map([
+  ['true', true],
+  ['false', false],
+]);
+
 function convertValue(schema: KeySchema, text: string): unknown {
   switch (schema.type) {
     case 'integer':
     case 'number':
       return convertNumber(schema, text);
     case 'boolean':
-      return {true: true, false: false}[text];
+      return BOOLEANS.get(text);
     case 'list':
       return text.split(',').map(item => item.trim());
     default:
--- a/src/services/settings/test/common/settings.test.ts
+++ b/src/services/settings/test/common/settings.test.ts
@@ -24,6 +24,17 @@
 }
 
 describe('settings', () => {
+  it('rejects a boolean that is only a word of the language', () => {
+    // Guards against a setting that is switched on by a word that every object
+    // of JavaScript has.
+    for (const word of Object.getOwnPropertyNames(Object.prototype)) {
+      const base = BASE.replace('age_ms = 5000', `older_with_notice = ${word}`);
+      expect(errorsOf(base)).toEqual([
+        `base.ini:8: older_with_notice: found "${word}"; allowed: true or false`,
+      ]);
+    }
+  });
+
   it('applies defaults and an overlay to the base file', () => {
     const parsed = parseSettings(
       {file: 'base.ini', text: BASE},
--- a/src/standin/common/expressions.ts
+++ b/src/standin/common/expressions.ts
@@ -73,7 +73,7 @@
 function evaluateColumn(node: SyntaxNode, scope: EvaluationScope): Value {
   const name = columnNameOf(node);
   const value = scope.row[name];
-  if (value !== undefined) return value;
+  if (Object.hasOwn(scope.row, name) && value !== undefined) return value;
   throw new DatabaseError(UNDEFINED_COLUMN, `column "${name}" does not exist`);
 }
 
