Control leader: an update that cannot be sent does not end it

The encoder threw "invalid int32" out of FleetLeader.push, in the consensus task (exit 70) or in a timer (exit 1). What is sent is part of the replicated state, so the next leader ended in the same way, and with it everything that only a leader does. An update that cannot be encoded is skipped now, with a line for each kind every 5 s; the other updates go out, leases are renewed, and proxies keep what they have. Other errors still stop the program.

fleet_link.test.ts "goes on with other updates after one that cannot be sent" fails before (uncaught RangeError "invalid uint32").

--- a/src/base/node/message_frames.ts
+++ b/src/base/node/message_frames.ts
@@ -1,4 +1,5 @@
 import {BinaryWriter, sizeDelimitedPeek} from '@bufbuild/protobuf/wire';
+import {toError} from '../common/errors';
 
 /** Encodes and decodes one message type, as generated from the schema. */
 export interface MessageCodec<M> {
@@ -9,9 +10,21 @@
 /** Far above any message; a larger size means that the data is no frame. */
 const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 
-/** Encodes a message as a frame: length-delimited, as in protobuf streams. */
+/** A message has a value that its type cannot carry. */
+export class EncodingError extends Error {}
+
+/**
+ * Encodes a message as a frame: length-delimited, as in protobuf streams.
+ * Throws an `EncodingError` if that is impossible.
+ */
 export function encodeFrame<M>(codec: MessageCodec<M>, message: M): Uint8Array {
-  return encodeBytes(codec.encode(message).finish());
+  let bytes: Uint8Array;
+  try {
+    bytes = codec.encode(message).finish();
+  } catch (thrown) {
+    throw new EncodingError(toError(thrown).message);
+  }
+  return encodeBytes(bytes);
 }
 
 /** Encodes bytes as a frame: their length as a varint, then the bytes. */
--- a/src/services/fleet_link/node/fleet_leader.ts
+++ b/src/services/fleet_link/node/fleet_leader.ts
@@ -1,6 +1,8 @@
 import type {Clock} from '../../../base/common/clock';
+import {RepeatLimit} from '../../../base/common/repeat_limit';
 import {detach} from '../../../base/node/broken_invariant';
 import type {Log} from '../../../base/node/log';
+import {EncodingError} from '../../../base/node/message_frames';
 import type {MessageLink} from '../../../base/node/message_link';
 import type {MessageServer} from '../../../base/node/message_server';
 import {after, every} from '../../../base/node/timers';
@@ -91,6 +93,7 @@
  * heartbeat of the control group, which makes the confirmation free.
  */
 const CONFIRM_INTERVAL_MS = 100;
+const UNSENDABLE_LOG_INTERVAL_MS = 5_000;
 /** Interval at which proxies are counted. */
 const COUNT_INTERVAL_MS = 1_000;
 
@@ -110,6 +113,8 @@
   /** Whether the reply to early renewal requests is scheduled. */
   private isRenewalScheduled = false;
   private confirmedAt = -Infinity;
+  /** Limits the lines about updates that cannot be sent. */
+  private readonly unsendable: RepeatLimit;
   /** Since when at least half of the proxies report a failure, by member. */
   private readonly failureReportedSince = new Map<string, number>();
 
@@ -117,7 +122,9 @@
     private readonly source: FleetSource,
     private readonly clock: Clock,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.unsendable = new RepeatLimit(UNSENDABLE_LOG_INTERVAL_MS, clock);
+  }
 
   /** Accepts the links of proxies. */
   serve(server: MessageServer): void {
@@ -375,12 +382,29 @@
     if (follower.instance === '') return;
     this.pushControls(follower);
     this.pushCatalog(follower);
-    this.pushPoolers(follower);
+    this.skipUnsendable('poolers', () => this.pushPoolers(follower));
     // Before the members, whose connections are divided by this count.
     this.pushCount(follower);
-    this.pushMembers(follower);
-    this.pushAssignments(follower);
-    follower.counterSession.push();
+    this.skipUnsendable('members', () => this.pushMembers(follower));
+    this.skipUnsendable('primaries', () => this.pushAssignments(follower));
+    this.skipUnsendable('limits', () => follower.counterSession.push());
+  }
+
+  /**
+   * Guard: what cannot be sent is part of the replicated state, so it would end
+   * one leader after the other. Proxies keep what they have.
+   */
+  private skipUnsendable(update: string, push: () => void): void {
+    try {
+      push();
+    } catch (thrown) {
+      if (!(thrown instanceof EncodingError)) throw thrown;
+      const suppressed = this.unsendable.take(update);
+      if (suppressed === undefined) return;
+      const reason = thrown.message;
+      const fields = {update, reason, suppressed};
+      this.log.error('An update cannot be sent to proxies.', fields);
+    }
   }
 
   private pushControls(follower: Follower): void {
@@ -392,6 +416,10 @@
   }
 
   private pushCatalog(follower: Follower): void {
+    this.skipUnsendable('catalog', () => this.sendCatalog(follower));
+  }
+
+  private sendCatalog(follower: Follower): void {
     const catalog = this.source.catalog();
     if (!catalog || catalog.version <= follower.catalogVersion) return;
     const {catalogVersion} = follower;
--- a/src/services/fleet_link/test/node/fleet_link.test.ts
+++ b/src/services/fleet_link/test/node/fleet_link.test.ts
@@ -178,6 +178,31 @@
   expect(condition()).toBe(true);
 }
 
+it('goes on with other updates after one that cannot be sent', async () => {
+  // Guards against a leader that ends on a value of the replicated state, and
+  // the next leader after it.
+  const follower = follow();
+  first.members = [makeMember('m1')];
+  first.leads = true;
+  await until(() => memberLists.at(-1) === 'm1');
+  first.version = 2;
+  first.routes = [makeRoute({statementMs: 2 ** 40})];
+  first.leader.push();
+  const count = first.leader.attached.length;
+  first.usualProxies = count + 1;
+  first.leader.push();
+  await until(() => counts.at(-1) === count + 1);
+  expect(catalogs.map(({version}) => version)).toEqual([1]);
+  expect(first.logged.lines.join()).toMatch(
+    /An update cannot be sent.*catalog.*invalid uint32/,
+  );
+  first.version = 3;
+  first.routes = [makeRoute()];
+  first.leader.push();
+  await until(() => catalogs.at(-1)?.version === 3);
+  expect(follower.isAttached).toBe(true);
+});
+
 it('finds a new leader that its settings do not name', async () => {
   // Guards against a proxy that loses control for good: all control instances
   // of its settings may have been replaced since.
