Proxies: a primary is not verified beside a promotion that may have compared logs

Where the service has `sync-replicas`, an acknowledged commit isn't in the log of the member that is promoted."

Cause: a member that is stopped says so in its status (the term held), and nobody read that. "A replica of no higher term" shows that no promotion has taken effect, but not that none has compared the logs.

So a proxy needs one replica that receives and none that is stopped. Members that it does not know do not matter: those that it knows are stopped too. Replicas that are stopped since they leave are no sign of a promotion; control stops them at another term, so that a group that is not promoted is served as before. On the other side, logs are compared again if a member joined or restarted while they were.

Ruled out: a pause of those that join until the new primary leads. What they confirm is acknowledged by nobody, since the leases are over and the others are stopped.

--- a/src/services/dispatch/common/verify_primary.ts
+++ b/src/services/dispatch/common/verify_primary.ts
@@ -1,3 +1,4 @@
+import {showNoPromotion} from '../../promotion/common/stopped_replicas';
 import type {MemberStatus} from '../../target_link/common/member_status';
 
 /** One member's reply to a status request; undefined if it did not reply. */
@@ -8,11 +9,14 @@
 
 /**
  * Returns the status of a member if the replies of all members verify that it
- * was not replaced before the requests were sent.
+ * was not replaced before the requests were sent, and that no promotion is
+ * under way that had compared the logs by then.
  *
  * A promoted member is primary in a higher term. So the member must report that
  * it is primary, and every other member that it is a replica in no higher term.
- * A member that does not reply may be the new primary.
+ * A member that does not reply may be the new primary. Members that joined
+ * since and are not known here do not matter, as the known ones are stopped for
+ * a promotion, too.
  */
 export function verifyPrimary(
   instance: string,
@@ -23,8 +27,12 @@
   const others = replies.filter(reply => reply.instance !== instance);
   // No other member can verify a single one.
   if (others.length === 0) return undefined;
-  const isVerified = others.every(({status}) => {
-    return status && !status.isPrimary && status.term <= claimed.term;
-  });
-  return isVerified ? claimed : undefined;
+  const replicas: MemberStatus[] = [];
+  for (const {status} of others) {
+    const isReplica =
+      status && !status.isPrimary && status.term <= claimed.term;
+    if (!isReplica) return undefined;
+    replicas.push(status);
+  }
+  return showNoPromotion(replicas, claimed.term) ? claimed : undefined;
 }
--- a/src/services/dispatch/node/primary_verifier.ts
+++ b/src/services/dispatch/node/primary_verifier.ts
@@ -183,5 +183,7 @@
 
 function describe({instance, status}: MemberStatusReply): string {
   if (!status) return `${instance}:silent`;
-  return `${instance}:${status.isPrimary ? 'primary' : 'replica'}:${status.term}`;
+  const {isPrimary, term, stoppedTerm} = status;
+  const stopped = stoppedTerm > 0 ? `:stopped at ${stoppedTerm}` : '';
+  return `${instance}:${isPrimary ? 'primary' : 'replica'}:${term}${stopped}`;
 }
--- a/src/services/dispatch/test/common/verify_primary.test.ts
+++ b/src/services/dispatch/test/common/verify_primary.test.ts
@@ -1,5 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {SeededRandom} from '../../../../base/common/random';
+import {
+  stopTermOf,
+  type StopReason,
+} from '../../../promotion/common/stopped_replicas';
 import type {MemberStatus} from '../../../target_link/common/member_status';
 import {
   verifyPrimary,
@@ -8,18 +12,30 @@
 
 const at = (term: number) => ({term, offset: 10});
 
+const makeStatus = (overrides: Partial<MemberStatus> = {}): MemberStatus => {
+  const term = overrides.term ?? 1;
+  const receivedPosition = at(term);
+  const receives = {isPrimary: false, stoppedTerm: 0};
+  return {...receives, term, receivedPosition, ...overrides};
+};
+
 const primaryReply = (instance: string, term: number): MemberStatusReply => {
   return {
     instance,
-    status: {isPrimary: true, term, receivedPosition: at(term)},
+    status: makeStatus({isPrimary: true, term}),
   };
 };
 
 const replicaReply = (instance: string, term: number): MemberStatusReply => {
-  return {
-    instance,
-    status: {isPrimary: false, term, receivedPosition: at(term)},
-  };
+  return {instance, status: makeStatus({term})};
+};
+
+const stoppedReply = (
+  instance: string,
+  reason: StopReason,
+): MemberStatusReply => {
+  const stoppedTerm = stopTermOf(reason, 1);
+  return {instance, status: makeStatus({stoppedTerm})};
 };
 
 const noReply = (instance: string): MemberStatusReply => {
@@ -27,6 +43,16 @@
 };
 
 describe('verifyPrimary', () => {
+  it('verifies a primary while a replica is stopped since it leaves', () => {
+    // Guards against a group that is refused though it is not being promoted.
+    const replies = [
+      primaryReply('a', 1),
+      replicaReply('b', 1),
+      stoppedReply('c', 'leaving'),
+    ];
+    expect(verifyPrimary('a', replies)?.term).toBe(1);
+  });
+
   it('verifies a primary that all others replicate', () => {
     const replies = [
       primaryReply('a', 2),
@@ -49,6 +75,28 @@
     ['it is not primary itself', [replicaReply('a', 1), replicaReply('b', 1)]],
     ['it does not reply itself', [noReply('a'), replicaReply('b', 1)]],
     ['it is the only member', [primaryReply('a', 1)]],
+    // Guards against a commit that is acknowledged beside a promotion that has
+    // compared the logs without it.
+    [
+      'the replicas are stopped for a promotion',
+      [
+        primaryReply('a', 1),
+        stoppedReply('b', 'promotion'),
+        stoppedReply('c', 'promotion'),
+      ],
+    ],
+    [
+      'one is stopped for a promotion and the other one restarted since',
+      [
+        primaryReply('a', 1),
+        stoppedReply('b', 'promotion'),
+        replicaReply('c', 1),
+      ],
+    ],
+    [
+      'no replica that receives is known',
+      [primaryReply('a', 1), stoppedReply('b', 'leaving')],
+    ],
   ])('verifies nothing if %s', (...[, replies]) => {
     expect(verifyPrimary('a', replies)).toBeUndefined();
   });
@@ -57,7 +105,7 @@
 /** Members with random promotions that the others learn of late. */
 class Members {
   readonly statuses: MemberStatus[] = [0, 1, 2].map(index => {
-    return {isPrimary: index === 0, term: 1, receivedPosition: at(1)};
+    return makeStatus({isPrimary: index === 0});
   });
   newest = {primaryIndex: 0, term: 1};
 
@@ -70,14 +118,11 @@
     if (random.integer(0, 3) === 0) {
       const term = newest.term + 1;
       this.newest = {primaryIndex: index, term};
-      statuses[index] = {
-        isPrimary: true,
-        term,
-        receivedPosition: at(newest.term),
-      };
+      const receivedPosition = at(newest.term);
+      statuses[index] = makeStatus({isPrimary: true, term, receivedPosition});
     } else if (index !== newest.primaryIndex && random.integer(0, 1) === 0) {
       const {term} = newest;
-      statuses[index] = {isPrimary: false, term, receivedPosition: at(term)};
+      statuses[index] = makeStatus({term});
     }
   }
 }
--- a/src/services/fleet_control/node/member_monitors.ts
+++ b/src/services/fleet_control/node/member_monitors.ts
@@ -2,6 +2,7 @@
 import {createChildController} from '../../../base/node/timers';
 import type {Member} from '../../../schema/generated/fleet';
 import type {Position} from '../../position/common/position';
+import {stopTermOf} from '../../promotion/common/stopped_replicas';
 import {
   MemberMonitor,
   pingIntervalMs,
@@ -81,7 +82,7 @@
     group: readonly Member[],
   ): Promise<Position | undefined> {
     const terms = [member, ...group].map(other => this.of(other).term);
-    const term = Math.max(...terms) + 1;
+    const term = stopTermOf('leaving', Math.max(...terms));
     const status = await this.of(member).sendCommand({kind: 'pause', term});
     return status?.isPrimary ? undefined : status?.receivedPosition;
   }
--- a/src/services/gateway/test/node/fake_group.ts
+++ b/src/services/gateway/test/node/fake_group.ts
@@ -112,6 +112,7 @@
     return {
       isPrimary,
       term: position.term,
+      stoppedTerm: 0,
       receivedPosition: position,
     };
   }
--- a/src/services/promotion/node/successor_search.ts
+++ b/src/services/promotion/node/successor_search.ts
@@ -4,6 +4,7 @@
 import type {MemberStatus} from '../../target_link/common/member_status';
 import {chooseSuccessor} from '../common/choose_successor';
 import type {MemberLog} from '../common/complete_log';
+import {stopTermOf} from '../common/stopped_replicas';
 import type {MemberMonitor} from './member_monitor';
 
 /** A primary that has been silent for longer is not sent a step-down. */
@@ -54,7 +55,7 @@
   canPrimaryStay: boolean,
 ): Task<SuccessorSearchResult> {
   const members = group.members();
-  const term = findNewestTerm(group) + 1;
+  const term = stopTermOf('promotion', findNewestTerm(group));
   const oldPrimary = members.find(({instance}) => instance === primary);
   const stepDownStatus =
     oldPrimary && (yield* stepDown(group, oldPrimary, term));
@@ -82,12 +83,23 @@
     canPrimaryStay,
   );
   const answers = describeLogs(logs, baseline);
+  // Guard: a replica that joined meanwhile was not stopped, and may have
+  // confirmed commits that no other one has.
+  if (describeMembers(group.members()) !== describeMembers(members)) {
+    const reason = 'the members changed while their logs were compared';
+    return {kind: 'wait', reason, until: 'they are compared again', answers};
+  }
   if (choice.kind === 'wait') return {...choice, answers};
   const successor = logs.find(({instance}) => instance === choice.instance);
   const leads = successor?.isLeader === true;
   return {...choice, kind: 'successor', leads, hasSteppedDown, answers};
 }
 
+function describeMembers(members: readonly Member[]): string {
+  const parts = members.map(({instance, born}) => `${instance} ${born}`);
+  return parts.sort().join(',');
+}
+
 /** The logs of all members but the assigned primary. */
 function* readOtherLogs(
   group: MemberGroup,
--- a/src/services/promotion/test/node/logging_group.ts
+++ b/src/services/promotion/test/node/logging_group.ts
@@ -19,7 +19,8 @@
   override position: Position = {term: 1, offset: 1};
   log: readonly Entry[] = [{commit: 0, term: 1}];
   isUp = true;
-  isPaused = false;
+  /** The term at which it was stopped; 0 if it receives. */
+  stoppedTerm = 0;
   isDraining = false;
   /** Whether it receives nothing for now, though it may. */
   isLagging = false;
@@ -32,6 +33,15 @@
     return {...super.record, draining: this.isDraining};
   }
 
+  get isPaused(): boolean {
+    return this.stoppedTerm > 0;
+  }
+
+  get status(): MemberStatus {
+    const {isPrimary, term, stoppedTerm, position: receivedPosition} = this;
+    return {isPrimary, term, stoppedTerm, receivedPosition};
+  }
+
   get canReceive(): boolean {
     return this.isUp && !this.isPaused && !this.isLagging;
   }
@@ -45,17 +55,16 @@
     if (statement.kind === 'reset') return DONE_LOCALLY;
     if (this.isBusy) return failure('busy', 'no free slot');
     this.obey(statement);
-    const {isPrimary, term, position: receivedPosition} = this;
-    const status: MemberStatus = {isPrimary, term, receivedPosition};
-    return {kind: 'done', rows: [JSON.stringify(status)], signature: ''};
+    const rows = [JSON.stringify(this.status)];
+    return {kind: 'done', rows, signature: ''};
   }
 
   private obey(statement: TargetStatement): void {
-    if (statement.kind === 'resume') this.isPaused = false;
+    if (statement.kind === 'resume') this.stoppedTerm = 0;
     if (statement.kind !== 'pause' && statement.kind !== 'stepDown') return;
     if (statement.term <= this.term) return;
     if (statement.kind === 'stepDown') this.isPrimary = false;
-    else if (!this.isPrimary) this.isPaused = true;
+    else if (!this.isPrimary) this.stoppedTerm = statement.term;
   }
 
   holds(commit: number): boolean {
@@ -78,7 +87,7 @@
 
   /** It comes back with its log; a restart ends a pause. */
   recover(): void {
-    if (!this.isUp) this.isPaused = false;
+    if (!this.isUp) this.stoppedTerm = 0;
     this.isUp = true;
     this.isSilent = false;
     this.isHidden = false;
@@ -90,7 +99,7 @@
 
 /** Members in memory that replicate the log of their primary. */
 export class LoggingGroup extends SimulatedGroup {
-  readonly all: readonly LoggingMember[];
+  readonly all: LoggingMember[];
   private commitCount = 0;
   /** Replicas receive its log, also the rest of it after it stepped down. */
   private source: LoggingMember;
@@ -121,12 +130,21 @@
     const term = Math.max(...this.all.map(member => member.term)) + 1;
     for (const member of this.all) {
       member.isPrimary = member.instance === instance;
-      member.isPaused = false;
+      member.stoppedTerm = 0;
     }
     this.source = this.member(instance);
     this.source.append(++this.commitCount, term);
   }
 
+  /** Adds a replica that has received nothing yet. */
+  join(instance: string): LoggingMember {
+    const member = new LoggingMember(instance);
+    member.isLagging = true;
+    this.all.push(member);
+    this.members.push(member);
+    return member;
+  }
+
   /** Writes a commit at a primary; returns its number. */
   write(primary: LoggingMember): number {
     primary.append(++this.commitCount);
--- a/src/services/promotion/test/node/promotion_driver.test.ts
+++ b/src/services/promotion/test/node/promotion_driver.test.ts
@@ -149,6 +149,21 @@
 }
 
 describe('PromotionDriver', () => {
+  it('compares logs again if a replica joined meanwhile', async () => {
+    // Guards against a commit that only a replica confirmed which was not
+    // stopped before the others were compared.
+    const {group} = leadership;
+    await pause(800);
+    leadership.reportCount = 4;
+    group.member('b').onNextCommand = () => {
+      group.add('d').position = {term: 1, offset: 20};
+    };
+    group.member('a').isSilent = true;
+    await until(() => leadership.promoted.length > 0);
+    expect(leadership.promoted).toEqual(['d']);
+    expect(group.member('d').commands).toContain('pause');
+  });
+
   it('pauses no replica before a majority confirms leadership', async () => {
     // Guards against a suspended control leader that finds all primaries silent
     // and pauses replicas, which the next leader would not resume.
--- a/src/services/promotion/test/node/promotion_orders.ts
+++ b/src/services/promotion/test/node/promotion_orders.ts
@@ -26,6 +26,7 @@
  */
 const MAX_RECOVERY_MS = 8_000;
 const RECONCILE_INTERVAL_MS = 200;
+const MAX_MEMBERS = 6;
 
 /**
  * Promotions of one service by successive control leaders, with an authority
@@ -277,8 +278,10 @@
       'hidden',
       'drain',
       'lag',
+      'join',
     ]);
     this.note(`${instance}: ${kind}`);
+    if (kind === 'join') return this.join();
     if (kind === 'crash') member.crash();
     if (kind === 'lag') member.isLagging = true;
     if (kind === 'drain') member.isDraining = true;
@@ -290,6 +293,17 @@
     setTimeout(() => this.repair(instance), this.random.integer(500, 6_000));
   }
 
+  /** A replica announces itself and receives a little later. */
+  join(receiveDelayMs = this.random.integer(20, 500)): void {
+    const {group, control} = this;
+    if (group.all.length >= MAX_MEMBERS) return;
+    const {instance, record} = group.join(`j${group.all.length}`);
+    this.note(`${instance}: joins`);
+    control.admit(record);
+    control.current?.monitorOf(record);
+    setTimeout(() => this.repair(instance), receiveDelayMs);
+  }
+
   /** It attaches again when the partition ends. */
   private cutProxy(): void {
     const proxy = this.random.pick(this.proxies);
--- a/src/services/promotion/test/node/simulated_control.ts
+++ b/src/services/promotion/test/node/simulated_control.ts
@@ -165,9 +165,12 @@
     private readonly random: SeededRandom,
     private readonly onDidElect: (leadership: Leadership) => void,
   ) {
-    for (const {record: member} of group.all) {
-      this.append(encodeCommand({$case: 'admit', value: {member}}));
-    }
+    for (const {record} of group.all) this.admit(record);
+  }
+
+  /** Records a member in the log. */
+  admit(member: Member): void {
+    this.append(encodeCommand({$case: 'admit', value: {member}}));
   }
 
   /** Ends the leadership; its instance may act on for a time. */
--- a/src/services/promotion/test/node/simulated_group.ts
+++ b/src/services/promotion/test/node/simulated_group.ts
@@ -25,6 +25,8 @@
   isPrimary = false;
   position: Position = {term: 1, offset: 10};
   readonly commands: string[] = [];
+  /** Called once, before its next command. */
+  onNextCommand: (() => void) | undefined;
 
   constructor(readonly instance: string) {}
 
@@ -45,6 +47,8 @@
   /** Executes a command or a ping of control. */
   run({kind}: TargetStatement): StatementResult {
     if (kind === 'reset') return DONE_LOCALLY;
+    this.onNextCommand?.();
+    this.onNextCommand = undefined;
     if (kind !== 'status') this.commands.push(kind);
     if (kind === 'stepDown') this.isPrimary = false;
     return {kind: 'done', rows: [this.instance], signature: ''};
@@ -83,6 +87,7 @@
     return {
       isPrimary,
       term: position.term,
+      stoppedTerm: 0,
       receivedPosition: position,
     };
   }
--- a/src/services/promotion/test/node/simulated_proxy.ts
+++ b/src/services/promotion/test/node/simulated_proxy.ts
@@ -2,6 +2,7 @@
   PrimaryLeases,
   RENEWAL_INTERVAL_MS,
 } from '../../../lease/common/primary_leases';
+import {verifyPrimary} from '../../../dispatch/common/verify_primary';
 import type {PrimaryAssignment} from '../../../../schema/generated/fleet';
 import type {LoggingGroup, LoggingMember} from './logging_group';
 import {
@@ -13,7 +14,10 @@
 
 const LINK_DELAY_MS = 10;
 
-/** A proxy that writes at the primary while it holds a lease on it. */
+/**
+ * A proxy that writes at the primary while it holds a lease on it, or while it
+ * is partitioned from control and the members verify the primary.
+ */
 export class SimulatedProxy {
   private readonly leases = new PrimaryLeases({now: () => Date.now()});
   private assignment: PrimaryAssignment | undefined;
@@ -23,6 +27,8 @@
   leader: Leadership | undefined;
   /** Whether it is partitioned from control, together with hidden members. */
   isCut = false;
+  /** The members that it last heard of. */
+  private knownMembers: readonly LoggingMember[] = [];
 
   constructor(
     private readonly name: string,
@@ -40,6 +46,14 @@
     return isHeld && this.canUse(member) ? member : undefined;
   }
 
+  /** The primary that it knew before it was partitioned from control. */
+  private get unleasedPrimary(): LoggingMember | undefined {
+    const {assignment} = this;
+    if (!assignment || !this.isCut) return undefined;
+    const member = this.group.member(assignment.instance);
+    return this.canUse(member) ? member : undefined;
+  }
+
   canUse({isUp, isPrimary, isHidden}: LoggingMember): boolean {
     return isUp && isPrimary && (this.isCut || !isHidden);
   }
@@ -54,6 +68,7 @@
   tick(): void {
     const {leader} = this;
     if (leader && !this.isCut && leader.isRunning) {
+      this.knownMembers = [...this.group.all];
       this.receiveAssignments(leader);
       if (Date.now() >= this.nextRenewalAt) void this.renew(leader);
     }
@@ -97,16 +112,27 @@
 
   /** A commit is acknowledged once a replica has it. */
   private write(): void {
-    const {primary} = this;
+    const leased = this.primary;
+    const primary = leased ?? this.unleasedPrimary;
     this.pending = this.pending.filter(entry => entry.primary === primary);
-    for (const {commit} of this.pending.filter(entry => this.isKept(entry))) {
-      this.acknowledge(commit);
+    const kept = this.pending.filter(entry => this.isKept(entry));
+    const isProven = leased !== undefined || this.isVerified(primary);
+    if (isProven) {
+      for (const {commit} of kept) this.acknowledge(commit);
+      this.pending = this.pending.filter(entry => !kept.includes(entry));
     }
-    this.pending = this.pending.filter(entry => !this.isKept(entry));
     if (!primary) return;
     this.pending.push({commit: this.group.write(primary), primary});
   }
 
+  private isVerified(primary: LoggingMember | undefined): boolean {
+    if (!primary) return false;
+    const replies = this.knownMembers.map(({instance, isUp, status}) => {
+      return {instance, status: isUp ? status : undefined};
+    });
+    return verifyPrimary(primary.instance, replies) !== undefined;
+  }
+
   private isKept(entry: {commit: number; primary: LoggingMember}): boolean {
     return this.group.all.some(member => {
       return (
--- a/src/services/target_link/common/member_status.ts
+++ b/src/services/target_link/common/member_status.ts
@@ -5,6 +5,8 @@
 export interface MemberStatus {
   readonly isPrimary: boolean;
   readonly term: number;
+  /** The term at which it was stopped from receiving; 0 if it receives. */
+  readonly stoppedTerm: number;
   readonly receivedPosition: Position;
 }
 
