--- a/src/proxy/node/status_endpoint.ts
+++ b/src/proxy/node/status_endpoint.ts
@@ -1,5 +1,6 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {encodeIntoCompressedBase64} from 'hdr-histogram-js';
+import {formatLabels} from '../../base/common/metric_labels';
 import {err, ok, type Result} from '../../base/common/result';
 import type {ProxyServices} from './proxy_services';
 import {PHASES, type RequestMeter, type Series} from './request_meter';
@@ -122,10 +123,7 @@
 }
 
 function label(name: string, value: string): string {
-  const escaped = value.replace(/[\\"\n]/g, character => {
-    return character === '\n' ? '\\n' : `\\${character}`;
-  });
-  return `${name}="${escaped}"`;
+  return formatLabels({[name]: value});
 }
 
 function sendJson(response: ServerResponse, value: unknown): void {
--- a/src/services/catalog/common/catalog.ts
+++ b/src/services/catalog/common/catalog.ts
@@ -1,4 +1,5 @@
 import {err, ok, type Result} from '../../../base/common/result';
+import {isName, isWord} from '../../../base/common/words';
 import type {
   AccountEntry,
   Catalog,
@@ -28,8 +29,11 @@
 }
 
 /**
- * Validates the references and the uniqueness of names in a catalog, and that
- * it can be sent to proxies.
+ * Validates the names in a catalog, their references and uniqueness, and that it
+ * can be sent to proxies.
+ *
+ * Guard: names stand in lines of protocols, logs and metrics. A separator in one
+ * would make a member run statements that nobody sent.
  */
 export function validateCatalog(
   catalog: Catalog,
@@ -37,13 +41,18 @@
   const services = new Set<string>();
   for (const {service} of catalog.services) {
     if (service === '') return error('a service without a name');
+    if (!isWord(service)) return error('a service whose name is no word');
     if (services.has(service)) return error(`service ${service} stands twice`);
     services.add(service);
   }
   const databases = new Set<string>();
   for (const route of catalog.routes) {
     const {database, name} = route;
+    if (!isName(name)) return error('a route whose name is no name');
     if (database === '') return error(`route ${name} without a database`);
+    if (!isWord(database)) {
+      return error(`route ${name} with a database that is no word`);
+    }
     if (databases.has(database)) {
       return error(`two routes for the database ${database}`);
     }
@@ -69,6 +78,7 @@
   const accountByDigest = new Map<string, string>();
   for (const {account, keyDigests} of accounts) {
     if (account === '') return error('an account without a name');
+    if (!isName(account)) return error('an account whose name is no name');
     if (names.has(account)) return error(`account ${account} stands twice`);
     names.add(account);
     for (const digest of keyDigests) {
--- a/src/services/catalog/test/common/catalog_transport.test.ts
+++ b/src/services/catalog/test/common/catalog_transport.test.ts
@@ -12,6 +12,10 @@
   return validated.isErr ? validated.error.reason : 'valid';
 };
 
+const withDigests = (keyDigests: string[]) => {
+  return {accounts: [{account: 'a', keyDigests, limit: undefined}]};
+};
+
 // Guards against a catalog that is committed and that no leader can send.
 describe('a catalog that proxies would not receive as it is', () => {
   it('is invalid if a value cannot be encoded', () => {
@@ -20,16 +24,15 @@
     expect(reason).toMatch(/^not sendable: invalid int32/);
   });
 
-  it('is invalid if a name changes on its way', () => {
-    const catalog = makeCatalog([makeRoute({database: 'd\ud800'})]);
+  it('is invalid if a text changes on its way', () => {
+    const catalog = makeCatalog([makeRoute()], withDigests(['d\ud800']));
     expect(reasonOf(catalog)).toBe('not sendable: a value is changed');
   });
 
   it('is invalid if it is larger than a link carries', () => {
-    const name = 'x'.repeat(MAX_CATALOG_BYTES);
-    expect(reasonOf(makeCatalog([makeRoute({name})]))).toMatch(
-      /^not sendable: \d+ bytes/,
-    );
+    const digest = 'x'.repeat(MAX_CATALOG_BYTES);
+    const catalog = makeCatalog([makeRoute()], withDigests([digest]));
+    expect(reasonOf(catalog)).toMatch(/^not sendable: \d+ bytes/);
     expect(reasonOf(makeCatalog([makeRoute()]))).toBe('valid');
   });
 });
--- a/src/services/connection_quota/common/connection_metrics.ts
+++ b/src/services/connection_quota/common/connection_metrics.ts
@@ -1,3 +1,4 @@
+import {formatLabels} from '../../../base/common/metric_labels';
 import type {ConnectionAllocator} from './connection_allocator';
 import type {MemberConnectionsView} from './connection_quota';
 
@@ -27,7 +28,7 @@
 }
 
 function labels({service, instance}: {service: string; instance: string}) {
-  return `{service="${service}",member="${instance}"}`;
+  return `{${formatLabels({service, member: instance})}}`;
 }
 
 function renderGauge(name: string, lines: readonly string[]): string {
--- a/src/services/fleet_control/common/promotion_metrics.ts
+++ b/src/services/fleet_control/common/promotion_metrics.ts
@@ -1,3 +1,4 @@
+import {formatLabels} from '../../../base/common/metric_labels';
 import type {PromotionCount} from '../../promotion/common/promotion_count';
 
 /** The state of the promotions of one service. */
@@ -30,7 +31,8 @@
     .map(([name, valueOf]) => {
       const full = `bulrushstage_control_${name}`;
       const lines = views.map(view => {
-        return `${full}{service="${view.service}"} ${valueOf(view)}\n`;
+        const labels = formatLabels({service: view.service});
+        return `${full}{${labels}} ${valueOf(view)}\n`;
       });
       return `# TYPE ${full} gauge\n${lines.join('')}`;
     })
@@ -43,7 +45,8 @@
 ): string {
   const full = 'bulrushstage_control_promotion_requests_total';
   const lines = counts.map(({service, outcome, count}) => {
-    return `${full}{service="${service}",outcome="${outcome}"} ${count}\n`;
+    const labels = formatLabels({service, outcome});
+    return `${full}{${labels}} ${count}\n`;
   });
   return `# TYPE ${full} counter\n${lines.join('')}`;
 }
--- a/src/services/fleet_state/common/fleet_state_machine.ts
+++ b/src/services/fleet_state/common/fleet_state_machine.ts
@@ -1,4 +1,5 @@
 import {toError} from '../../../base/common/errors';
+import {isWord} from '../../../base/common/words';
 import {
   type CounterEntry,
   FleetCommand,
@@ -21,7 +22,10 @@
 /** What the state machine skips, as it would fail each instance in turn. */
 export interface LogGuard {
   readonly isReadable: ReadabilityCheck;
-  /** A committed command cannot be decoded; it has no effect. */
+  /**
+   * A committed command, or a part of a snapshot (index 0), cannot be used; it
+   * has no effect.
+   */
   onDidSkipCommand(index: number, reason: string): void;
 }
 
@@ -125,7 +129,9 @@
         return;
       case 'admit': {
         const {member} = body.value;
-        if (member) this.addMember(member);
+        if (member && this.hasUsableNames(index, member)) {
+          this.addMember(member);
+        }
         return;
       }
       case 'forget':
@@ -184,7 +190,20 @@
     this.catalogs.restore({version, source});
     this.baselines.restore(decoded.baselines);
     this.registeredMembers = [];
-    for (const member of members) this.addMember(member);
+    for (const member of members) {
+      if (this.hasUsableNames(0, member)) this.addMember(member);
+    }
+  }
+
+  /**
+   * Guard: an earlier version of the program recorded any text as an instance,
+   * which would stand in the lines to members.
+   */
+  private hasUsableNames(index: number, {instance, service}: Member): boolean {
+    if (isWord(instance) && isWord(service)) return true;
+    const reason = `a member whose name is no word: ${JSON.stringify(instance)}`;
+    this.guard.onDidSkipCommand(index, reason);
+    return false;
   }
 
   private decode(index: number, command: Buffer): FleetCommand['body'] {
--- a/src/services/fleet_state/test/common/committed_catalogs.test.ts
+++ b/src/services/fleet_state/test/common/committed_catalogs.test.ts
@@ -105,6 +105,33 @@
   });
 });
 
+describe('a committed member whose id is more than a word', () => {
+  it('is skipped and reported, also in a snapshot', () => {
+    // Guards against statements that members run since they stand in an id.
+    const member = {
+      instance: 'm1\r\nQUERY x STORE 1 y',
+      service: 's',
+      address: '10.0.0.1:1',
+      site: 'z',
+      slots: 2,
+      draining: false,
+      role: 2,
+      born: 1,
+      recovering: false,
+    };
+    machine.apply(7, encodeCommand({$case: 'admit', value: {member}}));
+    const good = {...member, instance: 'm2'};
+    machine.apply(8, encodeCommand({$case: 'admit', value: {member: good}}));
+    const state = FleetState.decode(machine.snapshot());
+    const earlier = {...state, members: [...state.members, member]};
+    const copy = new FleetStateMachine(guard);
+    copy.restore(Buffer.from(FleetState.encode(earlier).finish()));
+    expect(machine.members).toEqual([good]);
+    expect(copy.members).toEqual([good]);
+    expect(skippedCommands).toEqual([7, 0]);
+  });
+});
+
 describe('a committed command that cannot be decoded', () => {
   it('is skipped and reported, and the next ones are applied', () => {
     // Guards against an entry that ends each instance that applies it.
--- a/src/services/gateway/node/gateway_meter.ts
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -1,4 +1,5 @@
 import type {Histogram} from 'hdr-histogram-js';
+import {formatLabels} from '../../../base/common/metric_labels';
 // The builder alone: the package's index also loads readers and writers of
 // logs, which slow the start of the process.
 import {build} from 'hdr-histogram-js/dist/HistogramBuilder';
@@ -41,23 +42,25 @@
   }
 
   count(route: string, outcome: string): void {
-    const key = `route="${this.routeLabelOf(route)}",outcome="${outcome}"`;
-    increase(this.counts, key);
+    const labels = {route: this.routeLabelOf(route), outcome};
+    increase(this.counts, formatLabels(labels));
   }
 
   countAnswer(account: string): void {
-    increase(this.answers, `account="${this.accountLabelOf(account)}"`);
+    const name = this.accountLabelOf(account);
+    increase(this.answers, formatLabels({account: name}));
   }
 
   /** Counts a request of a client account that was refused and did not run. */
   countRefusal(account: string, reason: string): void {
     const name = this.accountLabelOf(account);
-    increase(this.refusals, `account="${name}",reason="${reason}"`);
+    increase(this.refusals, formatLabels({account: name, reason}));
   }
 
   /** Counts a statement sent again after a member may have run it. */
   countRepeatedRun(account: string): void {
-    increase(this.repeatedRuns, `account="${this.accountLabelOf(account)}"`);
+    const name = this.accountLabelOf(account);
+    increase(this.repeatedRuns, formatLabels({account: name}));
   }
 
   /** Changes the number of queued requests of a service and priority. */
@@ -72,7 +75,7 @@
     outcome: 'served' | 'refused',
   ): void {
     const labels = this.classLabelsOf(service, priority);
-    increase(this.checkouts, `${labels},outcome="${outcome}"`);
+    increase(this.checkouts, `${labels},${formatLabels({outcome})}`);
   }
 
   /** Renders all series in the Prometheus text format. */
@@ -98,7 +101,7 @@
   private summarize(route: string, phase: GatewayPhase): string[] {
     const histogram = this.histograms.get(`${route} ${phase}`);
     if (!histogram) return [];
-    const labels = `route="${route}",part="${phase}"`;
+    const labels = formatLabels({route, part: phase});
     const name = 'bulrushstage_request_seconds';
     const values = QUANTILES.map(quantile => {
       const seconds = histogram.getValueAtPercentile(quantile * 100) / 1e6;
@@ -115,7 +118,7 @@
   }
 
   private classLabelsOf(service: string, priority: number): string {
-    const labels = `service="${service}",priority="${priority}"`;
+    const labels = formatLabels({service, priority});
     if (this.classes.has(labels)) return labels;
     if (this.classes.size >= MAX_CLASSES) return OTHER_CLASSES;
     this.classes.add(labels);
