Control: a member that was replaced or left stays so when its heartbeat is late

Seconds later the primary goes dark, and a heartbeat of the old id arrives that the network had held. From then on the service has no primary, for good.

Cause: the old id, which had been removed and accounted for, was a member again. It was removed once more, as another member uses its address, and became a former member whose log counts. Former members are accounted for by a primary that serves, and there is none until they are. Ids that left were remembered by one leader only (Departures).

Change: the control log says of a removal whether the member was replaced, and where. One owner decides: a heartbeat of such an incarnation is acknowledged and ignored with a line, and an entry that admits it has no effect. It comes back in a later incarnation (`born`), or at another address where the platform does not say when it started. A member that was only silent may come back as before. A removal of a replaced member names the address that was taken, so one that has moved meanwhile stays, and the monitor of an earlier address is not asked any more.

--- a/src/services/fleet_control/node/fleet_control.ts
+++ b/src/services/fleet_control/node/fleet_control.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../../base/common/clock';
+import {RepeatLimit} from '../../../base/common/repeat_limit';
 import {err, ok, type Result} from '../../../base/common/result';
 import type {Log} from '../../../base/node/log';
 import {createAbortController, every} from '../../../base/node/timers';
@@ -70,6 +71,11 @@
 }
 
 const RECONCILE_INTERVAL_MS = 200;
+const LOSS_REASONS = {
+  silent: 'it is silent',
+  replaced: 'another member uses its address',
+} as const;
+const ENDED_LOG_INTERVAL_MS = 10_000;
 /** Silence after which a member is removed. */
 const REMOVE_SILENT_AFTER_MS = 20_000;
 
@@ -92,9 +98,13 @@
   private leaseHolders = new LeaseHolders(Infinity);
   private limitCoordinator: LimitCoordinator;
   private readonly connectionAllocation: ConnectionAllocation;
+  /** Limits the lines about late announcements. */
+  private readonly endedNotices: RepeatLimit;
   leader: FleetLeader | undefined;
 
   constructor(private readonly dependencies: FleetControlDependencies) {
+    const {clock} = dependencies;
+    this.endedNotices = new RepeatLimit(ENDED_LOG_INTERVAL_MS, clock);
     this.limitCoordinator = this.makeLimitCoordinator();
     this.connectionAllocation = new ConnectionAllocation({
       catalog: () => this.catalog(),
@@ -261,6 +271,10 @@
     // Guard: a heartbeat that arrives after its sender left would add a member
     // that never replies to a promotion.
     if (this.departures.includes(member)) return 'taken';
+    if (this.dependencies.machine.hasEnded(member)) {
+      this.logEnded(member);
+      return 'taken';
+    }
     const previous = this.roster.get(member.instance);
     const revision = this.roster.revision;
     this.roster.announce(announcement, this.dependencies.clock.now());
@@ -281,6 +295,15 @@
     return 'taken';
   }
 
+  /** A member that goes on is logged again and again. */
+  private logEnded({instance, service, address}: Member): void {
+    const suppressed = this.endedNotices.take(instance);
+    if (suppressed === undefined) return;
+    const fields = {instance, service, address, suppressed};
+    const message = 'Ignored an announcement of a member that has ended.';
+    this.dependencies.log.warn(message, fields);
+  }
+
   private confirmationsOf(service: string): number {
     const services = this.catalog()?.services ?? [];
     const entry = services.find(other => other.service === service);
@@ -322,23 +345,27 @@
     const stoppedAt = end ? formatPosition(end) : 'unknown';
     const fields = {instance, service, stoppedAt, others: logs};
     this.dependencies.log.info('A member left.', fields);
-    const done = await this.forget(requests, member, end, true);
+    const done = await this.forget(requests, member, end, 'left');
     if (done) departures.complete(instance);
     else departures.cancel(instance);
     return done;
   }
 
   /** Removes a member that ended without a word, or cannot be reached. */
-  private removeLostMember(member: Member, reason: string): void {
-    const {instance, service, address} = member;
+  private removeLostMember(
+    member: Member,
+    reason: 'silent' | 'replaced',
+  ): void {
+    const {instance, service, address, born} = member;
     const key = `forget ${instance}`;
     if (this.proposals.isRunning(key)) return;
-    const fields = {instance, service, address, reason};
+    const fields = {instance, service, address, reason: LOSS_REASONS[reason]};
     this.dependencies.log.warn('Removing a lost member.', fields);
     const requests = this.leadershipRequests();
     this.proposals.start(key, async () => {
-      const done = await this.forget(requests, member, undefined, false);
-      const hasReturned = this.roster.get(instance)?.born !== member.born;
+      const done = await this.forget(requests, member, undefined, reason);
+      const current = this.roster.get(instance);
+      const hasReturned = current?.born !== born || current.address !== address;
       if (!done || hasReturned) return;
       this.roster.remove(instance);
       this.leader?.push();
@@ -348,13 +375,22 @@
   /** Removes a member from the control log, together with its log. */
   private async forget(
     requests: LeadershipRequests,
-    {instance, service, born}: Member,
+    {instance, service, born, address}: Member,
     end: Position | undefined,
-    left: boolean,
+    reason: 'left' | 'silent' | 'replaced',
   ): Promise<boolean> {
     const {term, offset} = end ?? ORIGIN_POSITION;
-    const stopped = end !== undefined;
-    const value = {instance, service, born, stopped, term, offset, left};
+    const value = {
+      instance,
+      service,
+      born,
+      address: reason === 'replaced' ? address : '',
+      stopped: end !== undefined,
+      term,
+      offset,
+      left: reason === 'left',
+      replaced: reason === 'replaced',
+    };
     const body = {$case: 'forget', value} as const;
     const proposed = await requests.propose(encodeCommand(body));
     return proposed.isOk;
@@ -449,7 +485,7 @@
       );
       if (now - lastHeardAt < REMOVE_SILENT_AFTER_MS) continue;
       if (!this.promotions?.isDispensable(member)) continue;
-      this.removeLostMember(member, 'it is silent');
+      this.removeLostMember(member, 'silent');
     }
   }
 
@@ -459,7 +495,7 @@
    */
   private removeReplacedMembers(): void {
     for (const member of this.promotions?.replacedMembers() ?? []) {
-      this.removeLostMember(member, 'another member uses its address');
+      this.removeLostMember(member, 'replaced');
     }
   }
 
--- a/src/services/fleet_control/node/service_promotions.ts
+++ b/src/services/fleet_control/node/service_promotions.ts
@@ -160,7 +160,8 @@
   /** The members whose addresses other members use now. */
   replacedMembers(): Member[] {
     return this.dependencies.roster.all().filter(member => {
-      return this.monitors.get(member.instance)?.isReplaced;
+      // An earlier monitor knows of the address that the member had.
+      return this.monitors.of(member).isReplaced;
     });
   }
 
--- a/src/services/fleet_state/common/fleet_state_machine.ts
+++ b/src/services/fleet_state/common/fleet_state_machine.ts
@@ -17,6 +17,7 @@
   type PublishOutcome,
   type ReadabilityCheck,
 } from './committed_catalogs';
+import {EndedMembers} from './ended_members';
 import {LogBaselines} from './log_baselines';
 
 /** What the state machine skips, as it would fail each instance in turn. */
@@ -48,6 +49,7 @@
   private assignedCounters: readonly CounterEntry[] = [];
   private readonly assignmentByService = new Map<string, PrimaryAssignment>();
   private readonly baselines = new LogBaselines();
+  private readonly endedMembers = new EndedMembers();
 
   /** Outcomes of recent entries, for the instance that proposed them. */
   private readonly outcomes = new Map<number, PublishOutcome>();
@@ -108,6 +110,11 @@
     return this.baselines.all;
   }
 
+  /** Whether an incarnation of a member left or was replaced. */
+  hasEnded(member: Member): boolean {
+    return this.endedMembers.includes(member);
+  }
+
   member(service: string, instance: string): Member | undefined {
     return this.registeredMembers.find(other => {
       return other.service === service && other.instance === instance;
@@ -174,6 +181,7 @@
       proxies: this.recordedProxyCount,
       counters: [...this.assignedCounters],
       baselines: this.baselines.all,
+      ended: this.endedMembers.all,
     };
     return Buffer.from(FleetState.encode(state).finish());
   }
@@ -189,6 +197,7 @@
     this.poolersIndex = poolersIndex;
     this.catalogs.restore({version, source});
     this.baselines.restore(decoded.baselines);
+    this.endedMembers.restore(decoded.ended);
     this.registeredMembers = [];
     for (const member of members) {
       if (this.hasUsableNames(0, member)) this.addMember(member);
@@ -215,13 +224,15 @@
     }
   }
 
-  /** Entries for an earlier incarnation of the member are ignored. */
+  /** Entries for an earlier or ended incarnation of the member are ignored. */
   private addMember(member: Member): void {
+    if (this.hasEnded(member)) return;
     const {service, instance, born} = member;
     const existing = this.member(service, instance);
     if (existing && born < existing.born) return;
     this.removeMember(service, instance);
     this.registeredMembers.push({...member, recovering: false});
+    this.endedMembers.remove(member);
     this.baselines.removeFormer(service, member);
     // Guard: a member that restarted without its log would count as proof of
     // what its earlier log held.
@@ -243,7 +254,10 @@
     const {service, instance, born, left, stopped, term, offset} = entry;
     const member = this.member(service, instance);
     if (!member || (born !== 0 && born !== member.born)) return;
+    const hasMoved = entry.address !== '' && entry.address !== member.address;
+    if (hasMoved) return;
     this.removeMember(service, instance);
+    if (left || entry.replaced) this.endedMembers.add(member);
     const isPrimary = this.assignmentOf(service)?.instance === instance;
     // The primary may have come back at its address as another instance.
     const {primaryAddress} = this.baselines.of(service);
--- a/src/services/fleet_state/test/common/fleet_state_machine.test.ts
+++ b/src/services/fleet_state/test/common/fleet_state_machine.test.ts
@@ -59,6 +59,8 @@
       term: 0,
       offset: 0,
       left: true,
+      replaced: false,
+      address: '',
     };
     copy.apply(3, encodeCommand({$case: 'forget', value: gone}));
     expect(copy.members).toEqual([]);
--- a/src/services/fleet_state/test/common/log_baselines.test.ts
+++ b/src/services/fleet_state/test/common/log_baselines.test.ts
@@ -30,7 +30,8 @@
 const forget = (instance: string, stoppedAt?: number, left = true) => {
   const stopped = stoppedAt !== undefined;
   const end = {stopped, term: stopped ? 1 : 0, offset: stoppedAt ?? 0};
-  const value = {service: 's', instance, born: 1, left, ...end};
+  const cause = {left, replaced: false, address: ''};
+  const value = {service: 's', instance, born: 1, ...cause, ...end};
   apply({$case: 'forget', value});
 };
 
--- a/src/services/promotion/test/common/promotion_simulation.ts
+++ b/src/services/promotion/test/common/promotion_simulation.ts
@@ -350,8 +350,9 @@
   ): void {
     const stopped = end !== undefined;
     const position = end ?? ORIGIN_POSITION;
-    const base = {instance: instance!, service: SERVICE, born, left, stopped};
-    const value = {...base, ...position};
+    const cause = {left, replaced: false, address: ''};
+    const base = {instance: instance!, service: SERVICE, born, stopped};
+    const value = {...base, ...cause, ...position};
     this.apply({$case: 'forget', value});
   }
 
