Promotion: a primary that control reaches is not replaced by a leaving member

Cause: the assessment looks at the primary alone. A change takes the primary from the proxies that it serves, whatever the candidates have to give; a member that leaves gives nothing.

Change: a primary that control reaches is replaced, for reports of proxies or as it drains, only if a replica stays and replies. One that is silent for control and the proxies is replaced as before: there is nothing to take away.

--- a/src/services/promotion/common/assess_primary.ts
+++ b/src/services/promotion/common/assess_primary.ts
@@ -15,6 +15,8 @@
   readonly reportedMs: number;
   /** Whether its leases were revoked; proxies then report no failures of it. */
   readonly isRevoked: boolean;
+  /** Whether control reaches a replica that is not draining. */
+  readonly hasStayingReplica: boolean;
 }
 
 /** Whether a primary has to be replaced, and why. */
@@ -41,7 +43,12 @@
   // Guard: a restarted primary comes back as a replica that replies and is not
   // draining. No other check would replace it, and writes would stay refused.
   if (observed.isReplica) return {kind: 'replace', reason: REPLICA_REASON};
-  if (observed.draining) return {kind: 'replace', reason: 'it is drained'};
+  // Guard: a successor that leaves as well gives nothing. It would be replaced
+  // in turn, and each change interrupts those whom the primary serves.
+  const {hasStayingReplica} = observed;
+  if (observed.draining && hasStayingReplica) {
+    return {kind: 'replace', reason: 'it is drained'};
+  }
   // Guard: if the first search found no successor, a silent primary whose
   // leases were revoked would be kept for lack of failure reports, and the
   // service would have no primary until it replied again.
@@ -52,6 +59,7 @@
     return {kind: 'replace', reason};
   }
   const isUnreachable =
+    hasStayingReplica &&
     reportCount > 0 &&
     isReportedByHalf &&
     observed.reportedMs >= FAILURE_REPORT_TIMEOUT_MS;
--- a/src/services/promotion/node/promotion_driver.ts
+++ b/src/services/promotion/node/promotion_driver.ts
@@ -217,6 +217,7 @@
       isReplica: yield* this.isReplica(primary),
       ...this.dependencies.failureReportsOf(instance),
       isRevoked: this.dependencies.isRevoked(),
+      hasStayingReplica: this.hasStayingReplica(instance),
     });
     if (assessment.kind === 'keep') return undefined;
     return this.hasCollectedReports || primary.draining
@@ -336,7 +337,15 @@
   }
 
   private hasReachableReplica({instance}: PrimaryAssignment): boolean {
-    return this.membersExcept(instance).some(member => {
+    return this.reachableReplicas(instance).length > 0;
+  }
+
+  private hasStayingReplica(primary: string): boolean {
+    return this.reachableReplicas(primary).some(({draining}) => !draining);
+  }
+
+  private reachableReplicas(primary: string): readonly Member[] {
+    return this.membersExcept(primary).filter(member => {
       return this.dependencies.monitorOf(member).silentMs < MAX_SILENCE_MS;
     });
   }
--- a/src/services/promotion/test/common/assess_primary.test.ts
+++ b/src/services/promotion/test/common/assess_primary.test.ts
@@ -15,6 +15,7 @@
   reportCount: 0,
   reportedMs: 0,
   isRevoked: false,
+  hasStayingReplica: true,
   ...over,
 });
 
@@ -49,6 +50,17 @@
     expect(isReplaced(gone)).toBe(true);
   });
 
+  it('keeps a primary that it reaches if only leaving members are left', () => {
+    // Guards against changes back and forth between members that leave, which
+    // take the primary from the proxies that it serves.
+    const leaving = {hasStayingReplica: false};
+    const cut = {reportCount: 4, reportedMs: 9_000};
+    expect(isReplaced({...cut, ...leaving})).toBe(false);
+    expect(isReplaced({draining: true, ...leaving})).toBe(false);
+    const lost = {silentMs: 800, reportCount: 4};
+    expect(isReplaced({...lost, ...leaving})).toBe(true);
+  });
+
   it('replaces a silent primary whose leases were revoked', () => {
     // Guards against a service without a primary: after the first search found
     // no successor, proxies without a lease send no more failure reports.
