--- a/src/services/gateway/node/gateway_meter.ts
+++ b/src/services/gateway/node/gateway_meter.ts
@@ -10,24 +10,49 @@
 const PHASES: readonly GatewayPhase[] = ['queue', 'whole'];
 /** Further routes share one series, to bound memory. */
 const MAX_ROUTES = 64;
-const OTHER_ROUTES = 'other';
 const MAX_ACCOUNTS = 256;
-const OTHER_ACCOUNTS = 'other';
+/** The name that further routes, or accounts, are counted under. */
+const OTHER = 'other';
 const MAX_CLASSES = 256;
 const OTHER_CLASSES = 'service="other",priority=""';
 const MAX_LATENCY_US = 60_000_000;
 const QUANTILES = [0.5, 0.9, 0.99];
 
+/** Labels of names, of which those beyond a limit share one. */
+class BoundedLabels {
+  private readonly labelByName = new Map<string, string>();
+
+  constructor(
+    private readonly label: string,
+    private readonly max: number,
+  ) {}
+
+  get all(): Iterable<string> {
+    return this.labelByName.values();
+  }
+
+  of(name: string): string {
+    const known = this.labelByName.get(name);
+    if (known !== undefined) return known;
+    const isBeyond = this.labelByName.size >= this.max;
+    const counted = isBeyond ? OTHER : name;
+    const formatted = formatLabels({[this.label]: counted});
+    this.labelByName.set(counted, formatted);
+    return formatted;
+  }
+}
+
 /** Counters and latency histograms of requests, for each route. */
 export class GatewayMeter {
   private readonly histograms = new Map<string, Histogram>();
   private readonly counts = new Map<string, number>();
-  private readonly routes = new Set<string>();
-  private readonly accounts = new Set<string>();
+  private readonly routes = new BoundedLabels('route', MAX_ROUTES);
+  private readonly accounts = new BoundedLabels('account', MAX_ACCOUNTS);
   private readonly answers = new Map<string, number>();
   private readonly refusals = new Map<string, number>();
   private readonly repeatedRuns = new Map<string, number>();
-  private readonly classes = new Set<string>();
+  /** Labels by service and priority. */
+  private readonly classes = new Map<string, string>();
   private readonly queued = new Map<string, number>();
   private readonly checkouts = new Map<string, number>();
 
@@ -38,29 +63,27 @@
   ): void {
     const micros = Math.round(milliseconds * 1_000);
     const value = Math.min(Math.max(0, micros), MAX_LATENCY_US);
-    this.histogramOf(this.routeLabelOf(route), phase).recordValue(value);
+    this.histogramOf(this.routes.of(route), phase).recordValue(value);
   }
 
   count(route: string, outcome: string): void {
-    const labels = {route: this.routeLabelOf(route), outcome};
-    increase(this.counts, formatLabels(labels));
+    const key = `${this.routes.of(route)},outcome="${outcome}"`;
+    increase(this.counts, key);
   }
 
   countAnswer(account: string): void {
-    const name = this.accountLabelOf(account);
-    increase(this.answers, formatLabels({account: name}));
+    increase(this.answers, this.accounts.of(account));
   }
 
   /** Counts a request of a client account that was refused and did not run. */
   countRefusal(account: string, reason: string): void {
-    const name = this.accountLabelOf(account);
-    increase(this.refusals, formatLabels({account: name, reason}));
+    const label = this.accounts.of(account);
+    increase(this.refusals, `${label},reason="${reason}"`);
   }
 
   /** Counts a statement sent again after a member may have run it. */
   countRepeatedRun(account: string): void {
-    const name = this.accountLabelOf(account);
-    increase(this.repeatedRuns, formatLabels({account: name}));
+    increase(this.repeatedRuns, this.accounts.of(account));
   }
 
   /** Changes the number of queued requests of a service and priority. */
@@ -75,7 +98,7 @@
     outcome: 'served' | 'refused',
   ): void {
     const labels = this.classLabelsOf(service, priority);
-    increase(this.checkouts, `${labels},${formatLabels({outcome})}`);
+    increase(this.checkouts, `${labels},outcome="${outcome}"`);
   }
 
   /** Renders all series in the Prometheus text format. */
@@ -92,7 +115,7 @@
       ...renderGauge('bulrushstage_places_waiting', this.queued),
     ];
     lines.push('# TYPE bulrushstage_request_seconds summary');
-    for (const route of this.routes) {
+    for (const route of this.routes.all) {
       for (const phase of PHASES) lines.push(...this.summarize(route, phase));
     }
     return `${lines.join('\n')}\n`;
@@ -101,7 +124,7 @@
   private summarize(route: string, phase: GatewayPhase): string[] {
     const histogram = this.histograms.get(`${route} ${phase}`);
     if (!histogram) return [];
-    const labels = formatLabels({route, part: phase});
+    const labels = `${route},part="${phase}"`;
     const name = 'bulrushstage_request_seconds';
     const values = QUANTILES.map(quantile => {
       const seconds = histogram.getValueAtPercentile(quantile * 100) / 1e6;
@@ -110,28 +133,16 @@
     return [...values, `${name}_count{${labels}} ${histogram.totalCount}`];
   }
 
-  private accountLabelOf(account: string): string {
-    if (this.accounts.has(account)) return account;
-    if (this.accounts.size >= MAX_ACCOUNTS) return OTHER_ACCOUNTS;
-    this.accounts.add(account);
-    return account;
-  }
-
   private classLabelsOf(service: string, priority: number): string {
-    const labels = formatLabels({service, priority});
-    if (this.classes.has(labels)) return labels;
+    const key = `${service} ${priority}`;
+    const known = this.classes.get(key);
+    if (known !== undefined) return known;
     if (this.classes.size >= MAX_CLASSES) return OTHER_CLASSES;
-    this.classes.add(labels);
+    const labels = formatLabels({service, priority});
+    this.classes.set(key, labels);
     return labels;
   }
 
-  private routeLabelOf(route: string): string {
-    if (this.routes.has(route)) return route;
-    const name = this.routes.size >= MAX_ROUTES ? OTHER_ROUTES : route;
-    this.routes.add(name);
-    return name;
-  }
-
   private histogramOf(route: string, phase: GatewayPhase): Histogram {
     const key = `${route} ${phase}`;
     const known = this.histograms.get(key);
